Add the workspace, the design page and the shared vocabulary

Cause: the crates need one vocabulary and one set of interfaces before they can be written side by side. Change: workspace with the lint set, docs/design.md, result codes with their table, `types`, `store` with an HTTP and an in-memory platform, and the event and action types of `route`, `claim` and `place`. Conclusion: the remaining crates can be built against these types.

--- /dev/null
+++ b/crates/celerytally/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serves many models on fewer accelerators.
--- /dev/null
+++ b/crates/celerytally/src/main.rs
@@ -0,0 +1,3 @@
+//! Serves many models on fewer accelerators.
+
+fn main() {}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement controller of a data centre.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of backend servers: requests, streams, orders and load reports.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP API for callers and operators.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authority to give orders in a data centre.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded orders and memory accounting of one backend server.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Exchange between entry hosts: heartbeats, digests and configuration deltas.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! The short status report for operators.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and plain services, and a fault proxy.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,47 @@
+//! Client of the platform's object API.
+//!
+//! Everything that must outlive a host is an object of a [`Kind`], read and written through a
+//! [`Platform`]. [`HttpPlatform`] speaks to the real service; [`MemPlatform`] keeps objects in
+//! memory for tests and can be made to fail or to lose its answers.
+//!
+//! ```
+//! use serde::{Deserialize, Serialize};
+//! use store::{Kind, MemPlatform, Platform};
+//!
+//! #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+//! struct Note {
+//!     text: String,
+//! }
+//!
+//! impl Kind for Note {
+//!     const PLURAL: &'static str = "notes";
+//! }
+//!
+//! # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+//! let platform = MemPlatform::new();
+//! let first = Note { text: "one".to_owned() };
+//! let revision = platform.create("a", &first).await?;
+//!
+//! let second = Note { text: "two".to_owned() };
+//! platform.update("a", &second, &revision).await?;
+//!
+//! // A second update on the old revision loses.
+//! let err = platform.update("a", &first, &revision).await.unwrap_err();
+//! assert_eq!(err.category(), store::Category::Conflict);
+//! # Ok::<(), store::Error>(())
+//! # }).unwrap();
+//! ```
+
+mod error;
+mod hosts;
+mod http;
+mod mem;
+mod object;
+mod platform;
+
+pub use error::{Category, Error, Result};
+pub use hosts::{HostEntry, HostRole, HostState};
+pub use http::HttpPlatform;
+pub use mem::{Fault, MemPlatform};
+pub use object::{Change, Kind, Listing, Object, Revision};
+pub use platform::{Platform, Watch};
--- /dev/null
+++ b/crates/store/src/object.rs
@@ -0,0 +1,65 @@
+//! Objects of the platform and their revisions.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// Kind of object that the system keeps on the platform.
+pub trait Kind: Clone + fmt::Debug + DeserializeOwned + Send + Serialize + Sync + 'static {
+    /// Plural name, the path segment of the kind.
+    const PLURAL: &'static str;
+}
+
+/// Opaque revision of an object or a listing, compared only for equality.
+#[derive(Clone, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Revision(String);
+
+impl Revision {
+    /// Makes a revision from the platform's text.
+    #[must_use]
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the platform's text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Object as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Object<T> {
+    /// Name, unique within the kind.
+    pub name: String,
+    /// Revision at which it was read.
+    pub revision: Revision,
+    /// Value.
+    pub value: T,
+}
+
+/// All objects of a kind at one revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing<T> {
+    /// Objects in rising order of their names.
+    pub items: Vec<Object<T>>,
+    /// Revision from which a watch continues.
+    pub revision: Revision,
+}
+
+/// Change that a watch delivers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change<T> {
+    /// The object was created or updated.
+    Set(Object<T>),
+    /// The object with this name was deleted.
+    Deleted(String),
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,41 @@
+//! Vocabulary shared by every crate of celerytally.
+//!
+//! Ids, sizes, rates and deadlines are newtypes that parse from text and print back, so that a
+//! quantity never travels without its unit. Result codes are numbered here, once.
+//!
+//! ```
+//! use types::{Bytes, Deadline, Instant, Micros};
+//!
+//! let memory: Bytes = "80 GiB".parse()?;
+//! assert_eq!(memory.to_string(), "80 GiB");
+//!
+//! let target: Micros = "490 ms".parse()?;
+//! let deadline = Deadline::after(Instant::ZERO, target);
+//! assert!(!deadline.is_past(Instant::from_micros(489_999)));
+//! assert!(deadline.is_past(Instant::from_micros(490_000)));
+//! # Ok::<(), types::Error>(())
+//! ```
+
+mod code;
+mod error;
+mod id;
+mod load;
+mod order;
+mod rate;
+mod rendezvous;
+mod size;
+mod time;
+mod unit;
+
+pub use code::{Code, Ran, RetryReason};
+pub use error::{Category, Error, Result};
+pub use id::{
+    AdapterId, AttemptId, BackendId, CallerId, ConfigVersion, DataCentreId, Epoch, HostId,
+    Incarnation, ModelId, OrderId, RegionId, RequestId, ServiceName, VersionTag, WorkerId,
+};
+pub use load::{LoadReport, Resident};
+pub use order::{Order, OrderOp, OrderState, OrderStatus};
+pub use rate::Rate;
+pub use rendezvous::{rank, score};
+pub use size::{Bytes, Tokens};
+pub use time::{Clock, Deadline, Instant, Micros, Monotonic};
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Development tasks: demo, test, bench and ci.
+
+fn main() {}
