Add the client of backend servers

Cause: the request path needs failures that say exactly whether a request may have been run. Change: crate `engine`: verified responses, framing and event-stream ends, one error category per failure, diagnosis of a crash by reading the load report, resumption of streams, orders, load reports, prefix-cache events with gap detection.

--- /dev/null
+++ b/crates/engine/src/cache.rs
@@ -0,0 +1,111 @@
+//! Prefix-cache events of an engine, which come late and with gaps.
+
+use std::{fmt, pin::Pin};
+
+use eventsource_stream::{Event, Eventsource};
+use futures::{Stream, StreamExt};
+use serde::Deserialize;
+
+use crate::{
+    client::{Client, Server, classify},
+    error::{Category, Error, Result},
+};
+
+type Source = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
+
+/// Change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum CacheEvent {
+    /// A prefix is cached.
+    Stored {
+        /// Hash of the prefix.
+        prefix: u64,
+    },
+    /// A prefix was evicted.
+    Removed {
+        /// Hash of the prefix.
+        prefix: u64,
+    },
+}
+
+/// What the event stream tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CacheNews {
+    /// Events were lost; what was heard before is void.
+    Gap,
+    /// An event, in sequence.
+    Event(CacheEvent),
+}
+
+#[derive(Deserialize)]
+struct Line {
+    seq: u64,
+    #[serde(flatten)]
+    event: CacheEvent,
+}
+
+/// Event stream of an engine's prefix cache.
+pub struct CacheEvents {
+    server: Server,
+    source: Source,
+    /// Sequence number that follows the last event.
+    expected: Option<u64>,
+    held: Option<CacheEvent>,
+}
+
+impl fmt::Debug for CacheEvents {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CacheEvents")
+            .field("server", &self.server)
+            .field("expected", &self.expected)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// Opens the prefix-cache event stream of an engine.
+    ///
+    /// # Errors
+    /// `Unreachable`, `Cut`, or `Refused` for an error status.
+    pub async fn cache_events(&self, server: &Server) -> Result<CacheEvents> {
+        let url = format!("http://{}/events", server.addr);
+        let sent = self.fresh().get(url).send().await;
+        let answer = sent.map_err(|e| classify(&server.id, &e))?;
+        if !answer.status().is_success() {
+            return Err(Error::new(Category::Refused, &server.id, answer.status()));
+        }
+        let source = answer.bytes_stream().eventsource();
+        Ok(CacheEvents {
+            server: server.clone(),
+            source: Box::pin(source.map(|ev| ev.map_err(|e| e.to_string()))),
+            expected: None,
+            held: None,
+        })
+    }
+}
+
+impl CacheEvents {
+    /// Returns the next event, preceded by [`CacheNews::Gap`] where events were lost.
+    ///
+    /// # Errors
+    /// `Truncated` when the stream ends, `Garbage` when an event can't be decoded. Both are gaps.
+    pub async fn next(&mut self) -> Result<CacheNews> {
+        if let Some(event) = self.held.take() {
+            return Ok(CacheNews::Event(event));
+        }
+        let event = match self.source.next().await {
+            Some(Ok(event)) => event,
+            Some(Err(e)) => return Err(Error::new(Category::Truncated, &self.server.id, e)),
+            None => return Err(Error::new(Category::Truncated, &self.server.id, "end")),
+        };
+        let line: Line = serde_json::from_str(&event.data)
+            .map_err(|e| Error::new(Category::Garbage, &self.server.id, e))?;
+        let expected = self.expected.replace(line.seq + 1);
+        if expected.is_some_and(|seq| seq != line.seq) {
+            self.held = Some(line.event);
+            return Ok(CacheNews::Gap);
+        }
+        Ok(CacheNews::Event(line.event))
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,1 +1,35 @@
 //! Client of backend servers: requests, streams, orders and load reports.
+//!
+//! A [`Client`] sends a [`Call`] to a [`Server`] and returns an [`Answer`] only if the server echoed
+//! the request id. Every other end is an [`Error`] whose [`Category`] says exactly what is known, so
+//! that a caller never has to guess whether a request was run.
+//!
+//! ```
+//! use std::net::Ipv4Addr;
+//!
+//! use engine::{Call, Category, Client, Server};
+//! use types::RequestId;
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+//! let client = Client::new()?;
+//! // Nothing listens on port 1, so the request is certainly not run.
+//! let server = Server { id: "w1".parse().unwrap(), addr: (Ipv4Addr::LOCALHOST, 1).into() };
+//! let err = client.send(&server, Call::get(RequestId::new(7), "/status")).await.unwrap_err();
+//! assert_eq!(err.category(), Category::Unreachable);
+//! assert!(!err.may_have_run());
+//! # Ok::<(), engine::Error>(())
+//! # }).unwrap();
+//! ```
+
+mod answer;
+mod cache;
+mod client;
+mod control;
+mod error;
+mod lives;
+mod sse;
+
+pub use answer::{Answer, Events, LoadHint, Whole};
+pub use cache::{CacheEvent, CacheEvents, CacheNews};
+pub use client::{Call, Client, Protocol, Server};
+pub use error::{Category, Error, Result};
--- /dev/null
+++ b/crates/engine/tests/streams.rs
@@ -0,0 +1,74 @@
+//! Event streams are complete only with their closing event and their framing.
+
+mod backend;
+
+use backend::{Act, Backend};
+use engine::{Call, Category, Client, Error, Server};
+use reqwest::header::HeaderMap;
+use types::RequestId;
+
+async fn read(client: &Client, server: &Server, n: u128) -> (String, u64, Option<Error>) {
+    let call = Call::get(RequestId::new(n), "/v1/completions");
+    let mut events = client.send(server, call).await.unwrap().events();
+    let (mut text, mut count) = (String::new(), 0);
+    loop {
+        match events.next().await {
+            Ok(Some((bytes, n))) => {
+                text.push_str(std::str::from_utf8(&bytes).unwrap());
+                count += n;
+            }
+            Ok(None) => return (text, count, None),
+            Err(e) => return (text, count, Some(e)),
+        }
+    }
+}
+
+/// Guards against a truncated stream that looks complete.
+#[tokio::test]
+async fn a_stream_without_its_end_is_truncated() {
+    let acts = [Act::Events(2), Act::EndEarly(2), Act::Break(2)];
+    let backend = Backend::start(acts).await;
+    let (client, server) = (Client::new().unwrap(), backend.server("w1"));
+
+    let complete = read(&client, &server, 1).await;
+    let early = read(&client, &server, 2).await;
+    let broken = read(&client, &server, 3).await;
+
+    assert_eq!(complete.0, "data: 0\n\ndata: 1\n\ndata: [DONE]\n\n");
+    assert_eq!(complete.1, 2);
+    assert!(complete.2.is_none());
+    for (text, _, err) in [early, broken] {
+        assert!(!text.contains("[DONE]"));
+        assert_eq!(err.unwrap().category(), Category::Truncated);
+    }
+}
+
+/// Guards against events that are lost or repeated when a stream is resumed.
+#[tokio::test]
+async fn a_stream_resumes_after_the_events_that_were_read() {
+    let backend = Backend::start([Act::Break(2), Act::Events(4), Act::Status(404)]).await;
+    let (client, server) = (Client::new().unwrap(), backend.server("w1"));
+    let (text, count, _) = read(&client, &server, 1).await;
+    let deadline = tokio::time::Instant::now() + std::time::Duration::from_secs(5);
+    let resume = || {
+        client.resume(
+            &server,
+            RequestId::new(1),
+            count,
+            HeaderMap::default(),
+            deadline,
+        )
+    };
+
+    let mut rest = resume().await.unwrap().events();
+    let (bytes, _) = rest.next().await.unwrap().unwrap();
+    let unknown = resume().await.unwrap_err();
+
+    let all = format!("{text}{}", std::str::from_utf8(&bytes).unwrap());
+    assert!(
+        all.starts_with("data: 0\n\ndata: 1\n\ndata: 2\n\n"),
+        "{all}"
+    );
+    assert!(backend.seen()[1].path.ends_with("/resume?from=2"));
+    assert_eq!(unknown.category(), Category::NotResident);
+}
