--- /dev/null
+++ b/crates/gate/src/dispatcher.rs
@@ -0,0 +1,284 @@
+//! The asynchronous driver of the pure router.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+};
+
+use config::InForce;
+use engine::Server;
+use route::{Action, Event, Failure, Ticket};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use types::{
+    BackendId, Clock, Code, DataCentreId, Instant, Micros, Monotonic, RequestId, RetryReason,
+};
+
+use crate::{count::Counters, peers::Peers};
+
+/// The router, or what replaces it in a test.
+pub trait Step: Send + 'static {
+    /// Takes an event at an instant and appends the actions that follow from it.
+    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>);
+}
+
+/// Decision of the router on a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Decision {
+    Dispatch {
+        backend: BackendId,
+        retry: Option<RetryReason>,
+    },
+    Forward(DataCentreId),
+    Refuse {
+        code: Code,
+        retry_after: Option<Micros>,
+    },
+}
+
+/// Driver of the router: feeds it events and performs its actions.
+pub struct Dispatcher<R, N>(Arc<Shared<R, N>>);
+
+struct Shared<R, N> {
+    clock: Monotonic,
+    router: Mutex<R>,
+    peers: N,
+    counters: Arc<Counters>,
+    /// Requests that wait or run, sorted by id.
+    flights: Mutex<Vec<(RequestId, UnboundedSender<Decision>)>>,
+    /// Addresses of backend servers, sorted by id.
+    servers: RwLock<Vec<Server>>,
+    in_force: RwLock<Option<Arc<InForce>>>,
+}
+
+impl<R, N> Clone for Dispatcher<R, N> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<R, N> fmt::Debug for Dispatcher<R, N> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Dispatcher").finish_non_exhaustive()
+    }
+}
+
+impl<R: Step, N: Peers> Dispatcher<R, N> {
+    pub(crate) fn new(clock: Monotonic, router: R, peers: N, counters: Arc<Counters>) -> Self {
+        Self(Arc::new(Shared {
+            clock,
+            router: Mutex::new(router),
+            peers,
+            counters,
+            flights: Mutex::new(Vec::new()),
+            servers: RwLock::new(Vec::new()),
+            in_force: RwLock::new(None),
+        }))
+    }
+
+    /// Feeds the router an event and performs the actions that follow from it.
+    ///
+    /// Suspects are shared before any refusal that follows in the same list is sent. Must be called
+    /// within a tokio runtime, because questions to peers are asked in the background.
+    pub fn feed(&self, ev: Event) {
+        if let Event::Config(in_force) = &ev {
+            let mut held = self
+                .0
+                .in_force
+                .write()
+                .unwrap_or_else(PoisonError::into_inner);
+            *held = Some(Arc::clone(in_force));
+        }
+        let mut out = Vec::new();
+        lock(&self.0.router).step(self.0.clock.now(), ev, &mut out);
+        self.perform(out);
+    }
+
+    /// Replaces the addresses of the backend servers.
+    pub fn set_servers(&self, mut servers: Vec<Server>) {
+        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        *self
+            .0
+            .servers
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = servers;
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        let held = self
+            .0
+            .in_force
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        held.clone()
+    }
+
+    /// Returns the number of requests that wait or run.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        lock(&self.0.flights).len()
+    }
+
+    /// Calls a function on the router, for reports and digests.
+    pub fn with_router<T>(&self, f: impl FnOnce(&R) -> T) -> T {
+        f(&lock(&self.0.router))
+    }
+
+    pub(crate) fn server(&self, id: &BackendId) -> Option<Server> {
+        let servers = self
+            .0
+            .servers
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let at = servers.binary_search_by(|s| s.id.cmp(id)).ok()?;
+        Some(servers[at].clone())
+    }
+
+    pub(crate) fn entry_host(&self, dc: &DataCentreId) -> Option<SocketAddr> {
+        self.0.peers.entry_host(dc)
+    }
+
+    /// Hands a request to the router.
+    pub(crate) fn arrive(&self, ticket: Ticket) -> Flight<R, N> {
+        let id = ticket.id;
+        let (tx, rx) = unbounded_channel();
+        let mut flights = lock(&self.0.flights);
+        match flights.binary_search_by_key(&id, |(id, _)| *id) {
+            Ok(at) => flights[at].1 = tx,
+            Err(at) => flights.insert(at, (id, tx)),
+        }
+        drop(flights);
+        let flight = Flight {
+            dispatcher: self.clone(),
+            id,
+            rx,
+            open: true,
+        };
+        self.feed(Event::Arrive(ticket));
+        flight
+    }
+
+    fn perform(&self, out: Vec<Action>) {
+        let mut rest = out.into_iter();
+        while let Some(action) = rest.next() {
+            match action {
+                Action::ShareSuspects(marks) => {
+                    let later: Vec<Action> = rest.collect();
+                    self.share_then(marks, later);
+                    return;
+                }
+                action => self.perform_one(action),
+            }
+        }
+    }
+
+    fn share_then(&self, marks: Vec<route::SuspectMark>, later: Vec<Action>) {
+        // Only refusals wait: the caller could resend as soon as it has its refusal.
+        let (refusals, others): (Vec<_>, Vec<_>) = later
+            .into_iter()
+            .partition(|action| matches!(action, Action::Refuse { .. }));
+        self.perform(others);
+        let this = self.clone();
+        tokio::spawn(async move {
+            this.0.peers.share_suspects(marks).await;
+            this.perform(refusals);
+        });
+    }
+
+    fn perform_one(&self, action: Action) {
+        match action {
+            Action::Dispatch { id, backend, retry } => {
+                if let Some(reason) = retry {
+                    self.0.counters.retry(reason);
+                }
+                self.decide(id, Decision::Dispatch { backend, retry });
+            }
+            Action::Forward { id, dc } => self.decide(id, Decision::Forward(dc)),
+            Action::Refuse {
+                id,
+                code,
+                retry_after,
+            } => self.decide(id, Decision::Refuse { code, retry_after }),
+            Action::AskSlot {
+                id,
+                fingerprint,
+                backend,
+            } => {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    let granted = this.0.peers.ask_slot(fingerprint, backend).await;
+                    this.feed(Event::Slot { id, granted });
+                });
+            }
+            Action::Want { model, adapter } => {
+                let this = self.clone();
+                tokio::spawn(async move { this.0.peers.want(model, adapter).await });
+            }
+            Action::ShareSuspects(marks) => self.share_then(marks, Vec::new()),
+        }
+    }
+
+    fn decide(&self, id: RequestId, decision: Decision) {
+        let flights = lock(&self.0.flights);
+        if let Ok(at) = flights.binary_search_by_key(&id, |(id, _)| *id) {
+            // A caller that went away has dropped its receiver; its cancellation follows.
+            drop(flights[at].1.send(decision));
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Request that the router knows of; dropping it before its end cancels it there.
+pub(crate) struct Flight<R: Step, N: Peers> {
+    dispatcher: Dispatcher<R, N>,
+    id: RequestId,
+    rx: UnboundedReceiver<Decision>,
+    open: bool,
+}
+
+impl<R: Step, N: Peers> Flight<R, N> {
+    /// Waits for the router's decision.
+    pub(crate) async fn decision(&mut self) -> Decision {
+        let decided = self.rx.recv().await.unwrap_or(Decision::Refuse {
+            code: Code::Internal,
+            retry_after: None,
+        });
+        if matches!(decided, Decision::Refuse { .. }) {
+            self.open = false;
+        }
+        decided
+    }
+
+    pub(crate) fn first_byte(&self) {
+        self.dispatcher.feed(Event::FirstByte(self.id));
+    }
+
+    pub(crate) fn finished(&mut self, tokens: u32, ok: bool) {
+        self.open = false;
+        let id = self.id;
+        self.dispatcher.feed(Event::Finished { id, tokens, ok });
+    }
+
+    pub(crate) fn failed(&self, failure: Failure) {
+        let id = self.id;
+        self.dispatcher.feed(Event::Failed { id, failure });
+    }
+}
+
+impl<R: Step, N: Peers> Drop for Flight<R, N> {
+    fn drop(&mut self) {
+        let mut flights = lock(&self.dispatcher.0.flights);
+        if let Ok(at) = flights.binary_search_by_key(&self.id, |(id, _)| *id) {
+            flights.remove(at);
+        }
+        drop(flights);
+        if self.open {
+            self.dispatcher.feed(Event::Cancel(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/limit.rs
@@ -0,0 +1,96 @@
+//! Limits on headers, body, deadline and idempotency key.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use config::{Limits, Service};
+use futures::StreamExt;
+use salvo::http::{HeaderMap, ReqBody, header::CONTENT_LENGTH, header::HeaderName};
+use types::{Code, Deadline, Instant, Micros};
+
+use crate::refusal::Refusal;
+
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Bounds the time in which a caller must send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest idempotency key, as most published interfaces have it.
+const MAX_KEY_LEN: usize = 255;
+
+pub(crate) fn check_headers(headers: &HeaderMap, limits: &Limits) -> Result<(), Refusal> {
+    let size: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if size as u64 > limits.headers.get() {
+        return Err(Code::HeadersTooLarge.into());
+    }
+    Ok(())
+}
+
+/// Reads the body of a request up to the limit.
+pub(crate) async fn read_body(
+    headers: &HeaderMap,
+    body: ReqBody,
+    limits: &Limits,
+) -> Result<Bytes, Refusal> {
+    let announced = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse::<u64>().ok());
+    if announced.is_some_and(|n| n > limits.body.get()) {
+        return Err(Code::BodyTooLarge.into());
+    }
+    match tokio::time::timeout(BODY_TIMEOUT, collect(body, limits.body.get())).await {
+        Ok(body) => body,
+        Err(_) => Err(Code::DeadlineUnreachable.into()),
+    }
+}
+
+async fn collect(mut body: ReqBody, limit: u64) -> Result<Bytes, Refusal> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.next().await {
+        // The caller broke off, so nobody reads the refusal.
+        let frame = frame.map_err(|_e| Code::InvalidField)?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() as u64 > limit {
+            return Err(Code::BodyTooLarge.into());
+        }
+    }
+    Ok(buf.freeze())
+}
+
+/// Returns the deadline that a caller asks for, or the default of the service.
+pub(crate) fn deadline(
+    headers: &HeaderMap,
+    service: &Service,
+    now: Instant,
+) -> Result<Deadline, Refusal> {
+    let Some(value) = headers.get(DEADLINE) else {
+        return Ok(Deadline::after(now, service.deadline));
+    };
+    let millis: Option<u64> = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    let max = service.max_deadline.get() / 1_000;
+    match millis {
+        Some(millis) if (1..=max).contains(&millis) => {
+            Ok(Deadline::after(now, Micros::from_millis(millis)))
+        }
+        _ => Err(Code::InvalidDeadline.into()),
+    }
+}
+
+/// Returns the idempotency key, if there is one.
+pub(crate) fn key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value.to_str().map_err(|_e| Code::InvalidKey)?.trim();
+    if key.is_empty() || key.len() > MAX_KEY_LEN {
+        return Err(Code::InvalidKey.into());
+    }
+    Ok(Some(key.to_owned()))
+}
--- /dev/null
+++ b/crates/gate/src/operator.rs
@@ -0,0 +1,81 @@
+//! Routes for operators and balancers.
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::http::{HeaderMap, StatusCode};
+use types::Code;
+
+use crate::{auth::Secret, refusal::Refusal, reply::Reply};
+
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// Source of the operator's report.
+pub trait Reporter: Send + Sync + 'static {
+    /// Returns the report as short plain text.
+    fn text(&self) -> String;
+
+    /// Returns the report with all its facts.
+    fn json(&self) -> serde_json::Value;
+}
+
+/// What the routes for operators need.
+pub(crate) struct Operator<W> {
+    pub(crate) reporter: W,
+    pub(crate) metrics: PrometheusHandle,
+    /// Token of operators; without one, their routes are open.
+    pub(crate) token: Option<Secret>,
+}
+
+/// Readiness of the entry host as the balancer sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Readiness {
+    Ready,
+    NoConfiguration,
+    Draining,
+}
+
+impl<W: Reporter> Operator<W> {
+    /// Answers a request to an operator's route, or returns nothing for any other path.
+    pub(crate) fn answer(
+        &self,
+        path: &str,
+        headers: &HeaderMap,
+        query: &str,
+        readiness: Readiness,
+    ) -> Option<Result<Reply, Refusal>> {
+        match path {
+            "/livez" => Some(Ok(Reply::full(StatusCode::OK, TEXT, "ok\n"))),
+            "/readyz" => Some(readyz(readiness)),
+            "/metrics" => Some(self.check(headers).map(|()| {
+                let text = "text/plain; version=0.0.4";
+                Reply::full(StatusCode::OK, text, self.metrics.render())
+            })),
+            "/report" if wants_json(headers, query) => Some(self.check(headers).map(|()| {
+                let json = self.reporter.json().to_string();
+                Reply::full(StatusCode::OK, "application/json", json)
+            })),
+            "/report" => Some(Ok(Reply::full(StatusCode::OK, TEXT, self.reporter.text()))),
+            _ => None,
+        }
+    }
+
+    fn check(&self, headers: &HeaderMap) -> Result<(), Refusal> {
+        match &self.token {
+            Some(token) if !token.is_sent(headers) => Err(Code::Unauthenticated.into()),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn readyz(readiness: Readiness) -> Result<Reply, Refusal> {
+    match readiness {
+        Readiness::Ready => Ok(Reply::full(StatusCode::OK, TEXT, "ok\n")),
+        Readiness::NoConfiguration => Err(Code::NotReady.into()),
+        Readiness::Draining => Err(Code::Draining.into()),
+    }
+}
+
+fn wants_json(headers: &HeaderMap, query: &str) -> bool {
+    let accept = headers.get("accept").and_then(|v| v.to_str().ok());
+    query.split('&').any(|pair| pair == "format=json")
+        || accept.is_some_and(|v| v.starts_with("application/json"))
+}
--- /dev/null
+++ b/crates/gate/src/peers.rs
@@ -0,0 +1,46 @@
+//! What the gate asks of other entry hosts.
+
+use std::net::SocketAddr;
+
+use route::{Fingerprint, SuspectMark};
+use types::{AdapterId, BackendId, DataCentreId, ModelId};
+
+/// Other entry hosts, as the gate needs them.
+///
+/// Every method must return within a bounded time, whether or not peers answer.
+pub trait Peers: Send + Sync + 'static {
+    /// Tells all peers of suspect requests and returns when they know or can't be reached.
+    fn share_suspects(&self, marks: Vec<SuspectMark>) -> impl Future<Output = ()> + Send;
+
+    /// Asks whether a suspect may run on a backend server now; no answer means no.
+    fn ask_slot(
+        &self,
+        fingerprint: Fingerprint,
+        backend: BackendId,
+    ) -> impl Future<Output = bool> + Send;
+
+    /// Returns the caller address of a reachable entry host in a data centre.
+    fn entry_host(&self, dc: &DataCentreId) -> Option<SocketAddr>;
+
+    /// Tells the controller of the data centre that a model or adapter is wanted.
+    fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> impl Future<Output = ()> + Send;
+}
+
+/// A deployment of a single entry host, which has no peers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+impl Peers for NoPeers {
+    async fn share_suspects(&self, _marks: Vec<SuspectMark>) {}
+
+    /// Grants the slot: without peers, the router's own list of suspects is the only one.
+    async fn ask_slot(&self, _fingerprint: Fingerprint, _backend: BackendId) -> bool {
+        true
+    }
+
+    fn entry_host(&self, _dc: &DataCentreId) -> Option<SocketAddr> {
+        None
+    }
+
+    async fn want(&self, _model: ModelId, _adapter: Option<AdapterId>) {}
+}
--- /dev/null
+++ b/crates/gate/src/relay.rs
@@ -0,0 +1,229 @@
+//! From a verified response of a server to the response to the caller.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use engine::{Answer, Events, Protocol, Server, Whole};
+use futures::{StreamExt, stream};
+use salvo::http::{
+    HeaderMap, Method, StatusCode,
+    header::{self, HeaderName},
+};
+use serde::Deserialize;
+use types::Code;
+
+use crate::{
+    attempt::{Attempts, Runner},
+    dispatcher::Step,
+    job::Job,
+    peers::Peers,
+    refusal::Refusal,
+    reply::{Body, Reply},
+};
+
+/// Responses up to this size are read completely before the first byte is passed on, so that a
+/// response that breaks off can be replaced by that of another server.
+const MAX_BUFFERED: usize = 4 << 20;
+
+/// Headers of a server's response that end at this hop.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("x-incarnation"),
+    HeaderName::from_static("x-leaving"),
+    HeaderName::from_static("x-load"),
+    HeaderName::from_static("x-request-id"),
+];
+
+#[derive(Deserialize)]
+struct Completion {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    completion_tokens: Option<u32>,
+}
+
+impl<R: Step, N: Peers> Runner<R, N> {
+    /// Runs a request to a complete response or an open stream.
+    pub(crate) async fn run(&self, job: Job) -> Result<Reply, Refusal> {
+        let mut attempts = Attempts::begin(self.clone(), Arc::new(job));
+        loop {
+            let (server, answer) = attempts.open().await?;
+            if attempts.job.stream && answer.is_event_stream() && answer.status().is_success() {
+                return relay(attempts, server, answer).await;
+            }
+            match answer.read(MAX_BUFFERED).await {
+                Ok(Ok(whole)) => return attempts.whole(whole),
+                Ok(Err((head, answer))) => return Ok(pass_through(attempts, server, head, answer)),
+                Err(e) => attempts.fail(&server, e).await,
+            }
+        }
+    }
+}
+
+impl<R: Step, N: Peers> Attempts<R, N> {
+    fn whole(&mut self, whole: Whole) -> Result<Reply, Refusal> {
+        let model = self.job.protocol == Protocol::Model;
+        let failed = whole.status.is_server_error();
+        let tokens = if model { tokens(&whole.body) } else { 0 };
+        self.flight.first_byte();
+        self.finish(tokens, !failed);
+        let by_host = whole.headers.contains_key(crate::refusal::CODE);
+        if model && failed && !by_host {
+            return Err(Code::BackendError.into());
+        }
+        let mut headers = whole.headers;
+        if self.job.method != Method::HEAD {
+            headers.remove(header::CONTENT_LENGTH);
+        }
+        Ok(self.reply(whole.status, headers, Body::Full(whole.body)))
+    }
+
+    fn reply(&self, status: StatusCode, mut headers: HeaderMap, body: Body) -> Reply {
+        for name in HOP_HEADERS {
+            headers.remove(name);
+        }
+        let mut reply = Reply::new(status, body);
+        reply.headers = headers;
+        if let Some(timing) = self.timing.header() {
+            reply.headers.append("server-timing", timing);
+        }
+        reply
+    }
+}
+
+fn tokens(body: &[u8]) -> u32 {
+    let completion: Option<Completion> = serde_json::from_slice(body).ok();
+    completion
+        .and_then(|c| c.usage?.completion_tokens)
+        .unwrap_or(0)
+}
+
+/// Passes on an event stream, resuming it where the router allows.
+struct Relay<R: Step, N: Peers> {
+    attempts: Attempts<R, N>,
+    server: Server,
+    events: Events,
+    closed: bool,
+}
+
+/// Waits for the first event, so that a failure before it is an ordinary refusal.
+async fn relay<R: Step, N: Peers>(
+    attempts: Attempts<R, N>,
+    server: Server,
+    answer: Answer,
+) -> Result<Reply, Refusal> {
+    let (status, headers) = (answer.status(), answer.headers().clone());
+    let mut relay = Relay {
+        attempts,
+        server,
+        events: answer.events(),
+        closed: false,
+    };
+    let first = relay.advance().await?;
+    let mut reply = relay
+        .attempts
+        .reply(status, headers, Body::Full(Bytes::new()));
+    // The length of a resumed stream is not known.
+    reply.headers.remove(header::CONTENT_LENGTH);
+    let rest = stream::unfold(relay, |mut relay| async move {
+        let part = relay.next().await?;
+        Some((part, relay))
+    });
+    let body = stream::iter(first).chain(rest).map(Ok);
+    reply.body = Body::Stream(body.boxed());
+    Ok(reply)
+}
+
+impl<R: Step, N: Peers> Relay<R, N> {
+    /// Returns the next events, or an event that says why there are no more.
+    async fn next(&mut self) -> Option<Bytes> {
+        match self.advance().await {
+            Ok(part) => part,
+            Err(refusal) => {
+                self.closed = true;
+                self.attempts.runner.counters.refusal(refusal.code);
+                Some(refusal.event())
+            }
+        }
+    }
+
+    async fn advance(&mut self) -> Result<Option<Bytes>, Refusal> {
+        while !self.closed {
+            match self.events.next().await {
+                Ok(Some((bytes, events))) => {
+                    self.pass(events);
+                    return Ok(Some(bytes));
+                }
+                Ok(None) => self.close(),
+                Err(e) => self.reopen(e).await?,
+            }
+        }
+        Ok(None)
+    }
+
+    fn pass(&mut self, events: u64) {
+        if self.attempts.delivered.is_none() {
+            self.attempts.flight.first_byte();
+        }
+        let delivered = self.attempts.delivered.get_or_insert(0);
+        *delivered += events;
+    }
+
+    fn close(&mut self) {
+        self.closed = true;
+        let events = self.attempts.delivered.unwrap_or(0);
+        let tokens = u32::try_from(events).unwrap_or(u32::MAX);
+        self.attempts.finish(tokens, !self.events.is_error());
+    }
+
+    async fn reopen(&mut self, err: engine::Error) -> Result<(), Refusal> {
+        self.attempts.fail(&self.server, err).await;
+        let (server, answer) = self.attempts.open().await?;
+        self.server = server;
+        self.events = answer.events();
+        Ok(())
+    }
+}
+
+/// Passes on a response that is too large to be read completely first.
+fn pass_through<R: Step, N: Peers>(
+    attempts: Attempts<R, N>,
+    server: Server,
+    head: Bytes,
+    answer: Answer,
+) -> Reply {
+    attempts.flight.first_byte();
+    let mut reply = attempts.reply(
+        answer.status(),
+        answer.headers().clone(),
+        Body::Full(Bytes::new()),
+    );
+    let failed = answer.status().is_server_error();
+    let state = Some((attempts, server, answer));
+    let rest = stream::unfold(state, move |state| async move {
+        let (mut attempts, server, mut answer) = state?;
+        match answer.chunk().await {
+            Ok(Some(chunk)) => Some((Ok(chunk), Some((attempts, server, answer)))),
+            Ok(None) => {
+                attempts.finish(0, !failed);
+                None
+            }
+            Err(e) => {
+                attempts.delivered = Some(0);
+                attempts.runner.counters.refusal(e.code());
+                let cut = io::Error::other(e.to_string());
+                attempts.fail(&server, e).await;
+                Some((Err(cut), None))
+            }
+        }
+    });
+    let first = stream::iter([Ok(head)]);
+    reply.body = Body::Stream(first.chain(rest).boxed());
+    reply
+}
--- /dev/null
+++ b/crates/gate/src/serve.rs
@@ -0,0 +1,297 @@
+//! The entry host's HTTP server: set-up, the chain of filters, shutdown.
+
+use std::{
+    fmt,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use config::InForce;
+use engine::Client;
+use metrics_exporter_prometheus::PrometheusHandle;
+use reqwest::header::HeaderValue;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
+    conn::tcp::TcpAcceptor, http::ReqBody, server::ServerHandle,
+};
+use serde_json::json;
+use store::Platform;
+use tokio::net::TcpListener;
+use types::{Clock, Code, Monotonic, RequestId};
+
+use crate::{
+    attempt::Runner,
+    auth::{self, InFlight, Secret, Sender},
+    claims::Claims,
+    count::Counters,
+    dispatcher::{Dispatcher, Step},
+    error::{Error, Result},
+    job::{self, Arrival, Job, Path, REQUEST_ID},
+    limit,
+    operator::{Operator, Readiness, Reporter},
+    peers::Peers,
+    refusal::Refusal,
+    reply::Reply,
+};
+
+/// What a [`Gate`] is made of.
+#[derive(Debug)]
+pub struct Parts<R, N, P, W> {
+    /// Clock of the process, the same for every crate.
+    pub clock: Monotonic,
+    /// The router.
+    pub router: R,
+    /// Other entry hosts.
+    pub peers: N,
+    /// The platform, which keeps claims.
+    pub platform: P,
+    /// Source of the operator's report.
+    pub reporter: W,
+    /// Metrics that `/metrics` shows; its recorder must be installed before.
+    pub metrics: PrometheusHandle,
+    /// Client of backend servers, shared with the polling of load reports.
+    pub engine: Client,
+    /// Token of entry hosts among themselves.
+    pub host_token: String,
+    /// Token of operators; without one, `/metrics` and the JSON report are open.
+    pub operator_token: Option<String>,
+}
+
+/// HTTP API of an entry host.
+pub struct Gate<R, N, P, W> {
+    runner: Runner<R, N>,
+    claims: Claims<P>,
+    operator: Operator<W>,
+    host_token: Secret,
+    in_flight: InFlight,
+    phase: AtomicU8,
+    server: Mutex<Option<ServerHandle>>,
+}
+
+/// Phases of the server's life, in order.
+const SERVING: u8 = 0;
+const NOT_READY: u8 = 1;
+const CLOSED: u8 = 2;
+
+/// Time beyond the longest deadline after which a shutdown no longer waits for slow readers.
+const SHUTDOWN_MARGIN: Duration = Duration::from_secs(2);
+
+impl<R, N, P, W> fmt::Debug for Gate<R, N, P, W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gate").finish_non_exhaustive()
+    }
+}
+
+impl<R: Step, N: Peers, P: Platform, W: Reporter> Gate<R, N, P, W> {
+    /// Makes the HTTP API and registers its counters at zero.
+    ///
+    /// # Errors
+    /// `Settings` when the host token can't be sent in a header.
+    pub fn new(parts: Parts<R, N, P, W>) -> Result<Arc<Self>> {
+        let mut host_bearer = HeaderValue::try_from(format!("Bearer {}", parts.host_token))
+            .map_err(|e| Error::settings("host token", e))?;
+        host_bearer.set_sensitive(true);
+        let counters = Arc::new(Counters::register());
+        let dispatcher = Dispatcher::new(
+            parts.clock,
+            parts.router,
+            parts.peers,
+            Arc::clone(&counters),
+        );
+        Ok(Arc::new(Self {
+            runner: Runner {
+                dispatcher,
+                engine: parts.engine,
+                clock: parts.clock,
+                counters,
+                host_bearer,
+            },
+            claims: Claims::new(parts.platform, parts.clock),
+            operator: Operator {
+                reporter: parts.reporter,
+                metrics: parts.metrics,
+                token: parts.operator_token.as_deref().map(Secret::new),
+            },
+            host_token: Secret::new(&parts.host_token),
+            in_flight: InFlight::default(),
+            phase: AtomicU8::new(SERVING),
+            server: Mutex::new(None),
+        }))
+    }
+
+    /// Returns the driver of the router.
+    pub fn dispatcher(&self) -> &Dispatcher<R, N> {
+        &self.runner.dispatcher
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &Counters {
+        &self.runner.counters
+    }
+
+    /// Returns the claims whose outcome is not stored yet.
+    pub fn pending_claims(&self) -> usize {
+        self.claims.pending()
+    }
+
+    /// Serves callers on a listening socket until [`drain`](Self::drain) has ended.
+    ///
+    /// # Errors
+    /// `Io` when the socket fails.
+    pub async fn serve(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
+        let server = Server::new(TcpAcceptor::try_from(listener)?);
+        *self.server.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.handle());
+        let entry = Entry(Arc::clone(self));
+        let router = Router::new().push(Router::with_path("{**path}").goal(entry));
+        Ok(server.try_serve(router).await?)
+    }
+
+    /// Shuts down: not ready, then no new connections, then the end of what is in flight.
+    ///
+    /// `notice` is the time that the balancer needs to see `/readyz` fail; requests that arrive
+    /// within it are served. Returns once connections are being closed; [`serve`](Self::serve)
+    /// returns when the last request has ended, at the latest at the longest deadline.
+    pub async fn drain(&self, notice: Duration) {
+        self.phase.fetch_max(NOT_READY, Ordering::SeqCst);
+        tracing::info!("draining: not ready");
+        tokio::time::sleep(notice).await;
+        self.phase.fetch_max(CLOSED, Ordering::SeqCst);
+        tracing::info!("draining: closed for new requests");
+        let longest = self.longest_deadline() + SHUTDOWN_MARGIN;
+        let server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(server) = &*server {
+            server.stop_graceful(longest);
+        }
+    }
+
+    fn longest_deadline(&self) -> Duration {
+        let in_force = self.runner.dispatcher.in_force();
+        let services = in_force.iter().flat_map(|c| &c.deployment.services);
+        let longest = services.map(|s| s.max_deadline).max();
+        longest.unwrap_or_default().into()
+    }
+
+    fn readiness(&self) -> Readiness {
+        if self.phase.load(Ordering::SeqCst) != SERVING {
+            Readiness::Draining
+        } else if self.runner.dispatcher.in_force().is_none() {
+            Readiness::NoConfiguration
+        } else {
+            Readiness::Ready
+        }
+    }
+
+    async fn answer(&self, req: &mut Request, id: RequestId) -> Result<Reply, Refusal> {
+        let path = req.uri().path().to_owned();
+        let query = req.uri().query().unwrap_or_default();
+        let readiness = self.readiness();
+        if let Some(answer) = self.operator.answer(&path, req.headers(), query, readiness) {
+            return answer;
+        }
+        self.runner.counters.request();
+        if self.phase.load(Ordering::SeqCst) == CLOSED {
+            return Err(Code::Draining.into());
+        }
+        let in_force = self.runner.dispatcher.in_force().ok_or(Code::NotReady)?;
+        self.call(req, id, &path, &in_force).await
+    }
+
+    /// Takes a request to the caller API through the chain of filters.
+    async fn call(
+        &self,
+        req: &mut Request,
+        id: RequestId,
+        path: &str,
+        in_force: &InForce,
+    ) -> Result<Reply, Refusal> {
+        let deployment = &in_force.deployment;
+        limit::check_headers(req.headers(), &deployment.limits)?;
+        let sender = auth::authenticate(req.headers(), deployment, &self.host_token)?;
+        let asked = Path::parse(req.method(), path)?;
+        if asked == Path::Models {
+            return Ok(models(&sender, in_force));
+        }
+        let place = self.in_flight.enter(&sender)?;
+        let body = req.replace_body(ReqBody::None);
+        let body = limit::read_body(req.headers(), body, &deployment.limits).await?;
+        let arrival = Arrival {
+            id,
+            sender,
+            method: req.method().clone(),
+            path: path.to_owned(),
+            query: req.uri().query().map(str::to_owned),
+            headers: std::mem::take(req.headers_mut()),
+            body,
+        };
+        let now = self.runner.clock.now();
+        let job = match asked {
+            Path::Completions { prompt } => job::completions(arrival, prompt, deployment, now)?,
+            Path::Service { name, rest } => job::plain(arrival, name, rest, deployment, now)?,
+            Path::Models => return Err(Code::UnknownPath.into()),
+        };
+        Ok(self.run(job).await?.hold(place))
+    }
+
+    async fn run(&self, job: Job) -> Result<Reply, Refusal> {
+        // The entry host that the request reached first has claimed it.
+        let claims = !job.ticket.idempotent && !job.ticket.forwarded;
+        match &job.key {
+            Some(key) if claims => self.claims.run(&self.runner, key.clone(), job).await,
+            _ => self.runner.run(job).await,
+        }
+    }
+
+    /// Takes the id of a forwarded request from its entry host, and draws all others.
+    fn request_id(&self, req: &Request) -> RequestId {
+        let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
+        let forwarded = req.headers().contains_key(auth::HOP);
+        match sent.and_then(|id| id.parse().ok()) {
+            Some(id) if forwarded && self.host_token.is_sent(req.headers()) => id,
+            _ => RequestId::random(&mut rand::rng()),
+        }
+    }
+}
+
+/// Lists the models and adapters that a caller may use.
+fn models(sender: &Sender, in_force: &InForce) -> Reply {
+    let deployment = &in_force.deployment;
+    let usable = |service| sender.may_use(service).is_ok();
+    let models = deployment.models.iter().filter(|m| usable(&m.service));
+    let models: Vec<_> = models.map(|m| &m.id).collect();
+    let adapters = deployment.adapters.iter();
+    let adapters = adapters.filter(|a| models.binary_search(&&a.model).is_ok());
+    let names = models.iter().map(|id| id.as_str());
+    let names = names.chain(adapters.map(|a| a.id.as_str()));
+    let data: Vec<_> = names
+        .map(|id| json!({"id": id, "object": "model", "owned_by": deployment.name}))
+        .collect();
+    let list = json!({"object": "list", "data": data}).to_string();
+    Reply::full(salvo::http::StatusCode::OK, "application/json", list)
+}
+
+struct Entry<R, N, P, W>(Arc<Gate<R, N, P, W>>);
+
+#[async_trait]
+impl<R: Step, N: Peers, P: Platform, W: Reporter> Handler for Entry<R, N, P, W> {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let gate = &self.0;
+        let id = gate.request_id(req);
+        let mut reply = gate.answer(req, id).await.unwrap_or_else(|refusal| {
+            gate.runner.counters.refusal(refusal.code);
+            refusal.into()
+        });
+        if let Ok(id) = HeaderValue::try_from(id.to_string()) {
+            reply.headers.insert(REQUEST_ID, id);
+        }
+        reply.send(res);
+    }
+}
