--- /dev/null
+++ b/crates/report/src/facts.rs
@@ -0,0 +1,69 @@
+//! What a host knows about the state of the whole deployment.
+
+use serde::Serialize;
+use types::{BackendId, ConfigVersion, DataCentreId, HostId, ModelId};
+
+/// Ready copies of a model against its floor.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ModelCopies {
+    /// Model.
+    pub model: ModelId,
+    /// Copies that are ready.
+    pub ready: u32,
+    /// Copies that the floor asks for.
+    pub floor: u32,
+}
+
+/// Input of a report: the state of the deployment as one host sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Facts {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Lowest configuration version over the live hosts; absent before the first file.
+    pub version: Option<ConfigVersion>,
+    /// Hosts that are still at an older version than the newest known.
+    pub stragglers: Vec<HostId>,
+    /// Entry hosts that are live, and all that are known.
+    pub hosts: (u32, u32),
+    /// Entry hosts that sent no heartbeat for some time.
+    pub silent_hosts: Vec<HostId>,
+    /// Backend servers that are live, and all that are configured.
+    pub backends: (u32, u32),
+    /// Backend servers that do not answer.
+    pub dead_backends: Vec<BackendId>,
+    /// Backend servers that are leaving.
+    pub leaving_backends: Vec<BackendId>,
+    /// Configured models.
+    pub models: u32,
+    /// Models without a ready copy anywhere that this host can reach.
+    pub unreachable_models: Vec<ModelId>,
+    /// Models below their floor that have at least one ready copy.
+    pub below_floor: Vec<ModelCopies>,
+    /// Whether the platform answers this host.
+    pub platform_away: bool,
+    /// Data centres that this host can't reach.
+    pub cut_off: Vec<DataCentreId>,
+    /// Data centres without a placement controller, as far as this host knows.
+    pub no_controller: Vec<DataCentreId>,
+    /// Whether this host is shutting down.
+    pub draining: bool,
+    /// Requests that this host finished in time, and all that it ended.
+    pub in_time: (u64, u64),
+    /// Refusals of this host by result code number, largest count first.
+    pub refusals: Vec<(u16, u64)>,
+    /// Retries of this host.
+    pub retries: u64,
+    /// Models loaded and unloaded by the controllers that this host knows of.
+    pub moves: (u64, u64),
+}
+
+impl Facts {
+    /// Makes the facts of a deployment about which nothing is known yet.
+    #[must_use]
+    pub fn new(deployment: &str) -> Self {
+        Self {
+            deployment: deployment.to_owned(),
+            ..Self::default()
+        }
+    }
+}
