Read, check, apply and load configurations

Cause: the binary needs host settings and a deployment that is checked as a whole, and hosts need versions that they can follow. Conclusion: other crates can read both files and apply them to a platform.

--- /dev/null
+++ b/crates/config/src/apply.rs
@@ -0,0 +1,262 @@
+//! Applies a deployment to the platform and loads the one in force.
+
+use std::sync::Arc;
+
+use futures::{StreamExt, TryStreamExt, stream};
+use store::{Category, Object, Platform, Revision};
+use types::{AttemptId, ConfigVersion};
+
+use crate::{
+    deployment::Deployment,
+    error::{Error, Result},
+    version::{Chunk, ChunkHash, Manifest, Retired, Snapshot},
+};
+
+/// Chunk calls in flight at once, so that an apply stays far below the platform's rates.
+const PARALLEL_CALLS: usize = 8;
+
+/// Attempts at a write whose answer was lost.
+const ATTEMPTS: usize = 4;
+
+/// Versions for which an unreferenced chunk is kept for hosts that lag behind.
+const KEEP_VERSIONS: u64 = 4;
+
+/// Outcome of an apply that is in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Applied {
+    /// Version of the new manifest.
+    pub version: ConfigVersion,
+    /// Chunks that were written.
+    pub chunks_written: usize,
+    /// Unreferenced chunks that were deleted.
+    pub chunks_deleted: usize,
+}
+
+/// Applies a deployment as a whole.
+///
+/// Chunks are written first, the manifest last and by conditional update. With `if_version` the
+/// apply is refused unless that version is in force.
+///
+/// # Errors
+/// `Conflict` names the version and author that won; `Away` when nothing is in force; `Unknown`
+/// when the platform did not say.
+pub async fn apply<P: Platform>(
+    platform: &P,
+    deployment: &Deployment,
+    author: &str,
+    if_version: Option<ConfigVersion>,
+) -> Result<Applied> {
+    let seen = read_manifest(platform).await?;
+    check_version(seen.as_ref().map(|o| &o.value), if_version)?;
+    let apply_id = AttemptId::random(&mut rand::rng());
+    let previous = seen.as_ref().map(|o| &o.value);
+    let mut next = Snapshot::next(previous, deployment, author, apply_id);
+    let due = take_due(&mut next);
+    let chunks_written = write_chunks(platform, &next, previous).await?;
+    let revision = seen.as_ref().map(|o| &o.revision);
+    write_manifest(platform, &next.manifest, revision).await?;
+    let chunks_deleted = delete_chunks(platform, &due).await;
+    Ok(Applied {
+        version: next.manifest.version,
+        chunks_written,
+        chunks_deleted,
+    })
+}
+
+async fn read_manifest<P: Platform>(platform: &P) -> Result<Option<Object<Manifest>>> {
+    let read = platform.get(Manifest::CURRENT).await;
+    read.map_err(|e| match e.category() {
+        Category::Garbage => Error::garbage(e),
+        _ => Error::away(e),
+    })
+}
+
+fn check_version(current: Option<&Manifest>, if_version: Option<ConfigVersion>) -> Result<()> {
+    let Some(expected) = if_version else {
+        return Ok(());
+    };
+    match current {
+        Some(m) if m.version != expected => Err(Error::conflict(m.version, &m.author)),
+        None if expected != ConfigVersion::default() => {
+            Err(Error::conflict(ConfigVersion::default(), "nobody"))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Takes the chunks out of the manifest that no host can need any more.
+fn take_due(next: &mut Snapshot) -> Vec<ChunkHash> {
+    let version = next.manifest.version.get();
+    let manifest = Arc::make_mut(&mut next.manifest);
+    let is_due = |r: &Retired| r.since.get() + KEEP_VERSIONS <= version;
+    let due = manifest.retired.extract_if(.., |r| is_due(r));
+    due.map(|r| r.hash).collect()
+}
+
+async fn write_chunks<P: Platform>(
+    platform: &P,
+    next: &Snapshot,
+    previous: Option<&Manifest>,
+) -> Result<usize> {
+    let old = previous.map_or(&[][..], |m| m.chunks.as_slice());
+    let mut new: Vec<_> = next.manifest.chunks.iter().zip(&next.chunks).collect();
+    new.sort_by_key(|(hash, _)| **hash);
+    new.dedup_by_key(|(hash, _)| **hash);
+    new.retain(|(hash, _)| !old.contains(hash));
+    let writes = new
+        .into_iter()
+        .map(|(hash, chunk)| write_chunk(platform, *hash, chunk));
+    stream::iter(writes)
+        .buffer_unordered(PARALLEL_CALLS)
+        .try_fold(0, async |n, written| Ok(n + usize::from(written)))
+        .await
+}
+
+/// Writes a chunk; a chunk that exists has the same content, because its name is its hash.
+async fn write_chunk<P: Platform>(platform: &P, hash: ChunkHash, chunk: &Chunk) -> Result<bool> {
+    let name = hash.to_string();
+    let mut last = None;
+    for _ in 0..ATTEMPTS {
+        match platform.create(&name, chunk).await {
+            Ok(_) => return Ok(true),
+            Err(e) => match e.category() {
+                Category::Conflict => return Ok(false),
+                Category::Unknown => last = Some(e),
+                // No manifest refers to the chunk yet, so nothing is in force.
+                _ => return Err(Error::away(e)),
+            },
+        }
+    }
+    Err(Error::away(last.map(|e| e.to_string()).unwrap_or_default()))
+}
+
+/// Writes the manifest; a lost answer is resolved by looking for the apply id.
+///
+/// Repeating the conditional update is safe: at most one of the attempts can take effect.
+async fn write_manifest<P: Platform>(
+    platform: &P,
+    manifest: &Manifest,
+    revision: Option<&Revision>,
+) -> Result<()> {
+    let mut sent = false;
+    let mut detail = String::new();
+    for _ in 0..ATTEMPTS {
+        let written = match revision {
+            Some(at) => platform.update(Manifest::CURRENT, manifest, at).await,
+            None => platform.create(Manifest::CURRENT, manifest).await,
+        };
+        let Err(e) = written else { return Ok(()) };
+        detail = e.to_string();
+        match e.category() {
+            Category::Conflict | Category::NotFound => {}
+            Category::Unknown => sent = true,
+            _ if sent => return Err(Error::unknown(manifest.version, detail)),
+            _ => return Err(Error::away(detail)),
+        }
+        match read_back(platform, manifest).await {
+            Ok(Some(outcome)) => return outcome,
+            Ok(None) => {}
+            Err(e) if sent => return Err(Error::unknown(manifest.version, e)),
+            Err(e) => return Err(e),
+        }
+    }
+    Err(Error::unknown(manifest.version, detail))
+}
+
+/// Reads the manifest in force and tells the outcome, if it shows one.
+async fn read_back<P: Platform>(platform: &P, ours: &Manifest) -> Result<Option<Result<()>>> {
+    let Some(found) = read_manifest(platform).await? else {
+        return Ok(None);
+    };
+    let found = found.value;
+    if found.version_of(ours.apply_id).is_some() {
+        return Ok(Some(Ok(())));
+    }
+    if found.version < ours.version {
+        return Ok(None);
+    }
+    Ok(Some(Err(match found.author_of(ours.version) {
+        Some(author) => Error::conflict(ours.version, author),
+        // So many versions followed that the manifest no longer tells who made this one.
+        None => Error::unknown(
+            ours.version,
+            format_args!("version {} is in force", found.version),
+        ),
+    })))
+}
+
+/// Deletes chunks; those that can't be deleted now stay, which costs only their storage.
+async fn delete_chunks<P: Platform>(platform: &P, due: &[ChunkHash]) -> usize {
+    let deletions = due.iter().map(async |hash| {
+        let name = hash.to_string();
+        let Ok(Some(chunk)) = platform.get::<Chunk>(&name).await else {
+            return false;
+        };
+        platform
+            .delete::<Chunk>(&name, &chunk.revision)
+            .await
+            .is_ok()
+    });
+    let deleted = stream::iter(deletions).buffer_unordered(PARALLEL_CALLS);
+    deleted.filter(|ok| std::future::ready(*ok)).count().await
+}
+
+/// Loads the configuration in force.
+///
+/// # Errors
+/// `Away` when the platform does not answer, `Garbage` when a chunk is missing or altered.
+pub async fn load<P: Platform>(platform: &P) -> Result<Option<Snapshot>> {
+    load_from(platform, None).await
+}
+
+/// Loads the configuration in force, reusing the chunks of an earlier one.
+///
+/// # Errors
+/// As [`load`].
+pub async fn load_from<P: Platform>(
+    platform: &P,
+    known: Option<&Snapshot>,
+) -> Result<Option<Snapshot>> {
+    let Some(manifest) = read_manifest(platform).await? else {
+        return Ok(None);
+    };
+    load_manifest(platform, manifest.value, known)
+        .await
+        .map(Some)
+}
+
+/// Loads the chunks of a manifest, reusing those of an earlier configuration.
+///
+/// # Errors
+/// As [`load`].
+pub async fn load_manifest<P: Platform>(
+    platform: &P,
+    manifest: Manifest,
+    known: Option<&Snapshot>,
+) -> Result<Snapshot> {
+    let reads = manifest.chunks.iter().map(async |hash| {
+        let reusable = known.and_then(|k| {
+            let at = k.manifest.chunks.iter().position(|h| h == hash)?;
+            k.chunks.get(at)
+        });
+        match reusable {
+            Some(chunk) => Ok(Arc::clone(chunk)),
+            None => read_chunk(platform, *hash).await,
+        }
+    });
+    let reads: Vec<_> = reads.collect();
+    let chunks = stream::iter(reads)
+        .buffered(PARALLEL_CALLS)
+        .try_collect()
+        .await?;
+    Snapshot::new(manifest, chunks)
+}
+
+async fn read_chunk<P: Platform>(platform: &P, hash: ChunkHash) -> Result<Arc<Chunk>> {
+    match platform.get::<Chunk>(&hash.to_string()).await {
+        Ok(Some(chunk)) => Ok(Arc::new(chunk.value)),
+        Ok(None) => Err(Error::garbage(format_args!("chunk {hash} is missing"))),
+        Err(e) if e.category() == Category::Garbage => Err(Error::garbage(e)),
+        Err(e) => Err(Error::away(e)),
+    }
+}
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -1,6 +1,6 @@
 //! The checked declarative file.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use types::{
@@ -222,6 +222,20 @@
     }
 }
 
+impl FromStr for TokenHash {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        const HEX_DIGITS: usize = 64;
+        let digits = s.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        if s.len() == HEX_DIGITS && digits {
+            Ok(Self(s.to_owned()))
+        } else {
+            Err("expected the BLAKE3 hash of a token in 64 lower-case hexadecimal digits")
+        }
+    }
+}
+
 impl fmt::Debug for TokenHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("TokenHash(..)")
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,44 @@
 //! Host settings, the declarative deployment file, and its versions in force.
+//!
+//! Both files are TOML and are checked in one run that reports every fault. A checked
+//! [`Deployment`] is applied to the platform as content-addressed chunks and a manifest; hosts
+//! load it or follow it by [`Delta`]s.
+//!
+//! ```
+//! use config::Deployment;
+//!
+//! let text = r#"
+//!     name = "bench"
+//!     objective = { attainment = 1.0, moves = "few" }
+//!     limits = { body = "1 MiB", headers = "16 KiB", queue = 64, weight_store_slots = 2,
+//!         weight_store_rate = "1.4 per second", adapter_loads = 16, claim_retention = "24 h" }
+//! "#;
+//! let err = config::from_str::<Deployment>(text).unwrap_err();
+//! let faults: Vec<String> = err.faults().iter().map(ToString::to_string).collect();
+//! assert_eq!(faults, [
+//!     "input:3: objective.moves: expected a number from 0 to 1000000, found string",
+//!     "input:5: limits.weight_store_rate: expected a rate such as `1.4/s`, found `1.4 per second`",
+//! ]);
+//! ```
 
+mod apply;
+mod check;
 mod deployment;
+mod document;
+mod entry;
+mod error;
+mod secret;
+mod settings;
+mod version;
 
+pub use apply::{Applied, apply, load, load_from, load_manifest};
 pub use deployment::{
     Adapter, BackendServer, Caller, DataCentre, Deployment, InForce, Limits, Model, Objective,
     Priority, Service, ServiceKind, TokenHash,
 };
+pub use document::{Checked, Document, from_path, from_str};
+pub use entry::{Entry, Header};
+pub use error::{Category, Error, Fault, Result};
+pub use secret::Secret;
+pub use settings::{HostSettings, LogFormat, LogLevel, Tuning};
+pub use version::{Chunk, ChunkHash, Delta, Manifest, Past, Retired, Snapshot};
--- /dev/null
+++ b/crates/config/src/version.rs
@@ -0,0 +1,348 @@
+//! Versions of the configuration: manifest, chunks, deltas.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use store::Kind;
+use types::{AttemptId, ConfigVersion};
+
+use crate::{
+    deployment::{Deployment, InForce},
+    entry::{self, Entry},
+    error::{Error, Result},
+};
+
+/// Entries are spread over this many chunks; at design size a chunk then holds about 20 KB.
+pub(crate) const CHUNKS: usize = 64;
+
+/// Applies that a manifest remembers, so that a late read-back still tells whether it took effect.
+const HISTORY: usize = 8;
+
+/// Hash of a chunk's content, which is also its name.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ChunkHash([u8; 32]);
+
+impl fmt::Display for ChunkHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for ChunkHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for ChunkHash {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        blake3::Hash::from_hex(s)
+            .map(|hash| Self(*hash.as_bytes()))
+            .map_err(|e| Error::garbage(format_args!("bad chunk hash: {e}")))
+    }
+}
+
+impl Serialize for ChunkHash {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for ChunkHash {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            String::deserialize(deserializer)?
+                .parse()
+                .map_err(D::Error::custom)
+        } else {
+            <[u8; 32]>::deserialize(deserializer).map(Self)
+        }
+    }
+}
+
+/// Part of the entries, stored under the hash of its content.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Chunk {
+    /// Entries, sorted by key.
+    pub entries: Vec<Entry>,
+}
+
+impl Kind for Chunk {
+    const PLURAL: &'static str = "chunks";
+}
+
+impl Chunk {
+    /// Returns the hash of the content.
+    #[must_use]
+    #[expect(clippy::missing_panics_doc, reason = "entries have string keys only")]
+    pub fn hash(&self) -> ChunkHash {
+        let bytes = serde_json::to_vec(&self.entries).expect("entries have string keys only");
+        ChunkHash(*blake3::hash(&bytes).as_bytes())
+    }
+
+    fn set(&mut self, entry: Entry) {
+        let key = entry.key();
+        match self.entries.binary_search_by(|e| e.key().cmp(&key)) {
+            Ok(at) => self.entries[at] = entry,
+            Err(at) => self.entries.insert(at, entry),
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.entries.retain(|e| e.key() != key);
+    }
+}
+
+/// Earlier apply that a manifest remembers.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Past {
+    /// Version that it made.
+    pub version: ConfigVersion,
+    /// Its random id.
+    pub apply_id: AttemptId,
+    /// Who applied it.
+    pub author: String,
+}
+
+/// Chunk that is no longer referenced.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Retired {
+    /// First version that does not reference it.
+    pub since: ConfigVersion,
+    /// Its hash.
+    pub hash: ChunkHash,
+}
+
+/// The one object that says which configuration is in force.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Manifest {
+    /// Version, one above that of the manifest which it replaces.
+    pub version: ConfigVersion,
+    /// Random id of the apply that wrote it.
+    pub apply_id: AttemptId,
+    /// Who applied it.
+    pub author: String,
+    /// Name of the deployment.
+    pub name: String,
+    /// Hashes of all chunks, in the order of the chunks' numbers.
+    pub chunks: Vec<ChunkHash>,
+    /// Earlier applies, newest first.
+    pub history: Vec<Past>,
+    /// Chunks that wait for their deletion.
+    pub retired: Vec<Retired>,
+}
+
+impl Kind for Manifest {
+    const PLURAL: &'static str = "manifests";
+}
+
+impl Manifest {
+    /// Name of the object that holds the manifest in force.
+    pub const CURRENT: &'static str = "current";
+
+    /// Tells which version an apply made, if the manifest remembers it.
+    #[must_use]
+    pub fn version_of(&self, apply_id: AttemptId) -> Option<ConfigVersion> {
+        if self.apply_id == apply_id {
+            return Some(self.version);
+        }
+        let past = self.history.iter().find(|p| p.apply_id == apply_id);
+        past.map(|p| p.version)
+    }
+
+    /// Tells who made a version, if the manifest remembers it.
+    pub(crate) fn author_of(&self, version: ConfigVersion) -> Option<&str> {
+        if self.version == version {
+            return Some(&self.author);
+        }
+        let past = self.history.iter().find(|p| p.version == version);
+        past.map(|p| p.author.as_str())
+    }
+
+    fn past(&self) -> Vec<Past> {
+        let newest = Past {
+            version: self.version,
+            apply_id: self.apply_id,
+            author: self.author.clone(),
+        };
+        let older = self.history.iter().cloned();
+        std::iter::once(newest).chain(older).take(HISTORY).collect()
+    }
+}
+
+/// Manifest with all its chunks, verified against each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// Configuration that the chunks hold.
+    pub in_force: Arc<InForce>,
+    /// Manifest.
+    pub manifest: Arc<Manifest>,
+    /// Chunks, in the order of their numbers.
+    pub chunks: Vec<Arc<Chunk>>,
+}
+
+impl Snapshot {
+    /// Verifies the chunks against the manifest and puts the deployment together.
+    ///
+    /// # Errors
+    /// `Garbage` when a chunk does not have the hash that the manifest names.
+    pub fn new(manifest: Manifest, chunks: Vec<Arc<Chunk>>) -> Result<Self> {
+        let hashes = chunks.iter().map(|c| c.hash());
+        if !hashes.eq(manifest.chunks.iter().copied()) {
+            return Err(Error::garbage(format_args!(
+                "the chunks of version {} differ from its manifest",
+                manifest.version
+            )));
+        }
+        let deployment = entry::join(chunks.iter().flat_map(|c| &c.entries))?;
+        Ok(Self {
+            in_force: Arc::new(InForce {
+                version: manifest.version,
+                deployment: Arc::new(deployment),
+            }),
+            manifest: Arc::new(manifest),
+            chunks,
+        })
+    }
+
+    /// Makes the snapshot of the version that follows `previous`.
+    #[must_use]
+    pub fn next(
+        previous: Option<&Manifest>,
+        deployment: &Deployment,
+        author: &str,
+        apply_id: AttemptId,
+    ) -> Self {
+        let version = previous.map_or(ConfigVersion::new(1), |p| p.version.next());
+        let chunks = chunks(deployment);
+        let hashes: Vec<ChunkHash> = chunks.iter().map(|c| c.hash()).collect();
+        let manifest = Manifest {
+            version,
+            apply_id,
+            author: author.to_owned(),
+            name: deployment.name.clone(),
+            history: previous.map(Manifest::past).unwrap_or_default(),
+            retired: previous.map_or(Vec::new(), |p| retire(p, version, &hashes)),
+            chunks: hashes,
+        };
+        Self {
+            in_force: Arc::new(InForce {
+                version,
+                deployment: Arc::new(deployment.clone()),
+            }),
+            manifest: Arc::new(manifest),
+            chunks,
+        }
+    }
+}
+
+fn retire(previous: &Manifest, version: ConfigVersion, hashes: &[ChunkHash]) -> Vec<Retired> {
+    let dropped = previous.chunks.iter().map(|hash| Retired {
+        since: version,
+        hash: *hash,
+    });
+    let mut retired: Vec<Retired> = previous
+        .retired
+        .iter()
+        .cloned()
+        .chain(dropped)
+        .filter(|r| !hashes.contains(&r.hash))
+        .collect();
+    retired.sort_by_key(|r| (r.hash, r.since));
+    retired.dedup_by_key(|r| r.hash);
+    retired
+}
+
+fn place(key: &str) -> usize {
+    let hash = blake3::hash(key.as_bytes());
+    usize::from(hash.as_bytes()[0]) % CHUNKS
+}
+
+fn chunks(deployment: &Deployment) -> Vec<Arc<Chunk>> {
+    let mut chunks = vec![Chunk::default(); CHUNKS];
+    for entry in entry::split(deployment) {
+        chunks[place(&entry.key())].set(entry);
+    }
+    chunks.into_iter().map(Arc::new).collect()
+}
+
+fn empty_chunks() -> Vec<Arc<Chunk>> {
+    let empty = Arc::new(Chunk::default());
+    vec![empty; CHUNKS]
+}
+
+/// Changes from one version to another.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Delta {
+    /// Version that it starts from; absent when it holds all entries.
+    pub from: Option<ConfigVersion>,
+    /// Manifest of the version that it leads to.
+    pub manifest: Manifest,
+    /// Entries that are new or changed.
+    pub changed: Vec<Entry>,
+    /// Keys of removed entries.
+    pub removed: Vec<String>,
+}
+
+impl Delta {
+    /// Makes the delta between two versions; without `from` it holds all entries of `to`.
+    #[must_use]
+    pub fn between(from: Option<&Snapshot>, to: &Snapshot) -> Self {
+        let empty = Arc::new(Chunk::default());
+        let mut changed = Vec::new();
+        let mut removed = Vec::new();
+        for (i, new) in to.chunks.iter().enumerate() {
+            let old = from.and_then(|f| f.chunks.get(i)).unwrap_or(&empty);
+            if Arc::ptr_eq(old, new) {
+                continue;
+            }
+            changed.extend(
+                new.entries
+                    .iter()
+                    .filter(|e| !old.entries.contains(e))
+                    .cloned(),
+            );
+            let gone = old.entries.iter().map(Entry::key);
+            removed.extend(gone.filter(|key| new.entries.iter().all(|e| e.key() != *key)));
+        }
+        Self {
+            from: from.map(|f| f.in_force.version),
+            manifest: Manifest::clone(&to.manifest),
+            changed,
+            removed,
+        }
+    }
+
+    /// Applies the delta and verifies the result against the manifest's hashes.
+    ///
+    /// # Errors
+    /// `Garbage` when `base` is not the version it starts from or a hash differs.
+    pub fn apply(&self, base: Option<&Snapshot>) -> Result<Snapshot> {
+        let base = match (self.from, base) {
+            (None, _) => None,
+            (Some(from), Some(base)) if base.in_force.version == from => Some(base),
+            (Some(from), _) => {
+                return Err(Error::garbage(format_args!(
+                    "the delta starts at version {from}"
+                )));
+            }
+        };
+        let mut chunks = match base {
+            Some(base) => base.chunks.clone(),
+            None => empty_chunks(),
+        };
+        for key in &self.removed {
+            Arc::make_mut(&mut chunks[place(key)]).remove(key);
+        }
+        for entry in &self.changed {
+            Arc::make_mut(&mut chunks[place(&entry.key())]).set(entry.clone());
+        }
+        Snapshot::new(self.manifest.clone(), chunks)
+    }
+}
