--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -16,8 +16,8 @@
 
 fn check_sizes(d: &Deployment, [dcs, models, adapters, workers, plain]: [usize; 5]) {
     let of_kind = |kind| {
-        let named = d.services.iter().filter(move |s| s.kind == kind);
-        let names: Vec<_> = named.map(|s| &s.name).collect();
+        let matching = d.services.iter().filter(move |s| s.kind == kind);
+        let names: Vec<_> = matching.map(|s| &s.name).collect();
         d.backends
             .iter()
             .filter(move |b| names.contains(&&b.service))
