--- a/crates/claim/src/event.rs
+++ b/crates/claim/src/event.rs
@@ -1,9 +1,12 @@
 //! The stored record of a claim, and the input events and output actions of an attempt.
 
 use serde::{Deserialize, Serialize};
-use types::{AttemptId, Code};
+use types::{AttemptId, Code, HostId, Incarnation};
 
 /// Record of an idempotency key on the platform.
+///
+/// A withdrawn record is replaced by the next attempt by a conditional update, so the key is free
+/// again and still only one attempt can win.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Record {
     /// Attempt that wrote the record.
@@ -12,6 +15,18 @@
     pub body: String,
     /// State of the request.
     pub state: State,
+    /// Process that wrote the record, if it named itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<Owner>,
+}
+
+/// Process that runs an attempt.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Owner {
+    /// Entry host.
+    pub host: HostId,
+    /// Life of its process.
+    pub incarnation: Incarnation,
 }
 
 /// State of a keyed request.
@@ -57,6 +72,12 @@
     Created,
     /// A record of the key exists.
     Exists(Record),
+    /// A record of the key exists, and the process of its attempt is known to be alive.
+    ///
+    /// The driver reports this instead of `Exists` when the attempt is one that it runs itself,
+    /// or when the membership lists the owner as live in the recorded incarnation. A dispatched
+    /// record then reads as "still running", otherwise as "outcome unknown".
+    Running(Record),
     /// The platform refused the write; it did not take effect.
     Refused,
     /// The write got no answer; it may have taken effect.
