Add the ledger of recorded orders

Cause: memory of an accelerator must never be overcommitted although orders are lost, delayed or sent by a former holder. Change: orders::Ledger raises the epoch of a record, records orders before they are sent and closes them by reports that are newer than the last copy of the order; a former holder's order waits for proof that no copy of it can arrive, or for an enforcing engine to show the new token. Conclusion: the controller can be wired against the machine.

--- /dev/null
+++ b/crates/orders/src/event.rs
@@ -0,0 +1,106 @@
+//! Input events and output actions of a ledger.
+
+use types::{Bytes, Epoch, Instant, LoadReport, Order, OrderId, OrderOp, VersionTag};
+
+use crate::record::{Record, Sender};
+
+/// Order that is wanted; it is recorded before it is sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Want {
+    /// Random id.
+    pub id: OrderId,
+    /// What is asked for.
+    pub op: OrderOp,
+    /// Name of the model or adapter.
+    pub name: String,
+    /// Version of its weights.
+    pub version: VersionTag,
+    /// Memory that it takes.
+    pub bytes: Bytes,
+}
+
+/// How sending an order ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The engine accepted it or had accepted it before.
+    Accepted,
+    /// The engine has seen a higher fencing token.
+    Stale(Epoch),
+    /// The engine has not enough memory; the order did not run.
+    NoMemory,
+    /// No answer came; the order may have arrived.
+    Lost,
+}
+
+/// Input of a ledger; `R` is the platform's revision.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event<R> {
+    /// Time passed.
+    Tick,
+    /// The record was read.
+    Read(Option<(Record, R)>),
+    /// The read failed, or the record can't be decoded.
+    ReadFailed,
+    /// The write took effect at a revision.
+    Written(R),
+    /// The write did not take effect.
+    Refused,
+    /// The write got no answer; it may have taken effect or may still take effect.
+    Unanswered,
+    /// An order is wanted.
+    Want(Want),
+    /// Sending an order ended; no more of this attempt will leave the process.
+    Posted {
+        /// Id of the order.
+        id: OrderId,
+        /// How it ended.
+        answer: Answer,
+    },
+    /// The engine reported.
+    Report {
+        /// Report.
+        report: LoadReport,
+        /// Instant before the report was asked for.
+        asked: Instant,
+    },
+    /// A former holder can send no more orders of its epoch.
+    Gone(Sender),
+    /// The configured sizes changed.
+    Limits(Limits),
+}
+
+/// Configured properties of a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Memory of its accelerators.
+    pub memory: Bytes,
+    /// Part of the memory that is set aside for adapters.
+    pub adapter_pool: Bytes,
+    /// Whether the engine refuses orders with a token below the highest that it ever saw.
+    ///
+    /// An engine that forgets the token when it restarts must not be declared so.
+    pub fences: bool,
+}
+
+/// Output of a ledger; at most one read or write is outstanding.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<R> {
+    /// Read the record.
+    Read,
+    /// Create the record.
+    Create(Record),
+    /// Replace the record that is at a revision.
+    Update(Record, R),
+    /// Send an order; it is recorded.
+    Post(Order),
+    /// Find out whether a former holder can still send orders of its epoch.
+    Prove(Sender),
+    /// The record carries the epoch of this term; orders may be wanted.
+    Raised,
+    /// A wanted order does not fit or makes no sense; it was neither recorded nor sent.
+    Declined(OrderId),
+    /// An order is closed and its memory accounted for.
+    Closed(OrderId),
+    /// A holder with a higher epoch exists; this ledger does nothing more.
+    Superseded(Epoch),
+}
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,1 +1,37 @@
 //! Recorded orders and memory accounting of one backend server.
+//!
+//! A [`Ledger`] keeps the [`Record`] of a backend server for one term of a lease holder. Every
+//! order is recorded by conditional update before it is sent, and its memory stays reserved until
+//! the engine's report shows the outcome and no copy of the order can arrive any more.
+//!
+//! ```
+//! use orders::{Action, Event, Ledger, Limits};
+//! use types::{Bytes, Epoch, Instant};
+//!
+//! let limits = Limits {
+//!     memory: Bytes::new(100),
+//!     adapter_pool: Bytes::ZERO,
+//!     fences: false,
+//! };
+//! let mut ledger: Ledger<u64> = Ledger::new("a1".parse()?, Epoch::new(3), limits);
+//! let mut out = Vec::new();
+//! ledger.step(Instant::ZERO, Event::Tick, &mut out);
+//! ledger.step(Instant::ZERO, Event::Read(None), &mut out);
+//! assert!(matches!(out.last(), Some(Action::Create(record)) if record.epoch == Epoch::new(3)));
+//!
+//! // Orders may be wanted once the record carries the epoch of this term.
+//! ledger.step(Instant::ZERO, Event::Written(1), &mut out);
+//! assert!(out.contains(&Action::Raised));
+//! # Ok::<(), types::Error>(())
+//! ```
+
+mod copies;
+mod event;
+mod ledger;
+mod record;
+mod track;
+
+pub use copies::{Copy, CopyState};
+pub use event::{Action, Answer, Event, Limits, Want};
+pub use ledger::{Checks, Ledger};
+pub use record::{Pending, Record, Sender};
