Add the floor and the planner of placement

The control crate is written against place::floor and place::plan. This adds both in their simplest form: a floor by weighted rendezvous hashing with dense packing as the fallback, and a planner that restores the floor, replaces versions and adds replicas whose benefit exceeds their cost.

--- /dev/null
+++ b/crates/place/src/error.rs
@@ -0,0 +1,79 @@
+//! Error of computing the floor.
+
+use std::fmt;
+
+use snafu::Snafu;
+use types::{Bytes, ModelId};
+
+/// Result of computing the floor.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Error of computing the floor.
+#[derive(Debug)]
+pub struct Error(Box<ErrorCode>);
+
+/// Category of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Category {
+    /// The models do not fit the memory of the workers.
+    Memory,
+}
+
+#[derive(Debug, Snafu)]
+enum ErrorCode {
+    #[snafu(display(
+        "model {model} of {bytes} does not fit: the models need {needed} of {available}, \
+         and the most that is free on one worker is {largest}"
+    ))]
+    Memory {
+        model: ModelId,
+        bytes: Bytes,
+        needed: Bytes,
+        available: Bytes,
+        largest: Bytes,
+    },
+}
+
+/// Figures of a model that does not fit.
+pub(crate) struct Shortage {
+    pub model: ModelId,
+    pub bytes: Bytes,
+    pub needed: Bytes,
+    pub available: Bytes,
+    pub largest: Bytes,
+}
+
+impl Error {
+    pub(crate) fn memory(shortage: Shortage) -> Self {
+        let Shortage {
+            model,
+            bytes,
+            needed,
+            available,
+            largest,
+        } = shortage;
+        Self(Box::new(ErrorCode::Memory {
+            model,
+            bytes,
+            needed,
+            available,
+            largest,
+        }))
+    }
+
+    /// Returns the category of this error.
+    #[must_use]
+    pub fn category(&self) -> Category {
+        match *self.0 {
+            ErrorCode::Memory { .. } => Category::Memory,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,5 +1,50 @@
 //! Placement of models on workers: floor, replicas and moves.
+//!
+//! Both entry points are pure functions. [`floor`] derives the minimum copies of all data centres
+//! from the deployment file alone, so every controller computes the same ones. [`plan`] compares
+//! the state of one data centre with the floor and the demand and returns the moves to order now.
+//!
+//! ```
+//! use config::{BackendServer, DataCentre, Deployment, Model, Priority};
+//! use types::Bytes;
+//!
+//! let deployment = Deployment {
+//!     data_centres: vec![DataCentre { id: "north".parse()?, region: "isles".parse()? }],
+//!     models: vec![Model {
+//!         id: "wear-photo".parse()?,
+//!         version: "v1".parse()?,
+//!         service: "grind".parse()?,
+//!         bytes: "20 GiB".parse()?,
+//!         priority: Priority::new(0),
+//!     }],
+//!     backends: vec![BackendServer {
+//!         id: "w1".parse()?,
+//!         dc: "north".parse()?,
+//!         service: "grind".parse()?,
+//!         memory: "80 GiB".parse()?,
+//!         adapter_pool: "8 GiB".parse()?,
+//!         accelerators: 1,
+//!         speed: 1.0,
+//!         max_in_flight: 16,
+//!         fences: false,
+//!     }],
+//!     ..Deployment::default()
+//! };
+//!
+//! let copies = place::floor(&deployment, Bytes::ZERO).expect("the model fits");
+//! assert_eq!(copies.len(), 1);
+//! assert_eq!(copies[0].worker.as_str(), "w1");
+//! # Ok::<(), types::Error>(())
+//! ```
 
+mod error;
+mod floor;
 mod input;
+mod plan;
+mod replica;
+mod round;
 
+pub use error::{Category, Error, Result};
+pub use floor::floor;
 pub use input::{Copy, CopyState, Demand, Held, Input, Move, Worker};
+pub use plan::plan;
--- /dev/null
+++ b/crates/place/src/round.rs
@@ -0,0 +1,160 @@
+//! Working state of a placement round.
+
+use types::Bytes;
+
+use crate::input::{CopyState, Demand, Held, Input, Move};
+
+/// Copy on a worker, with the moves of this round applied.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spot {
+    pub worker: usize,
+    pub current: bool,
+    pub state: CopyState,
+    pub live: bool,
+}
+
+impl Spot {
+    /// Tells whether the copy serves requests now.
+    pub(crate) fn serves(self) -> bool {
+        self.live && self.state == CopyState::Ready
+    }
+
+    /// Tells whether the copy serves or will serve the version in force.
+    pub(crate) fn counts(self) -> bool {
+        self.live && self.current && self.state != CopyState::Unloading
+    }
+}
+
+/// Input of a round and the moves decided so far.
+pub(crate) struct Round<'a> {
+    pub input: &'a Input,
+    /// Free memory per worker; a load takes it at once, an unload does not give it back.
+    pub free: Vec<u64>,
+    /// Copies per model.
+    pub spots: Vec<Vec<Spot>>,
+    /// Copies that the floor asks for, per model.
+    pub floor: Vec<u32>,
+    /// Loads that may still be ordered.
+    pub loads: u32,
+    pub moves: Vec<Move>,
+}
+
+impl<'a> Round<'a> {
+    pub(crate) fn new(input: &'a Input) -> Self {
+        let mut round = Self {
+            input,
+            free: Vec::with_capacity(input.workers.len()),
+            spots: vec![Vec::new(); input.demand.len()],
+            floor: vec![0; input.demand.len()],
+            loads: input.loads,
+            moves: Vec::new(),
+        };
+        for (w, worker) in input.workers.iter().enumerate() {
+            let held: Bytes = worker.held.iter().map(|h| h.bytes).sum();
+            round.free.push(worker.memory.saturating_sub(held).get());
+            for held in &worker.held {
+                round.note(w, held);
+            }
+        }
+        for copy in &input.floor {
+            if let Some(m) = round.model(&copy.model) {
+                round.floor[m] += 1;
+            }
+        }
+        round
+    }
+
+    fn note(&mut self, worker: usize, held: &Held) {
+        let Some(m) = self.model(&held.model) else {
+            return;
+        };
+        self.spots[m].push(Spot {
+            worker,
+            current: held.version == self.input.demand[m].version,
+            state: held.state,
+            live: self.input.workers[worker].live,
+        });
+    }
+
+    pub(crate) fn model(&self, id: &types::ModelId) -> Option<usize> {
+        self.input.demand.binary_search_by(|d| d.model.cmp(id)).ok()
+    }
+
+    pub(crate) fn demand(&self, m: usize) -> &'a Demand {
+        &self.input.demand[m]
+    }
+
+    pub(crate) fn serving(&self, m: usize) -> usize {
+        self.spots[m].iter().filter(|s| s.serves()).count()
+    }
+
+    pub(crate) fn ready_elsewhere(&self, m: usize) -> bool {
+        let elsewhere = &self.input.ready_elsewhere;
+        elsewhere.binary_search(&self.demand(m).model).is_ok()
+    }
+
+    /// Tells whether a worker may load a model: live, with room, and without the same version.
+    pub(crate) fn can_load(&self, worker: usize, m: usize) -> bool {
+        self.loads > 0
+            && self.input.workers[worker].live
+            && self.free[worker] >= self.demand(m).bytes.get()
+            && !self.holds_current(worker, m)
+    }
+
+    /// Tells whether a worker holds, loads or unloads the version in force.
+    pub(crate) fn holds_current(&self, worker: usize, m: usize) -> bool {
+        self.spots[m]
+            .iter()
+            .any(|s| s.worker == worker && s.current)
+    }
+
+    pub(crate) fn load(&mut self, worker: usize, m: usize) {
+        let demand = self.demand(m);
+        self.loads -= 1;
+        self.free[worker] -= demand.bytes.get();
+        self.spots[m].push(Spot {
+            worker,
+            current: true,
+            state: CopyState::Loading,
+            live: true,
+        });
+        self.moves.push(Move::Load {
+            worker: self.input.workers[worker].id.clone(),
+            model: demand.model.clone(),
+            version: demand.version.clone(),
+            bytes: demand.bytes,
+        });
+    }
+
+    /// Orders the unload of the ready copy at a position of the model's list.
+    pub(crate) fn unload(&mut self, m: usize, at: usize) {
+        let spot = self.spots[m][at];
+        self.spots[m][at].state = CopyState::Unloading;
+        let worker = &self.input.workers[spot.worker];
+        let demand = self.demand(m);
+        let held = worker.held.iter().find(|h| {
+            h.model == demand.model
+                && h.state == CopyState::Ready
+                && (h.version == demand.version) == spot.current
+        });
+        if let Some(held) = held {
+            self.moves.push(Move::Unload {
+                worker: worker.id.clone(),
+                model: held.model.clone(),
+                version: held.version.clone(),
+            });
+        }
+    }
+
+    /// Memory of a worker whose unload is ordered and not confirmed.
+    pub(crate) fn freeing(&self, worker: usize) -> u64 {
+        let mut bytes = 0;
+        for (m, spots) in self.spots.iter().enumerate() {
+            let unloading = spots
+                .iter()
+                .filter(|s| s.worker == worker && s.state == CopyState::Unloading);
+            bytes += unloading.count() as u64 * self.demand(m).bytes.get();
+        }
+        bytes
+    }
+}
