Add the stand-ins, the fault proxy and the test harness

Change: one binary `standin` with platform, engine, plain and proxy; each is a process, prints its address and takes faults through admin calls. The platform gives each data centre its own view of the host list, so that a partition cuts links between data centres and leaves those within them. The module `harness` starts a deployment behind the proxy.

--- /dev/null
+++ b/crates/standin/src/harness/cluster.rs
@@ -0,0 +1,269 @@
+//! A deployment on loopback: platform, backend servers, proxy links and entry hosts.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Output, Stdio},
+};
+
+use serde_json::{Map, Value, json};
+use tokio::process::Command;
+
+use super::{
+    entry::EntryHost,
+    process::program,
+    stage::{PLATFORM_TOKEN, Stage, StandIn},
+};
+
+/// Token with which entry hosts know each other.
+const PEER_TOKEN: &str = "peer-token";
+
+/// Target of a link whose process has no address yet; nothing listens there.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+/// Backend server of a layout.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Name in the deployment file and the platform's list.
+    pub name: String,
+    /// Data centre.
+    pub dc: String,
+    /// Knobs of an engine; a plain service has none.
+    pub engine: Option<Value>,
+}
+
+/// What a cluster consists of.
+#[derive(Clone, Debug, Default)]
+pub struct Layout {
+    /// Name and data centre of each entry host.
+    pub hosts: Vec<(String, String)>,
+    /// Backend servers.
+    pub backends: Vec<Backend>,
+    /// Bearer token of the caller.
+    pub token: String,
+}
+
+/// Links to one entry host as one data centre sees it.
+#[derive(Clone, Debug)]
+struct Seen {
+    host: usize,
+    from: String,
+    http: SocketAddr,
+    peer: SocketAddr,
+}
+
+/// Running deployment.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Entry hosts in the order of the layout.
+    pub hosts: Vec<EntryHost>,
+    /// Backend servers in the order of the layout.
+    pub backends: Vec<StandIn>,
+    /// The platform.
+    pub platform: StandIn,
+    /// Proxy and folder.
+    pub stage: Stage,
+    layout: Layout,
+    /// Link of each backend server.
+    pub backend_links: Vec<SocketAddr>,
+    /// Link from each entry host to the platform.
+    pub platform_links: Vec<SocketAddr>,
+    seen: Vec<Seen>,
+}
+
+impl Cluster {
+    /// Starts everything, without a configuration.
+    pub async fn start(layout: Layout) -> Self {
+        let mut cluster = Self::without_hosts(layout).await;
+        for host in 0..cluster.layout.hosts.len() {
+            cluster.start_host(host).await;
+        }
+        cluster
+    }
+
+    /// Starts everything but the entry hosts.
+    pub async fn without_hosts(layout: Layout) -> Self {
+        let stage = Stage::new().await;
+        let platform = stage.platform().await;
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            backends: Vec::new(),
+            platform,
+            stage,
+            layout,
+            backend_links: Vec::new(),
+            platform_links: Vec::new(),
+            seen: Vec::new(),
+        };
+        for backend in cluster.layout.backends.clone() {
+            cluster.start_backend(&backend).await;
+        }
+        cluster.link_hosts().await;
+        cluster
+    }
+
+    async fn start_backend(&mut self, backend: &Backend) {
+        let server = match &backend.engine {
+            Some(knobs) => self.stage.engine(&backend.name, knobs).await,
+            None => self.stage.plain(&backend.name).await,
+        };
+        let link = self.stage.link(server.addr()).await;
+        self.backends.push(server);
+        self.backend_links.push(link);
+        self.list_backend(self.backends.len() - 1, "live").await;
+    }
+
+    /// Lists a backend server as live or leaving.
+    pub async fn list_backend(&self, backend: usize, state: &str) {
+        let Backend { name, dc, .. } = &self.layout.backends[backend];
+        let addr = self.backend_links[backend];
+        let spec = json!({"role": "backend", "dc": dc, "state": state, "addr": addr});
+        self.platform.set_host(name, &spec).await;
+    }
+
+    fn dcs(&self) -> Vec<String> {
+        let mut dcs: Vec<_> = self.layout.hosts.iter().map(|(_, dc)| dc.clone()).collect();
+        dcs.sort_unstable();
+        dcs.dedup();
+        dcs
+    }
+
+    async fn link_hosts(&mut self) {
+        for host in 0..self.layout.hosts.len() {
+            let link = self.stage.link(self.platform.addr()).await;
+            self.platform_links.push(link);
+            for from in self.dcs() {
+                let seen = Seen {
+                    host,
+                    from,
+                    http: self.stage.link(NOWHERE).await,
+                    peer: self.stage.link(NOWHERE).await,
+                };
+                self.seen.push(seen);
+            }
+        }
+    }
+
+    fn settings(&self, host: usize) -> PathBuf {
+        let (name, dc) = &self.layout.hosts[host];
+        let seen_here = |seen: &&Seen| seen.from == *dc && seen.host != host;
+        let seeds = self.seen.iter().filter(seen_here);
+        let seeds: Vec<String> = seeds.map(|seen| format!("\"{}\"", seen.peer)).collect();
+        let platform = self.platform_links[host];
+        let text = format!(
+            "name = \"{name}\"\ndc = \"{dc}\"\nhttp = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
+             platform = \"http://{platform}/{dc}\"\nseeds = [{}]\n\
+             platform_token = \"{PLATFORM_TOKEN}\"\npeer_token = \"{PEER_TOKEN}\"\n",
+            seeds.join(", ")
+        );
+        let path = self.stage.dir().join(format!("{name}.toml"));
+        std::fs::write(&path, text).expect("the settings can be written");
+        path
+    }
+
+    /// Starts an entry host, or starts it again after it ended.
+    pub async fn start_host(&mut self, host: usize) {
+        let (name, dc) = self.layout.hosts[host].clone();
+        let settings = self.settings(host);
+        let dir = self.stage.dir();
+        let entry = EntryHost::start(dir, &name, &dc, &settings, &self.layout.token).await;
+        for seen in self.seen.iter().filter(|seen| seen.host == host) {
+            self.stage.set_target(seen.http, entry.http).await;
+            self.stage.set_target(seen.peer, entry.peer).await;
+        }
+        match self.hosts.iter_mut().find(|known| known.name == name) {
+            Some(known) => *known = entry,
+            None => self.hosts.push(entry),
+        }
+        self.list_host(host, "live").await;
+    }
+
+    /// Lists an entry host as live or leaving.
+    pub async fn list_host(&self, host: usize, state: &str) {
+        let (name, dc) = &self.layout.hosts[host];
+        let mut spec = json!({"role": "entry", "dc": dc, "state": state});
+        let mut views = Map::new();
+        for seen in self.seen.iter().filter(|seen| seen.host == host) {
+            let addrs = json!({"addr": seen.http, "peer_addr": seen.peer});
+            views.insert(seen.from.clone(), addrs);
+        }
+        spec["addr"] = views[dc]["addr"].clone();
+        spec["peer_addr"] = views[dc]["peer_addr"].clone();
+        spec["views"] = Value::Object(views);
+        self.platform.set_host(name, &spec).await;
+    }
+
+    /// Cuts a data centre off from all others and from the platform, or heals it.
+    pub async fn partition(&self, dc: &str, mode: &str) {
+        let knobs = json!({"mode": mode});
+        for seen in &self.seen {
+            let to_dc = self.layout.hosts[seen.host].1 == dc;
+            if to_dc != (seen.from == dc) {
+                self.stage.set_link(seen.http, &knobs).await;
+                self.stage.set_link(seen.peer, &knobs).await;
+            }
+        }
+        for (link, (_, host_dc)) in self.platform_links.iter().zip(&self.layout.hosts) {
+            if host_dc == dc {
+                self.stage.set_link(*link, &knobs).await;
+            }
+        }
+    }
+
+    /// Runs a command of the program with the settings of the first entry host.
+    ///
+    /// # Panics
+    /// When the program can't be run.
+    pub async fn run(&self, args: &[&str]) -> Output {
+        let settings = self.settings(0);
+        let mut command = Command::new(program("celerytally"));
+        command.args(args).arg("--settings").arg(settings);
+        let command = command.stdin(Stdio::null()).kill_on_drop(true);
+        command.output().await.expect("the program runs")
+    }
+
+    /// Writes a deployment file and returns its path.
+    ///
+    /// # Panics
+    /// When the file can't be written.
+    #[must_use]
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.stage.dir().join(name);
+        std::fs::write(&path, text).expect("the file can be written");
+        path.display().to_string()
+    }
+
+    /// Applies the text of a deployment file.
+    ///
+    /// # Panics
+    /// When it is refused.
+    pub async fn apply(&self, text: &str) {
+        let path = self.write("deployment.toml", text);
+        let output = self.run(&["apply", &path]).await;
+        assert!(output.status.success(), "apply: {output:?}");
+    }
+
+    /// Waits until every entry host is ready.
+    pub async fn wait_ready(&self) {
+        for host in &self.hosts {
+            host.wait_ready().await;
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for host in &self.hosts {
+            let log = std::fs::read_to_string(&host.log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let last = &lines[lines.len().saturating_sub(LOG_LINES)..];
+            eprintln!("-- {}\n{}", host.name, last.join("\n"));
+        }
+    }
+}
+
+/// Lines of each host's log that a failed test prints.
+const LOG_LINES: usize = 25;
