Serve callers with claims, streams, forwarding and shutdown

Cause: the binary needs an HTTP API whose codes say truthfully whether a request was run. Change: crate `gate`: chain of filters, driver of the router, attempts with a guard against a second dispatch of a non-idempotent request, streams that resume or end with an error event, forwarding with one hop, claims with read-back, withdrawal and clean-up, counters, operator routes, graceful shutdown. `engine` keys cache events by model and prefix, and takes a server's refusal to resume as a refusal. Conclusion: ready to be wired to the real router; a scripted router stands for it in the tests.

--- a/crates/engine/src/cache.rs
+++ b/crates/engine/src/cache.rs
@@ -14,19 +14,31 @@
 type Source = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
 
 /// Change of an engine's prefix cache.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize)]
-#[serde(tag = "event", rename_all = "snake_case")]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CacheEvent {
-    /// A prefix is cached.
-    Stored {
-        /// Hash of the prefix.
-        prefix: u64,
-    },
-    /// A prefix was evicted.
-    Removed {
-        /// Hash of the prefix.
-        prefix: u64,
-    },
+    /// A prefix is cached; the value is its [`prefix_key`].
+    Stored(u64),
+    /// A prefix was evicted; the value is its [`prefix_key`].
+    Removed(u64),
+}
+
+/// Returns the key of a prompt's prefix under a model or adapter.
+///
+/// Engines publish the first 64 bits of the BLAKE3 hash of the prefix; the model is mixed in
+/// because a prefix that is cached for one model is of no use to another.
+#[must_use]
+pub fn prefix_key(model: &str, prefix: &str) -> u64 {
+    keyed(model, head(&blake3::hash(prefix.as_bytes())))
+}
+
+fn keyed(model: &str, prefix: u64) -> u64 {
+    prefix ^ head(&blake3::hash(model.as_bytes()))
+}
+
+fn head(hash: &blake3::Hash) -> u64 {
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_be_bytes(head)
 }
 
 /// What the event stream tells.
@@ -41,8 +53,29 @@
 #[derive(Deserialize)]
 struct Line {
     seq: u64,
-    #[serde(flatten)]
-    event: CacheEvent,
+    op: Op,
+    #[serde(default)]
+    model: String,
+    /// Hash of the prefix in hexadecimal.
+    prefix: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Op {
+    Stored,
+    Removed,
+}
+
+impl Line {
+    fn event(&self) -> Option<CacheEvent> {
+        let prefix = u64::from_str_radix(&self.prefix, 16).ok()?;
+        let key = keyed(&self.model, prefix);
+        Some(match self.op {
+            Op::Stored => CacheEvent::Stored(key),
+            Op::Removed => CacheEvent::Removed(key),
+        })
+    }
 }
 
 /// Event stream of an engine's prefix cache.
@@ -99,13 +132,16 @@
             Some(Err(e)) => return Err(Error::new(Category::Truncated, &self.server.id, e)),
             None => return Err(Error::new(Category::Truncated, &self.server.id, "end")),
         };
-        let line: Line = serde_json::from_str(&event.data)
-            .map_err(|e| Error::new(Category::Garbage, &self.server.id, e))?;
+        let garbage = |e: String| Error::new(Category::Garbage, &self.server.id, e);
+        let line: Line = serde_json::from_str(&event.data).map_err(|e| garbage(e.to_string()))?;
+        let event = line
+            .event()
+            .ok_or_else(|| garbage(format!("prefix {}", line.prefix)))?;
         let expected = self.expected.replace(line.seq + 1);
         if expected.is_some_and(|seq| seq != line.seq) {
-            self.held = Some(line.event);
+            self.held = Some(event);
             return Ok(CacheNews::Gap);
         }
-        Ok(CacheNews::Event(line.event))
+        Ok(CacheNews::Event(event))
     }
 }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -189,7 +189,6 @@
         let call = Call {
             method: Method::POST,
             headers,
-            protocol: Protocol::Model,
             deadline,
             ..Call::get(id, format!("/v1/streams/{id}/resume?from={from}"))
         };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -30,6 +30,6 @@
 mod sse;
 
 pub use answer::{Answer, Events, LoadHint, Whole};
-pub use cache::{CacheEvent, CacheEvents, CacheNews};
+pub use cache::{CacheEvent, CacheEvents, CacheNews, prefix_key};
 pub use client::{Call, Client, Protocol, Server};
 pub use error::{Category, Error, Result};
--- a/crates/engine/tests/backend/mod.rs
+++ b/crates/engine/tests/backend/mod.rs
@@ -49,8 +49,12 @@
     Status(u16),
     /// Refuses because it is leaving.
     Leave,
+    /// Answers with six megabytes, or breaks the connection after five.
+    Large { complete: bool },
     /// Never answers.
     Hang,
+    /// Answers completely after 100 ms.
+    Slow,
 }
 
 /// Request as the server saw it.
@@ -187,6 +191,18 @@
                 res.headers.insert("x-leaving", 1.into());
                 res.body = ResBody::Once("leaving".into());
             }
+            Act::Large { complete } => {
+                res.headers.insert("content-length", (6 << 20).into());
+                let part = || Ok(Bytes::from(vec![b'x'; 1 << 20]));
+                let parts = stream::iter((0..5).map(move |_| part()));
+                let last =
+                    stream::once(async move { if complete { part() } else { broken().await } });
+                res.body = ResBody::stream(parts.chain(last));
+            }
+            Act::Slow => {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                res.body = ResBody::Once(r#"{"ok":true}"#.into());
+            }
             Act::Hang => tokio::time::sleep(Duration::from_hours(1)).await,
         }
     }
--- a/crates/engine/tests/streams.rs
+++ b/crates/engine/tests/streams.rs
@@ -70,5 +70,5 @@
         "{all}"
     );
     assert!(backend.seen()[1].path.ends_with("/resume?from=2"));
-    assert_eq!(unknown.category(), Category::NotResident);
+    assert_eq!(unknown.category(), Category::Refused);
 }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -171,6 +171,8 @@
         match (self.delivered, self.ran) {
             (Some(_), Some(Code::DeadlineExceeded)) => Code::DeadlineExceeded.into(),
             (Some(_), _) => Refusal::decided(code, Some(Code::StreamInterrupted), retry_after),
+            // A code of the router that allows a resend must not hide that this one may have run.
+            (None, Some(ran)) if !self.job.ticket.idempotent && code.may_resend() => ran.into(),
             (None, ran) => Refusal::decided(code, ran, retry_after),
         }
     }
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -140,6 +140,10 @@
         self.0.peers.entry_host(dc)
     }
 
+    pub(crate) fn is_live(&self, owner: &claim::Owner) -> bool {
+        self.0.peers.is_live(&owner.host, owner.incarnation)
+    }
+
     /// Hands a request to the router.
     pub(crate) fn arrive(&self, ticket: Ticket) -> Flight<R, N> {
         let id = ticket.id;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,11 +1,72 @@
-//! HTTP API for callers and operators.
+//! HTTP API of an entry host for callers and operators.
+//!
+//! A [`Gate`] takes each request through a chain of filters: authenticate, limit, parse, claim,
+//! admit and route, dispatch, verify, stream, record, count. Each filter is a function from one
+//! typed value to the next, or to a [`Refusal`] with a result code.
+//!
+//! The binary makes the gate from its [`Parts`], feeds the router through [`Gate::dispatcher`]
+//! (configuration, load reports, digests, liveness, suspects, and a tick every few milliseconds),
+//! tells it the addresses of backend servers, and serves until it has drained:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use gate::{Gate, NoPeers, Parts, Reporter, Step};
+//! use metrics_exporter_prometheus::PrometheusBuilder;
+//! use route::{Action, Event};
+//! use types::{Incarnation, Instant, Monotonic};
+//!
+//! /// Stands for `route::Router`.
+//! struct Router;
+//!
+//! impl Step for Router {
+//!     fn step(&mut self, _now: Instant, _ev: Event, _out: &mut Vec<Action>) {}
+//! }
+//!
+//! struct Report;
+//!
+//! impl Reporter for Report {
+//!     fn text(&self) -> String {
+//!         "OK".to_owned()
+//!     }
+//!
+//!     fn json(&self) -> serde_json::Value {
+//!         serde_json::json!({})
+//!     }
+//! }
+//!
+//! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+//! let gate = Gate::new(Parts {
+//!     clock: Monotonic::start(),
+//!     router: Router,
+//!     peers: NoPeers,
+//!     platform: store::MemPlatform::new(),
+//!     reporter: Report,
+//!     metrics: PrometheusBuilder::new().build_recorder().handle(),
+//!     owner: claim::Owner { host: "h1".parse().unwrap(), incarnation: Incarnation::new(1) },
+//!     engine: engine::Client::new().unwrap(),
+//!     host_token: "token of the entry hosts".to_owned(),
+//!     operator_token: None,
+//! })?;
+//! gate.dispatcher().set_servers(Vec::new());
+//! gate.dispatcher().feed(Event::Tick);
+//!
+//! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+//! let (served, ()) = tokio::join!(gate.serve(listener), gate.drain(Duration::from_millis(1)));
+//! served?;
+//! gate.settle().await;
+//! # Ok::<(), gate::Error>(())
+//! # }).unwrap();
+//! ```
 
 mod attempt;
 mod auth;
 mod claims;
 mod count;
 mod dispatcher;
+mod drive;
 mod error;
+mod expiry;
 mod job;
 mod limit;
 mod operator;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use route::{Fingerprint, SuspectMark};
-use types::{AdapterId, BackendId, DataCentreId, ModelId};
+use types::{AdapterId, BackendId, DataCentreId, HostId, Incarnation, ModelId};
 
 /// Other entry hosts, as the gate needs them.
 ///
@@ -22,6 +22,9 @@
     /// Returns the caller address of a reachable entry host in a data centre.
     fn entry_host(&self, dc: &DataCentreId) -> Option<SocketAddr>;
 
+    /// Tells whether an entry host is known to be alive in a given life.
+    fn is_live(&self, host: &HostId, incarnation: Incarnation) -> bool;
+
     /// Tells the controller of the data centre that a model or adapter is wanted.
     fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> impl Future<Output = ()> + Send;
 }
@@ -42,5 +45,9 @@
         None
     }
 
+    fn is_live(&self, _host: &HostId, _incarnation: Incarnation) -> bool {
+        false
+    }
+
     async fn want(&self, _model: ModelId, _adapter: Option<AdapterId>) {}
 }
--- a/crates/gate/src/prompt.rs
+++ b/crates/gate/src/prompt.rs
@@ -1,5 +1,6 @@
 //! What the router needs to know of a prompt: its size, its prefixes and the output asked for.
 
+use engine::prefix_key;
 use serde_json::{Map, Value};
 use types::Code;
 
@@ -11,11 +12,8 @@
 /// Output tokens assumed when the caller sets no bound.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
-/// Bytes between the ends of the prefixes that are hashed.
-const PREFIX_STEP: usize = 256;
-
-/// Bounds the prefixes of one prompt; longer prompts differ in their first part already.
-const MAX_PREFIXES: usize = 16;
+/// Characters of the shortest prefix that is looked up; each further one is twice as long.
+const FIRST_PREFIX: usize = 32;
 
 /// Facts of a request for completions.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,7 +41,7 @@
     };
     let tokens = u32::try_from(text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
     Ok(Prompt {
-        prefixes: prefixes(&model, text.as_bytes()),
+        prefixes: prefixes(&model, &text),
         model,
         stream,
         tokens,
@@ -55,15 +53,13 @@
     if prompt_field == "messages" && !items.iter().all(|m| m.get("role").is_some()) {
         return Err(Code::InvalidField.into());
     }
-    let mut text = String::new();
-    for item in items {
-        match item.get("content").unwrap_or(item) {
-            Value::String(part) => text.push_str(part),
-            part => text.push_str(&part.to_string()),
-        }
-        text.push('\n');
-    }
-    Ok(text)
+    let parts = items
+        .iter()
+        .map(|item| match item.get("content").unwrap_or(item) {
+            Value::String(part) => part.clone(),
+            part => part.to_string(),
+        });
+    Ok(parts.collect::<Vec<_>>().join("\n"))
 }
 
 fn output_tokens(body: &Map<String, Value>) -> Result<u32, Refusal> {
@@ -80,18 +76,14 @@
     }
 }
 
-/// Hashes the growing prefixes of a text under a model or adapter, shortest first.
-fn prefixes(model: &str, text: &[u8]) -> Vec<u64> {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(model.as_bytes());
-    hasher.update(&[0]);
-    text.chunks_exact(PREFIX_STEP)
-        .take(MAX_PREFIXES)
-        .map(|part| {
-            hasher.update(part);
-            let mut head = [0; 8];
-            head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-            u64::from_le_bytes(head)
-        })
-        .collect()
+/// Returns the keys of the growing prefixes of a text, shortest first.
+fn prefixes(model: &str, text: &str) -> Vec<u64> {
+    let mut keys = Vec::new();
+    let mut chars = FIRST_PREFIX;
+    while let Some((end, _)) = text.char_indices().nth(chars) {
+        keys.push(prefix_key(model, &text[..end]));
+        chars *= 2;
+    }
+    keys.push(prefix_key(model, text));
+    keys
 }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -20,7 +20,7 @@
 use serde_json::json;
 use store::Platform;
 use tokio::net::TcpListener;
-use types::{Clock, Code, Monotonic, RequestId};
+use types::{Clock, Code, Micros, Monotonic, RequestId};
 
 use crate::{
     attempt::Runner,
@@ -52,6 +52,8 @@
     pub reporter: W,
     /// Metrics that `/metrics` shows; its recorder must be installed before.
     pub metrics: PrometheusHandle,
+    /// Name and life of this process, which claims carry.
+    pub owner: claim::Owner,
     /// Client of backend servers, shared with the polling of load reports.
     pub engine: Client,
     /// Token of entry hosts among themselves.
@@ -76,6 +78,9 @@
 const NOT_READY: u8 = 1;
 const CLOSED: u8 = 2;
 
+/// Claims are kept at least this long, whatever the file says.
+const MIN_RETENTION: Micros = Micros::from_secs(60);
+
 /// Time beyond the longest deadline after which a shutdown no longer waits for slow readers.
 const SHUTDOWN_MARGIN: Duration = Duration::from_secs(2);
 
@@ -109,7 +114,7 @@
                 counters,
                 host_bearer,
             },
-            claims: Claims::new(parts.platform, parts.clock),
+            claims: Claims::new(parts.platform, parts.clock, parts.owner),
             operator: Operator {
                 reporter: parts.reporter,
                 metrics: parts.metrics,
@@ -132,11 +137,36 @@
         &self.runner.counters
     }
 
-    /// Returns the claims whose outcome is not stored yet.
+    /// Returns the number of claims whose outcome is not stored yet.
     pub fn pending_claims(&self) -> usize {
         self.claims.pending()
     }
 
+    /// Waits until every claim's outcome is stored, which an absent platform delays.
+    ///
+    /// To be called, with a bound, after [`serve`](Self::serve) has returned.
+    pub async fn settle(&self) {
+        self.claims.settle().await;
+    }
+
+    /// Deletes finished claims of hosts that are gone, and returns their number.
+    ///
+    /// To be called now and then by one host of the deployment. A claim is deleted once this host
+    /// has seen it unchanged for the retention, so at least two calls are needed.
+    ///
+    /// # Errors
+    /// As [`Platform::list`] and [`Platform::delete`].
+    pub async fn sweep_claims(&self) -> store::Result<usize> {
+        self.claims.sweep(self.retention()).await
+    }
+
+    fn retention(&self) -> Micros {
+        let in_force = self.runner.dispatcher.in_force();
+        in_force.map_or(MIN_RETENTION, |c| {
+            c.deployment.limits.claim_retention.max(MIN_RETENTION)
+        })
+    }
+
     /// Serves callers on a listening socket until [`drain`](Self::drain) has ended.
     ///
     /// # Errors
@@ -146,7 +176,10 @@
         *self.server.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.handle());
         let entry = Entry(Arc::clone(self));
         let router = Router::new().push(Router::with_path("{**path}").goal(entry));
-        Ok(server.try_serve(router).await?)
+        tokio::select! {
+            ended = server.try_serve(router) => Ok(ended?),
+            () = self.claims.expire() => Ok(()),
+        }
     }
 
     /// Shuts down: not ready, then no new connections, then the end of what is in flight.
@@ -239,7 +272,10 @@
         // The entry host that the request reached first has claimed it.
         let claims = !job.ticket.idempotent && !job.ticket.forwarded;
         match &job.key {
-            Some(key) if claims => self.claims.run(&self.runner, key.clone(), job).await,
+            Some(key) if claims => {
+                let (key, retention) = (key.clone(), self.retention());
+                self.claims.run(&self.runner, &key, job, retention).await
+            }
             _ => self.runner.run(job).await,
         }
     }
--- /dev/null
+++ b/crates/gate/tests/failures.rs
@@ -0,0 +1,190 @@
+//! What callers see when backend servers fail, and that nothing runs twice.
+
+mod fixture;
+
+use std::sync::atomic::Ordering;
+
+use fixture::{Backend, Host, backend::Act, code, json};
+use route::Event;
+use types::RetryReason;
+
+/// Guards against a response to another request, a truncated or a failed one reaching the caller,
+/// and against a retry that is not counted under its reason.
+#[tokio::test]
+async fn an_idempotent_request_is_answered_by_another_server() {
+    let cases = [
+        (Act::Cut, RetryReason::Cut),
+        (Act::Crash, RetryReason::Crash),
+        (Act::Truncate, RetryReason::Truncated),
+        (Act::WrongId, RetryReason::Mismatch),
+        (Act::Leave, RetryReason::Leaving),
+        (Act::Status(503), RetryReason::Refused),
+        (Act::Status(404), RetryReason::NotResident),
+    ];
+    for (act, reason) in cases {
+        let (bad, good) = (
+            Backend::start([Act::Complete, act]).await,
+            Backend::start([]).await,
+        );
+        let host = Host::start(&[&bad, &good]).await;
+        host.chat(false).send().await.unwrap();
+
+        let answer = json(host.chat(false).send().await.unwrap()).await;
+
+        assert_eq!(answer["ok"], true, "{act:?}");
+        let retries: Vec<_> = host.gate.counters().retries().collect();
+        assert_eq!(retries, [(reason, 1)], "{act:?}");
+        let crashed = host.script.count(|ev| matches!(ev, Event::Crashed { .. }));
+        assert_eq!(crashed, usize::from(act == Act::Crash), "{act:?}");
+    }
+}
+
+/// Guards against a booking that runs twice although the router asks for a retry, and against a
+/// code that says "not run" for one that may have run.
+#[tokio::test]
+async fn a_non_idempotent_request_is_dispatched_once() {
+    let cases = [
+        (Act::Cut, 502, 1),
+        (Act::Crash, 503, 1),
+        (Act::Truncate, 506, 1),
+        (Act::WrongId, 505, 1),
+        (Act::Hang, 504, 1),
+        (Act::Leave, 303, 2),
+    ];
+    for (act, expected, dispatches) in cases {
+        let backend = Backend::start([Act::Complete, act, Act::Leave]).await;
+        let host = Host::start(&[&backend, &backend]).await;
+        host.book(None, "{}").send().await.unwrap();
+
+        let req = host.book(None, "{}").header("x-deadline-ms", "300");
+
+        assert_eq!(code(req).await, expected, "{act:?}");
+        assert_eq!(backend.seen().len(), 1 + dispatches, "{act:?}");
+    }
+}
+
+/// Guards against a caller that resends a crashing request through a host that has not heard yet.
+#[tokio::test]
+async fn suspects_are_shared_before_the_refusal() {
+    let backend = Backend::start([Act::Complete, Act::Crash]).await;
+    let host = Host::start(&[&backend]).await;
+    host.chat(false).send().await.unwrap();
+
+    let refused = code(host.chat(false)).await;
+
+    assert_eq!(refused, 503);
+    assert_eq!(*host.peers.shared.lock().unwrap(), 1);
+}
+
+/// Guards against a stream that ends early and looks complete.
+#[tokio::test]
+async fn a_cut_stream_is_resumed_or_ends_with_an_error_event() {
+    for act in [Act::Break(2), Act::EndEarly(2)] {
+        let backend = Backend::start([act, Act::Events(4), act, Act::Status(404)]).await;
+        let resumed = Host::start(&[&backend, &backend]).await;
+        let lost = Host::start(&[&backend, &backend]).await;
+
+        let whole = resumed
+            .chat(true)
+            .send()
+            .await
+            .unwrap()
+            .text()
+            .await
+            .unwrap();
+        let cut = lost.chat(true).send().await.unwrap().text().await.unwrap();
+
+        let events = "data: 0\n\ndata: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n";
+        assert_eq!(whole, events);
+        assert!(
+            cut.starts_with("data: 0\n\ndata: 1\n\nevent: error\n"),
+            "{cut}"
+        );
+        assert!(
+            cut.contains(r#""code":507"#) && !cut.contains("[DONE]"),
+            "{cut}"
+        );
+        assert_eq!(lost.refusals().len(), 1);
+    }
+}
+
+/// Guards against a stream that fails before its first event and is not retried as a whole.
+#[tokio::test]
+async fn a_stream_without_an_event_is_retried_or_refused() {
+    let backend = Backend::start([Act::Break(0), Act::Events(1), Act::Break(0)]).await;
+    let host = Host::start(&[&backend, &backend]).await;
+    let single = Host::start(&[&backend]).await;
+
+    let whole = host.chat(true).send().await.unwrap().text().await.unwrap();
+    let refused = code(single.chat(true)).await;
+
+    assert_eq!(whole, "data: 0\n\ndata: [DONE]\n\n");
+    assert!(
+        backend
+            .seen()
+            .iter()
+            .all(|s| s.path == "/v1/chat/completions")
+    );
+    assert_eq!(refused, 506);
+}
+
+/// Guards against a large response that is cut and looks complete.
+#[tokio::test]
+async fn a_large_truncated_response_is_visibly_cut() {
+    let backend = Backend::start([
+        Act::Large { complete: true },
+        Act::Large { complete: false },
+    ]);
+    let backend = backend.await;
+    let host = Host::start(&[&backend]).await;
+
+    let whole = host.get("/services/bookings/export").send().await.unwrap();
+    let whole = whole.bytes().await.unwrap();
+    let cut = host.get("/services/bookings/export").send().await.unwrap();
+
+    assert_eq!(whole.len(), 6 << 20);
+    assert!(
+        cut.bytes().await.is_err(),
+        "the cut is an error at the caller"
+    );
+}
+
+/// Guards against work for callers that are gone.
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_its_stream() {
+    let backend = Backend::start([Act::Stall, Act::Hang]).await;
+    let host = Host::start(&[&backend]).await;
+
+    let mut stream = host.chat(true).send().await.unwrap();
+    assert_eq!(stream.chunk().await.unwrap().unwrap(), "data: 0\n\n");
+    drop(stream);
+    while backend.state.dropped.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let waiting = tokio::spawn(host.chat(false).send());
+    while backend.seen().len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    waiting.abort();
+    while host.gate.dispatcher().in_flight() > 0 {
+        tokio::task::yield_now().await;
+    }
+
+    assert_eq!(host.script.count(|ev| matches!(ev, Event::Cancel(_))), 2);
+}
+
+/// Guards against a stream that holds its caller beyond the deadline.
+#[tokio::test]
+async fn a_stalled_stream_ends_at_the_deadline() {
+    let backend = Backend::start([Act::Stall]).await;
+    let host = Host::start(&[&backend]).await;
+
+    let req = host.chat(true).header("x-deadline-ms", "200");
+    let text = req.send().await.unwrap().text().await.unwrap();
+
+    assert!(
+        text.contains("event: error") && text.contains(r#""code":504"#),
+        "{text}"
+    );
+    assert!(!text.contains("[DONE]"));
+}
--- /dev/null
+++ b/crates/gate/tests/forwarding.rs
@@ -0,0 +1,105 @@
+//! Requests for another data centre take one hop.
+
+mod fixture;
+
+use fixture::{Backend, Host, TestPeers, backend::Act, code, json};
+use reqwest::Method;
+use route::Event;
+use store::MemPlatform;
+use types::Code;
+
+/// Starts a host that forwards to another one in front of the backend server.
+async fn pair(acts: impl IntoIterator<Item = Act>) -> (Backend, Host, Host) {
+    let backend = Backend::start(acts).await;
+    let remote = Host::start(&[&backend]).await;
+    let peers = TestPeers {
+        remote: Some(remote.addr),
+        ..TestPeers::default()
+    };
+    let local = Host::unconfigured(peers, &[], MemPlatform::new()).await;
+    local
+        .gate
+        .dispatcher()
+        .feed(Event::Config(fixture::in_force()));
+    local.script.forward_to("dc2");
+    (backend, remote, local)
+}
+
+/// Guards against a forwarded request that loses its caller, deadline or id, or is claimed twice.
+#[tokio::test]
+async fn a_request_is_forwarded_with_its_remaining_time() {
+    let (backend, remote, local) = pair([]).await;
+
+    let answer = local
+        .book(Some("k"), "{}")
+        .header("x-deadline-ms", "4000")
+        .send()
+        .await
+        .unwrap();
+
+    assert_eq!(json(answer).await["ok"], true);
+    let seen = backend.seen().remove(0);
+    let remaining: u64 = seen.headers["x-deadline-ms"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(remaining <= 4000);
+    assert_eq!(seen.headers["idempotency-key"], "k");
+    assert!(!seen.headers.contains_key("x-celerytally-hop"));
+    let forwarded = |ev: &Event| matches!(ev, Event::Arrive(t) if t.forwarded && !t.idempotent);
+    assert_eq!(remote.script.count(forwarded), 1);
+    assert_eq!(
+        remote.platform.calls(),
+        (0, 0, 0),
+        "the first host has the claim"
+    );
+}
+
+/// Guards against a forwarded stream that is changed or whose cut is hidden.
+#[tokio::test]
+async fn a_forwarded_stream_passes_through_with_its_end() {
+    let (_backend, _remote, local) = pair([Act::Events(2), Act::Break(1)]).await;
+
+    let whole = local.chat(true).send().await.unwrap().text().await.unwrap();
+    local.script.forward_to("dc2");
+    let cut = local.chat(true).send().await.unwrap().text().await.unwrap();
+
+    assert_eq!(whole, "data: 0\n\ndata: 1\n\ndata: [DONE]\n\n");
+    assert!(cut.starts_with("data: 0\n\nevent: error"), "{cut}");
+    assert_eq!(cut.matches("event: error").count(), 1);
+    assert!(!cut.contains("[DONE]"));
+}
+
+/// Guards against a request that takes a second hop.
+#[tokio::test]
+async fn a_forwarded_request_is_not_forwarded_again() {
+    let (_backend, remote, local) = pair([]).await;
+    remote.script.forward_to("dc3");
+    remote.script.refuse_with(Code::HopLimit);
+
+    let refused = code(local.chat(false)).await;
+
+    // The remote refusal is "not run", so the local router is asked again and has no server.
+    assert_eq!(refused, u64::from(Code::NoBackend.number()));
+    assert_eq!(
+        local.script.count(|ev| matches!(ev, Event::Failed { .. })),
+        1
+    );
+}
+
+/// Guards against a lost remote host for which the caller is told "not run".
+#[tokio::test]
+async fn an_unreachable_entry_host_means_not_run() {
+    let (_backend, remote, local) = pair([]).await;
+    remote.task.abort();
+    while tokio::net::TcpStream::connect(remote.addr).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+
+    let refused = code(local.book(None, "{}")).await;
+
+    assert_eq!(refused, u64::from(Code::NoBackend.number()));
+    let ready = remote.anonymous(Method::GET, "/readyz").send().await;
+    ready.unwrap_err();
+}
--- a/crates/gate/tests/serving.rs
+++ b/crates/gate/tests/serving.rs
@@ -2,7 +2,8 @@
 
 mod fixture;
 
-use fixture::{Act, Backend, Host, json};
+use fixture::{Backend, Host, backend::Act, json};
+use reqwest::Method;
 use route::Event;
 
 /// Guards against headers, body or path that are lost or leaked on the way to a server and back.
@@ -101,7 +102,10 @@
     let host = Host::start(&[]).await;
 
     let list = json(host.get("/v1/models").send().await.unwrap()).await;
-    let other = host.get("/v1/models").bearer_auth("depot-token");
+    let other = host
+        .anonymous(Method::GET, "/v1/models")
+        .bearer_auth("depot-token");
+    let other = json(other.send().await.unwrap()).await;
 
     let ids: Vec<_> = list["data"]
         .as_array()
@@ -110,5 +114,5 @@
         .map(|m| &m["id"])
         .collect();
     assert_eq!(ids, ["m1", "a1"]);
-    drop(other);
+    assert_eq!(other["data"], serde_json::json!([]));
 }
