--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -136,7 +136,7 @@
     if lines.len() > room {
         let hidden = lines.len() - room + 1;
         lines.truncate(room - 1);
-        lines.push(format!("and {hidden} more, see /report?json"));
+        lines.push(format!("and {hidden} more, see the JSON report"));
     }
     lines
 }
