Add the router with its full public interface

The gate crate is written against route::Router. This adds the state machine with finish-time estimates, the admission queue, the retry budget, forwarding, and suspects and convictions, each with a switch in Settings, plus the read-only views and the table of suspect slots.

--- /dev/null
+++ b/crates/route/src/admit.rs
@@ -0,0 +1,399 @@
+//! Arrival, admission queue and dispatch.
+
+use types::{Code, Deadline, Instant, Micros};
+
+use crate::{
+    choose::{Choice, work},
+    event::{Action, SuspectState, Target, Ticket},
+    flight::{Flight, Phase},
+    queue::Rank,
+    router::{Router, Scope},
+};
+
+/// Time after which a refused caller is told to come back.
+const RETRY_AFTER: Micros = Micros::from_secs(1);
+/// Time after which a model or adapter that is still missing is asked for again.
+const WANT_AGAIN: Micros = Micros::from_secs(1);
+/// Load of another data centre below which requests are forwarded that find no place here.
+const FORWARD_BELOW: f64 = 0.8;
+
+/// Result of offering a waiting request to the backend servers.
+enum Offer {
+    /// It left the queue.
+    Left,
+    /// It waits, and so must all later requests for the same model.
+    Blocked,
+    /// It waits for something of its own.
+    Waits,
+}
+
+impl Router {
+    pub(crate) fn arrive(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Action>) {
+        if self.flights.find(ticket.id).is_some() {
+            return;
+        }
+        self.counts.arrived += 1;
+        let id = ticket.id;
+        match self.admit(now, ticket) {
+            Ok(slot) => self.enqueue(now, slot, out),
+            Err(code) => {
+                self.counts.refuse(code);
+                let retry_after = code.may_resend().then_some(RETRY_AFTER);
+                out.push(Action::Refuse {
+                    id,
+                    code,
+                    retry_after,
+                });
+            }
+        }
+    }
+
+    /// Resolves the names of a request and enters it into the table.
+    fn admit(&mut self, now: Instant, ticket: Ticket) -> Result<u32, Code> {
+        let names = self.names.as_ref().ok_or(Code::NotReady)?;
+        let service = names.service(&ticket.service).ok_or(Code::UnknownService)?;
+        let (model, adapter) = match &ticket.target {
+            Target::Plain => (None, None),
+            Target::Model { model, adapter } => {
+                let model = names.model(model).ok_or(Code::UnknownModel)?;
+                let adapter = adapter.as_ref().map(|a| names.adapter(a));
+                (
+                    Some(model),
+                    adapter.map(|a| a.ok_or(Code::UnknownModel)).transpose()?,
+                )
+            }
+        };
+        if self.suspicion(&ticket, now) == Some(SuspectState::Convicted) {
+            return Err(Code::CrashingRequest);
+        }
+        if ticket.deadline.is_past(now) {
+            return Err(Code::DeadlineUnreachable);
+        }
+        self.seq += 1;
+        let rank = self.rank(&ticket);
+        Ok(self.flights.insert(Flight {
+            service,
+            model,
+            adapter,
+            rank,
+            phase: Phase::Queued,
+            attempts: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            retry: None,
+            as_suspect: false,
+            withdrawn: false,
+            stays: ticket.forwarded,
+            denials: 0,
+            not_before: Deadline::at(Instant::ZERO),
+            dispatched: now,
+            predicted: 0.0,
+            ticket,
+        }))
+    }
+
+    fn rank(&self, ticket: &Ticket) -> Rank {
+        if self.cfg.ordered_queue {
+            Rank {
+                priority: ticket.priority,
+                deadline: ticket.deadline,
+                seq: self.seq,
+            }
+        } else {
+            Rank {
+                priority: config::Priority::default(),
+                deadline: Deadline::NEVER,
+                seq: self.seq,
+            }
+        }
+    }
+
+    /// Puts a request into the queue and offers it, in its order, to the backend servers.
+    pub(crate) fn enqueue(&mut self, now: Instant, slot: u32, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(slot) else {
+            return;
+        };
+        flight.phase = Phase::Queued;
+        let (rank, model, service) = (flight.rank, flight.model, flight.service);
+        self.queue.insert(rank, slot);
+        self.count_waiting(model, true);
+        self.pump(
+            now,
+            model.map_or(Scope::Service(service), Scope::Model),
+            out,
+        );
+        self.shed(out);
+    }
+
+    /// Refuses the requests of the lowest rank that exceed the bound of the queue.
+    fn shed(&mut self, out: &mut Vec<Action>) {
+        let bound = self
+            .names
+            .as_ref()
+            .map_or(0, |n| n.deployment().limits.queue as usize);
+        while self.queue.len() > bound {
+            let Some((rank, slot)) = self.queue.last() else {
+                return;
+            };
+            self.unqueue(rank, slot);
+            self.count_starved(rank);
+            self.refuse(slot, Code::QueueFull, Some(RETRY_AFTER), out);
+        }
+    }
+
+    fn unqueue(&mut self, rank: Rank, slot: u32) {
+        if self.queue.remove(rank) {
+            let model = self.flights.get(slot).and_then(|f| f.model);
+            self.count_waiting(model, false);
+        }
+    }
+
+    /// Counts a request that leaves unserved although a later one of better priority was served.
+    fn count_starved(&mut self, rank: Rank) {
+        let mut better = self.served.iter().take_while(|s| s.0 < rank.priority);
+        if better.any(|s| s.1 > rank.seq) {
+            self.counts.starved += 1;
+        }
+    }
+
+    /// Offers the waiting requests of a scope, in the order of the queue.
+    pub(crate) fn pump(&mut self, now: Instant, scope: Scope, out: &mut Vec<Action>) {
+        let mut blocked: Vec<(u16, Option<u16>)> = Vec::new();
+        let mut at = 0;
+        while let Some((rank, slot)) = self.queue.get(at) {
+            let key = self.flights.get(slot).map(|f| (f.service, f.model));
+            let Some(key) = key.filter(|k| self.in_scope(scope, *k) && !blocked.contains(k)) else {
+                at += 1;
+                continue;
+            };
+            match self.offer(now, rank, slot, out) {
+                // The requests behind it have moved up by one.
+                Offer::Left => {}
+                Offer::Blocked => {
+                    blocked.push(key);
+                    at += 1;
+                }
+                Offer::Waits => at += 1,
+            }
+        }
+    }
+
+    fn in_scope(&self, scope: Scope, (service, model): (u16, Option<u16>)) -> bool {
+        match scope {
+            Scope::All => true,
+            Scope::Model(m) => model == Some(m),
+            Scope::Service(s) => model.is_none() && service == s,
+            Scope::Backend(b) => self.backends.get(b as usize).is_some_and(|b| {
+                b.service == service && model.is_none_or(|m| b.resident(m).is_some())
+            }),
+        }
+    }
+
+    fn offer(&mut self, now: Instant, rank: Rank, slot: u32, out: &mut Vec<Action>) -> Offer {
+        let Some(flight) = self.flights.get(slot) else {
+            return Offer::Waits;
+        };
+        let state = self.suspicion(&flight.ticket, now);
+        let deadline = flight.ticket.deadline;
+        if state == Some(SuspectState::Convicted) {
+            return self.give_up(rank, slot, Code::CrashingRequest, out);
+        }
+        if deadline.is_past(now) {
+            return self.give_up(rank, slot, Code::DeadlineUnreachable, out);
+        }
+        let suspect = state.is_some();
+        if suspect && (!flight.not_before.is_past(now) || self.suspect_runs(slot)) {
+            return Offer::Waits;
+        }
+        match self.choose(slot, now, suspect) {
+            Choice::Place {
+                backend,
+                seconds,
+                predicted,
+            } => {
+                if self.too_late(deadline, seconds, now) {
+                    return self.divert(now, rank, slot, Code::DeadlineUnreachable, out);
+                }
+                self.unqueue(rank, slot);
+                if suspect {
+                    self.ask_slot(now, slot, backend, predicted, out);
+                } else {
+                    self.dispatch(now, slot, backend, predicted, out);
+                }
+                Offer::Left
+            }
+            Choice::Full { seconds } if self.too_late(deadline, seconds, now) => {
+                self.divert(now, rank, slot, Code::DeadlineUnreachable, out)
+            }
+            Choice::Full { .. } if suspect => Offer::Waits,
+            Choice::Full { .. } => Offer::Blocked,
+            Choice::None(code) => self.without_server(now, rank, slot, code, out),
+        }
+    }
+
+    fn too_late(&self, deadline: Deadline, seconds: f64, now: Instant) -> bool {
+        let left = deadline.remaining(now).as_secs_f64();
+        self.cfg.early_refusal && seconds * self.cfg.margin > left
+    }
+
+    fn give_up(&mut self, rank: Rank, slot: u32, code: Code, out: &mut Vec<Action>) -> Offer {
+        self.unqueue(rank, slot);
+        self.count_starved(rank);
+        let retry_after = code.may_resend().then_some(RETRY_AFTER);
+        self.refuse(slot, code, retry_after, out);
+        Offer::Left
+    }
+
+    /// Forwards a request that is too late here if another data centre has room, or refuses it.
+    fn divert(
+        &mut self,
+        now: Instant,
+        rank: Rank,
+        slot: u32,
+        code: Code,
+        out: &mut Vec<Action>,
+    ) -> Offer {
+        if let Some(dc) = self.forward_target(slot, FORWARD_BELOW) {
+            self.unqueue(rank, slot);
+            self.forward(now, slot, dc, out);
+            return Offer::Left;
+        }
+        self.count_demand(now, slot, true);
+        self.give_up(rank, slot, code, out)
+    }
+
+    /// Handles a request that no backend server of this data centre can serve.
+    fn without_server(
+        &mut self,
+        now: Instant,
+        rank: Rank,
+        slot: u32,
+        code: Code,
+        out: &mut Vec<Action>,
+    ) -> Offer {
+        if let Some(dc) = self.forward_target(slot, f64::INFINITY) {
+            self.unqueue(rank, slot);
+            self.forward(now, slot, dc, out);
+            return Offer::Left;
+        }
+        if code == Code::NotResident && self.want(now, slot, out) {
+            return Offer::Waits;
+        }
+        self.count_demand(now, slot, true);
+        self.give_up(rank, slot, code, out)
+    }
+
+    /// Asks the controller for what is missing.
+    ///
+    /// Returns whether the request should wait for it: adapters load within milliseconds, models
+    /// do not.
+    fn want(&mut self, now: Instant, slot: u32, out: &mut Vec<Action>) -> bool {
+        let Some(flight) = self.flights.get(slot) else {
+            return false;
+        };
+        let Some(model) = flight.model else {
+            return false;
+        };
+        let live = |b: &u32| self.backends[*b as usize].takes_work(now);
+        let held = self.holders[usize::from(model)].iter().any(live);
+        let adapter = flight.adapter.filter(|_| held);
+        let asked = |w: &&(u16, Option<u16>, Deadline)| w.0 == model && w.1 == adapter;
+        if self
+            .wanted
+            .iter()
+            .find(asked)
+            .is_none_or(|w| w.2.is_past(now))
+        {
+            self.wanted.retain(|w| w.0 != model || w.1 != adapter);
+            let again = Deadline::after(now, WANT_AGAIN);
+            self.wanted.push((model, adapter, again));
+            if let Some(names) = &self.names {
+                out.push(Action::Want {
+                    model: names.model_id(model).clone(),
+                    adapter: adapter.map(|a| names.adapter_id(a).clone()),
+                });
+            }
+        }
+        adapter.is_some()
+    }
+
+    /// Sends a request to a backend server.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Instant,
+        slot: u32,
+        backend: u32,
+        predicted: f64,
+        out: &mut Vec<Action>,
+    ) {
+        let b = &mut self.backends[backend as usize];
+        b.add_own(now);
+        let incarnation = b.incarnation;
+        let Some(flight) = self.flights.get_mut(slot) else {
+            return;
+        };
+        flight.phase = Phase::Running {
+            backend,
+            incarnation,
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for an estimate"
+        )]
+        let predicted = predicted as f32;
+        flight.predicted = predicted;
+        flight.dispatched = now;
+        flight.attempts += 1;
+        if self.cfg.prefix_hints {
+            for &prefix in &flight.ticket.prefixes {
+                b.prefixes.insert(prefix);
+            }
+        }
+        let (id, retry) = (flight.ticket.id, flight.retry.take());
+        let (priority, seq, first) = (
+            flight.ticket.priority,
+            flight.rank.seq,
+            flight.attempts == 1,
+        );
+        self.note_served(priority, seq);
+        self.counts.dispatched += 1;
+        if let Some(reason) = retry {
+            self.counts.retry(reason);
+        }
+        if first {
+            self.count_demand(now, slot, false);
+        }
+        if let Some(names) = &self.names {
+            out.push(Action::Dispatch {
+                id,
+                backend: names.backend_id(backend).clone(),
+                retry,
+            });
+        }
+    }
+
+    fn note_served(&mut self, priority: config::Priority, seq: u64) {
+        match self.served.binary_search_by_key(&priority, |s| s.0) {
+            Ok(at) => self.served[at].1 = self.served[at].1.max(seq),
+            Err(at) => self.served.insert(at, (priority, seq)),
+        }
+    }
+
+    /// Adds a request to the demand of its model where it is served or missed.
+    fn count_demand(&mut self, now: Instant, slot: u32, missed: bool) {
+        let Some(flight) = self.flights.get(slot) else {
+            return;
+        };
+        let Some(model) = flight.model else {
+            return;
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for a smoothed rate"
+        )]
+        let tokens = work(&self.cfg, &flight.ticket, flight.ticket.output_tokens) as f32;
+        let half_life = self.cfg.demand_half_life;
+        let missed = f32::from(u8::from(missed));
+        self.demand[usize::from(model)].add(tokens, missed, now, half_life);
+    }
+}
--- /dev/null
+++ b/crates/route/src/backend.rs
@@ -0,0 +1,213 @@
+//! What this entry host knows of one backend server.
+
+use types::{Deadline, Incarnation, Instant, Micros};
+
+use crate::{event::Liveness, prefix::Prefixes};
+
+/// Changes of the own count that are kept to correct a lagging report.
+const HISTORY: usize = 32;
+/// Spacing of the kept counts; together with [`HISTORY`] it covers reports up to 3.2 s late.
+const HISTORY_STEP: Micros = Micros::from_millis(100);
+/// Weight of one finished request in the learned pace.
+const LEARNING: f32 = 0.1;
+/// Bounds of the learned pace relative to the configured speed.
+const PACE_RANGE: (f32, f32) = (0.02, 50.0);
+
+/// Model on a backend server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Resident {
+    /// Index of the model in the configuration.
+    pub model: u16,
+    /// Learned time relative to what the server's pace predicts.
+    pub pace: f32,
+}
+
+/// Source of the knowledge that a server is leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LeavingBy {
+    /// The server itself said so; holds until its process restarts.
+    Server,
+    /// The platform's list; holds until the list says otherwise.
+    Platform,
+}
+
+/// State of a backend server.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    /// Whether it is in this host's data centre.
+    pub local: bool,
+    pub service: u16,
+    pub max_in_flight: u16,
+    pub speed: f32,
+    /// Life of the server process.
+    pub incarnation: Option<Incarnation>,
+    /// Last life that is known to have ended; views of it are out of date.
+    pub ended: Option<Incarnation>,
+    pub liveness: Liveness,
+    pub leaving_by: Option<LeavingBy>,
+    /// Time until which the server is avoided after it refused work.
+    pub shunned: Deadline,
+    /// Own requests in flight.
+    pub own: u16,
+    /// Own suspects among them.
+    pub suspects: u16,
+    /// Requests of other hosts, at the instant of the last measurement.
+    pub others: u16,
+    /// Total of the last measurement.
+    pub measured_total: u16,
+    /// Instant of the last measurement.
+    pub measured: Instant,
+    pub tokens_per_second: f32,
+    /// Learned time relative to the configured speed.
+    pub pace: f32,
+    /// Models, sorted.
+    pub residents: Vec<Resident>,
+    /// Adapters, sorted.
+    pub adapters: Vec<u16>,
+    pub prefixes: Prefixes,
+    history: Vec<(Instant, u16)>,
+}
+
+impl Backend {
+    pub(crate) fn new() -> Self {
+        Self {
+            local: false,
+            service: 0,
+            max_in_flight: 1,
+            speed: 1.0,
+            incarnation: None,
+            ended: None,
+            liveness: Liveness::Live,
+            leaving_by: None,
+            shunned: Deadline::at(Instant::ZERO),
+            own: 0,
+            suspects: 0,
+            others: 0,
+            measured_total: 0,
+            measured: Instant::ZERO,
+            tokens_per_second: 0.0,
+            pace: 1.0,
+            residents: Vec::new(),
+            adapters: Vec::new(),
+            prefixes: Prefixes::default(),
+            history: Vec::new(),
+        }
+    }
+
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        self.liveness == Liveness::Live && self.shunned.is_past(now)
+    }
+
+    /// Returns the estimated requests in flight over all hosts.
+    pub(crate) fn in_flight(&self, corrected: bool) -> u16 {
+        if corrected {
+            self.own.saturating_add(self.others)
+        } else {
+            self.measured_total
+        }
+    }
+
+    pub(crate) fn add_own(&mut self, now: Instant) {
+        self.remember(now);
+        self.own = self.own.saturating_add(1);
+    }
+
+    pub(crate) fn remove_own(&mut self, now: Instant) {
+        self.remember(now);
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Keeps the count that held until now, at most one per step.
+    fn remember(&mut self, now: Instant) {
+        let due = self
+            .history
+            .last()
+            .is_none_or(|last| now.since(last.0) >= HISTORY_STEP);
+        if due {
+            if self.history.len() == HISTORY {
+                self.history.remove(0);
+            }
+            self.history.push((now, self.own));
+        }
+    }
+
+    /// Returns the own requests in flight at an earlier instant.
+    fn own_at(&self, then: Instant) -> u16 {
+        let later = self.history.iter().find(|h| h.0 >= then);
+        later.map_or(self.own, |h| h.1)
+    }
+
+    /// Takes a measurement of the total in flight, unless a newer one is known.
+    pub(crate) fn measure(&mut self, total: u32, then: Instant) -> bool {
+        if then < self.measured {
+            return false;
+        }
+        let total = u16::try_from(total).unwrap_or(u16::MAX);
+        self.measured = then;
+        self.measured_total = total;
+        self.others = total.saturating_sub(self.own_at(then));
+        true
+    }
+
+    /// Takes a view of one life of the process and tells whether it is up to date.
+    ///
+    /// A new life starts with an empty cache and is not leaving on its own account. Numbers of
+    /// lives have no order, so only the age of the view tells an old life from a new one.
+    pub(crate) fn meet(&mut self, incarnation: Incarnation, then: Instant) -> bool {
+        if self.ended == Some(incarnation) {
+            return false;
+        }
+        if self.incarnation == Some(incarnation) {
+            return true;
+        }
+        if then < self.measured {
+            return false;
+        }
+        if self.incarnation.is_some() {
+            self.ended = self.incarnation;
+            self.prefixes.clear();
+            if self.leaving_by == Some(LeavingBy::Server) {
+                self.leaving_by = None;
+            }
+        }
+        self.incarnation = Some(incarnation);
+        true
+    }
+
+    pub(crate) fn leave(&mut self, by: LeavingBy) {
+        self.liveness = Liveness::Leaving;
+        self.leaving_by = Some(by);
+    }
+
+    pub(crate) fn resident(&self, model: u16) -> Option<usize> {
+        self.residents
+            .binary_search_by_key(&model, |r| r.model)
+            .ok()
+    }
+
+    pub(crate) fn model_pace(&self, model: u16) -> f32 {
+        self.resident(model)
+            .map_or(1.0, |at| self.residents[at].pace)
+    }
+
+    /// Learns from a finished request that took `ratio` times the prediction.
+    pub(crate) fn learn(&mut self, model: Option<u16>, ratio: f32) {
+        if !ratio.is_finite() || ratio <= 0.0 {
+            return;
+        }
+        // A power of the ratio keeps one slow outlier from outweighing many ordinary requests.
+        self.pace = (self.pace * ratio.powf(LEARNING)).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        if let Some(at) = model.and_then(|m| self.resident(m)) {
+            let step = ratio.powf(LEARNING / 2.0);
+            let pace = &mut self.residents[at].pace;
+            *pace = (*pace * step).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        }
+    }
+
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.residents.capacity() * size_of::<Resident>()
+            + self.adapters.capacity() * size_of::<u16>()
+            + self.history.capacity() * size_of::<(Instant, u16)>()
+            + self.prefixes.heap_bytes()
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,179 @@
+//! Estimates of finish times and the choice of a backend server.
+
+use rand::RngExt;
+use types::{Code, Instant};
+
+use crate::{
+    event::{Liveness, Ticket},
+    flight::Flight,
+    router::Router,
+    settings::Settings,
+};
+
+/// Random variation of estimates, which spreads hosts that see the same digests.
+const JITTER: f64 = 0.05;
+/// Seconds that an adapter load adds.
+const ADAPTER_SECONDS: f64 = 0.02;
+/// Seconds that a request to a plain service takes before anything is learned.
+const PLAIN_SECONDS: f64 = 0.02;
+
+/// Result of looking for a backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Choice {
+    /// The best one with a free place.
+    Place {
+        backend: u32,
+        /// Estimated seconds until the answer is complete.
+        seconds: f64,
+        /// Seconds predicted for a pace of one.
+        predicted: f64,
+    },
+    /// All are full; the estimate is for the first place that frees.
+    Full { seconds: f64 },
+    /// None can serve the request.
+    None(Code),
+}
+
+/// Returns the work of a request in output tokens.
+pub(crate) fn work(cfg: &Settings, ticket: &Ticket, output: u32) -> f64 {
+    f64::from(output) + cfg.prompt_weight * f64::from(ticket.prompt_tokens)
+}
+
+impl Router {
+    /// Finds the backend server with the earliest estimated finish.
+    pub(crate) fn choose(&mut self, slot: u32, now: Instant, suspect: bool) -> Choice {
+        let Some(flight) = self.flights.get(slot) else {
+            return Choice::None(Code::Internal);
+        };
+        let mut best: Option<(f64, u32, f64)> = None;
+        let mut soonest: Option<f64> = None;
+        let candidates = match flight.model {
+            Some(m) => &self.holders[usize::from(m)],
+            None => &self.members[usize::from(flight.service)],
+        };
+        for &backend in candidates {
+            if !self.may_serve(flight, backend, now) {
+                continue;
+            }
+            let (seconds, predicted) = self.estimate(flight, backend);
+            let free = self.has_place(backend, suspect);
+            if !free {
+                soonest = Some(soonest.map_or(seconds, |s| s.min(seconds)));
+                continue;
+            }
+            let varied = seconds * (1.0 + JITTER * self.rng.random::<f64>());
+            if best.is_none_or(|b| varied < b.0) {
+                best = Some((varied, backend, predicted));
+            }
+        }
+        match (best, soonest) {
+            (Some((seconds, backend, predicted)), _) => Choice::Place {
+                backend,
+                seconds,
+                predicted,
+            },
+            (None, Some(seconds)) => Choice::Full {
+                seconds: seconds + self.wait_behind(flight, seconds),
+            },
+            (None, None) => Choice::None(self.why_none(flight, now)),
+        }
+    }
+
+    fn may_serve(&self, flight: &Flight, backend: u32, now: Instant) -> bool {
+        let b = &self.backends[backend as usize];
+        let alive = !self.cfg.liveness || b.takes_work(now);
+        let adapted = match flight.adapter {
+            Some(a) if !self.cfg.adapter_on_demand => b.adapters.binary_search(&a).is_ok(),
+            _ => true,
+        };
+        alive && adapted && b.service == flight.service && !flight.tried.contains(&backend)
+    }
+
+    fn has_place(&self, backend: u32, suspect: bool) -> bool {
+        let b = &self.backends[backend as usize];
+        let corrected = self.cfg.report_correction;
+        let within = !self.cfg.in_flight_limits
+            || (b.own < b.max_in_flight && b.in_flight(corrected) < b.max_in_flight);
+        within && !(suspect && b.suspects > 0)
+    }
+
+    /// Returns estimated seconds until the answer is complete, and those for a pace of one.
+    fn estimate(&self, flight: &Flight, backend: u32) -> (f64, f64) {
+        let b = &self.backends[backend as usize];
+        let batch = f64::from(b.in_flight(self.cfg.report_correction)) + 1.0;
+        let Some(model) = flight.model else {
+            let turns = (batch / f64::from(b.max_in_flight)).max(1.0);
+            let predicted = PLAIN_SECONDS * turns / f64::from(b.speed);
+            return (predicted * f64::from(b.pace), predicted);
+        };
+        let ticket = &flight.ticket;
+        let cached = if self.cfg.prefix_hints {
+            b.prefixes.cached_share(&ticket.prefixes)
+        } else {
+            0.0
+        };
+        let prompt = self.cfg.prompt_weight * f64::from(ticket.prompt_tokens) * (1.0 - cached);
+        let rate = self.cfg.base_tokens_per_second * f64::from(b.speed);
+        let predicted =
+            (f64::from(ticket.output_tokens) + prompt) * (batch + self.cfg.half_batch) / rate;
+        let pace = f64::from(b.pace) * f64::from(b.model_pace(model));
+        let missing = flight
+            .adapter
+            .is_some_and(|a| b.adapters.binary_search(&a).is_err());
+        let load = if missing { ADAPTER_SECONDS } else { 0.0 };
+        (predicted * pace + load, predicted.max(1e-6))
+    }
+
+    /// Seconds until the waiting requests for the same model have found a place.
+    fn wait_behind(&self, flight: &Flight, seconds: f64) -> f64 {
+        let Some(model) = flight.model else {
+            return 0.0;
+        };
+        let holders = &self.holders[usize::from(model)];
+        let places: u32 = holders
+            .iter()
+            .map(|&b| u32::from(self.backends[b as usize].max_in_flight))
+            .sum();
+        seconds * f64::from(self.waiting[usize::from(model)]) / f64::from(places.max(1))
+    }
+
+    /// Tells why no backend server of this data centre can serve a request.
+    fn why_none(&self, flight: &Flight, now: Instant) -> Code {
+        let alive = |b: &&u32| {
+            let b = &self.backends[**b as usize];
+            !self.cfg.liveness || b.takes_work(now)
+        };
+        let members = &self.members[usize::from(flight.service)];
+        if !members.iter().any(|b| alive(&b)) {
+            return Code::NoBackend;
+        }
+        let Some(model) = flight.model else {
+            return Code::RetriesExhausted;
+        };
+        let mut holders = self.holders[usize::from(model)]
+            .iter()
+            .filter(alive)
+            .peekable();
+        if holders.peek().is_some() && holders.all(|b| flight.tried.contains(b)) {
+            Code::RetriesExhausted
+        } else {
+            Code::NotResident
+        }
+    }
+
+    /// Share of a data centre's places that are taken, from digests.
+    pub(crate) fn dc_load(&self, dc: u16, service: u16) -> f64 {
+        let Some(names) = &self.names else {
+            return 1.0;
+        };
+        let id = names.dc_id(dc);
+        let (mut taken, mut places) = (0.0, 0.0);
+        for (b, server) in self.backends.iter().zip(&names.deployment().backends) {
+            if b.service == service && server.dc == *id && b.liveness == Liveness::Live {
+                taken += f64::from(b.in_flight(true));
+                places += f64::from(b.max_in_flight);
+            }
+        }
+        if places > 0.0 { taken / places } else { 1.0 }
+    }
+}
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -139,7 +139,7 @@
 /// Input of the router.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A configuration is in force.
+    /// A configuration is in force; one that is not newer than the last is ignored.
     Config(Arc<InForce>),
     /// A request arrived and waits for a backend server.
     Arrive(Ticket),
@@ -196,6 +196,10 @@
         liveness: Liveness,
     },
     /// A backend server's process ended or restarted.
+    ///
+    /// The router marks the requests in flight there as suspects. Each of them is still out until
+    /// the driver reports its attempt by [`Event::Failed`] with the reason `Crash`, in any order
+    /// relative to this event.
     Crashed {
         /// The backend server.
         backend: BackendId,
@@ -220,7 +224,7 @@
     PrefixGap(BackendId),
     /// A peer told of suspects.
     Suspects(Vec<SuspectMark>),
-    /// The answer to a question for a suspect slot.
+    /// The answer to a question for a suspect slot; no answer in time counts as denied.
     Slot {
         /// The request.
         id: RequestId,
--- /dev/null
+++ b/crates/route/src/flight.rs
@@ -0,0 +1,128 @@
+//! Requests that wait or run.
+
+use types::{Deadline, Incarnation, Instant, RequestId, RetryReason};
+
+use crate::{event::Ticket, queue::Rank};
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// In the admission queue.
+    Queued,
+    /// Waits for a suspect slot on a backend server.
+    Asking { backend: u32, until: Deadline },
+    /// Sent to a backend server.
+    Running {
+        backend: u32,
+        incarnation: Option<Incarnation>,
+    },
+    /// Sent to another data centre.
+    Forwarded { dc: u16 },
+}
+
+/// Request that waits or runs.
+#[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent facts about the attempts so far"
+)]
+pub(crate) struct Flight {
+    pub ticket: Ticket,
+    pub service: u16,
+    pub model: Option<u16>,
+    pub adapter: Option<u16>,
+    pub rank: Rank,
+    pub phase: Phase,
+    pub attempts: u8,
+    /// Backend servers that failed the request.
+    pub tried: Vec<u32>,
+    /// Whether any attempt may have run.
+    pub may_have_run: bool,
+    pub retry: Option<RetryReason>,
+    /// Whether the attempt runs in a suspect slot.
+    pub as_suspect: bool,
+    /// Whether a newer configuration lacks its service, model or adapter.
+    pub withdrawn: bool,
+    /// Whether another data centre has failed the request.
+    pub stays: bool,
+    /// Questions for a suspect slot that were denied.
+    pub denials: u8,
+    /// Instant before which no slot is asked for again.
+    pub not_before: Deadline,
+    pub dispatched: Instant,
+    /// Predicted seconds of the attempt for a pace of one.
+    pub predicted: f32,
+}
+
+/// Table of requests with an index by id.
+#[derive(Debug, Default)]
+pub(crate) struct Flights {
+    slots: Vec<Option<Box<Flight>>>,
+    free: Vec<u32>,
+    index: Vec<(RequestId, u32)>,
+}
+
+impl Flights {
+    pub(crate) fn find(&self, id: RequestId) -> Option<u32> {
+        let at = self.index.binary_search_by_key(&id, |e| e.0).ok()?;
+        Some(self.index[at].1)
+    }
+
+    /// Adds a request; the caller has checked that its id is not in the table.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the memory ends long before four billion requests"
+    )]
+    pub(crate) fn insert(&mut self, flight: Flight) -> u32 {
+        let id = flight.ticket.id;
+        let flight = Some(Box::new(flight));
+        let slot = if let Some(slot) = self.free.pop() {
+            self.slots[slot as usize] = flight;
+            slot
+        } else {
+            self.slots.push(flight);
+            (self.slots.len() - 1) as u32
+        };
+        let at = self.index.partition_point(|e| e.0 < id);
+        self.index.insert(at, (id, slot));
+        slot
+    }
+
+    pub(crate) fn remove(&mut self, slot: u32) -> Option<Box<Flight>> {
+        let flight = self.slots.get_mut(slot as usize)?.take()?;
+        self.free.push(slot);
+        let id = flight.ticket.id;
+        if let Ok(at) = self.index.binary_search_by_key(&id, |e| e.0) {
+            self.index.remove(at);
+        }
+        Some(flight)
+    }
+
+    pub(crate) fn get(&self, slot: u32) -> Option<&Flight> {
+        self.slots.get(slot as usize)?.as_deref()
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: u32) -> Option<&mut Flight> {
+        self.slots.get_mut(slot as usize)?.as_deref_mut()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, &Flight)> {
+        let by_slot = self.index.iter().map(|e| e.1);
+        by_slot.filter_map(|slot| self.get(slot).map(|f| (slot, f)))
+    }
+
+    pub(crate) fn slots(&self) -> Vec<u32> {
+        self.index.iter().map(|e| e.1).collect()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.slots.capacity() * size_of::<Option<Box<Flight>>>()
+            + self.free.capacity() * size_of::<u32>()
+            + self.index.capacity() * size_of::<(RequestId, u32)>()
+            + self.len() * size_of::<Flight>()
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,8 +1,67 @@
 //! Choice of a backend server, admission queue, retry budget and suspect requests.
+//!
+//! [`Router`] is a pure state machine. The driver feeds it events and performs its actions; it
+//! reads no clock and does no I/O, so every decision can be replayed from a seed.
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use config::{Deployment, InForce};
+//! use route::{Action, Event, Fingerprint, Router, Settings, Target, Ticket};
+//! use types::{Code, ConfigVersion, Deadline, Instant, Micros, RequestId};
+//!
+//! let mut router = Router::new(Settings::default(), 7);
+//! let deployment = Arc::new(Deployment::default());
+//! let in_force = InForce { version: ConfigVersion::new(1), deployment };
+//! let (now, mut out) = (Instant::ZERO, Vec::new());
+//! router.step(now, Event::Config(Arc::new(in_force)), &mut out);
+//!
+//! let ticket = Ticket {
+//!     id: RequestId::new(1),
+//!     fingerprint: Fingerprint::new(1),
+//!     service: "grind".parse()?,
+//!     target: Target::Plain,
+//!     priority: config::Priority::new(0),
+//!     deadline: Deadline::after(now, Micros::from_secs(1)),
+//!     idempotent: true,
+//!     prompt_tokens: 0,
+//!     output_tokens: 0,
+//!     prefixes: Vec::new(),
+//!     forwarded: false,
+//! };
+//! router.step(now, Event::Arrive(ticket), &mut out);
+//! assert!(matches!(out[0], Action::Refuse { code: Code::UnknownService, .. }));
+//! # Ok::<(), types::Error>(())
+//! ```
 
+mod admit;
+mod apply;
+mod backend;
+mod budget;
+mod choose;
+mod counts;
+mod crash;
+mod demand;
 mod event;
+mod fail;
+mod flight;
+mod names;
+mod observe;
+mod prefix;
+mod queue;
+mod remote;
+mod router;
+mod settings;
+mod slots;
+mod suspect;
+mod view;
 
+pub use counts::Counts;
 pub use event::{
     Action, BackendLoad, Event, Failure, Fingerprint, Liveness, SuspectMark, SuspectState, Target,
     Ticket,
 };
+pub use router::Router;
+pub use settings::Settings;
+pub use slots::SlotTable;
+pub use view::{BackendView, ModelDemand};
--- /dev/null
+++ b/crates/route/src/observe.rs
@@ -0,0 +1,191 @@
+//! What is heard of backend servers: reports, hints, digests and liveness.
+
+use types::{BackendId, Instant, LoadReport, Micros};
+
+use crate::{
+    backend::{LeavingBy, Resident},
+    event::{Action, BackendLoad, Liveness},
+    router::{Router, Scope},
+};
+
+impl Router {
+    fn backend_index(&self, id: &BackendId) -> Option<u32> {
+        self.names.as_ref()?.backend(id)
+    }
+
+    pub(crate) fn report(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        report: &LoadReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let age = Micros::from_millis(report.age_ms);
+        let then = Instant::from_micros(now.as_micros().saturating_sub(age.get()));
+        let b = &mut self.backends[backend as usize];
+        if !b.meet(report.incarnation, then) {
+            return;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for a rate"
+        )]
+        let rate = report.tokens_per_second as f32;
+        b.tokens_per_second = rate;
+        b.measure(report.in_flight.saturating_add(report.queued), then);
+        if report.leaving {
+            b.leave(LeavingBy::Server);
+        } else if b.leaving_by.is_none() {
+            b.liveness = Liveness::Live;
+        }
+        let (residents, adapters) = self.residents_of(backend, report);
+        self.set_residents(backend, residents, adapters);
+        self.pump(now, Scope::Backend(backend), out);
+    }
+
+    fn residents_of(&self, backend: u32, report: &LoadReport) -> (Vec<Resident>, Vec<u16>) {
+        let Some(names) = &self.names else {
+            return (Vec::new(), Vec::new());
+        };
+        let b = &self.backends[backend as usize];
+        let (mut residents, mut adapters) = (Vec::new(), Vec::new());
+        for resident in &report.residents {
+            if resident.adapter {
+                adapters.extend(names.adapter_named(&resident.name));
+            } else if let Some(model) = names.model_named(&resident.name) {
+                let pace = b.model_pace(model);
+                residents.push(Resident { model, pace });
+            }
+        }
+        residents.sort_unstable_by_key(|r| r.model);
+        residents.dedup_by_key(|r| r.model);
+        adapters.sort_unstable();
+        adapters.dedup();
+        (residents, adapters)
+    }
+
+    /// Replaces what a backend server holds and keeps the lists per model in step.
+    pub(crate) fn set_residents(
+        &mut self,
+        backend: u32,
+        residents: Vec<Resident>,
+        adapters: Vec<u16>,
+    ) {
+        let b = &mut self.backends[backend as usize];
+        let same = b.residents.len() == residents.len()
+            && b.residents
+                .iter()
+                .zip(&residents)
+                .all(|(a, r)| a.model == r.model);
+        b.adapters = adapters;
+        if same {
+            return;
+        }
+        let old = std::mem::replace(&mut b.residents, residents);
+        if !b.local {
+            return;
+        }
+        for r in old {
+            self.holders[usize::from(r.model)].retain(|&h| h != backend);
+        }
+        for r in &self.backends[backend as usize].residents {
+            let holders = &mut self.holders[usize::from(r.model)];
+            let at = holders.partition_point(|&h| h < backend);
+            holders.insert(at, backend);
+        }
+    }
+
+    pub(crate) fn hint(&mut self, now: Instant, id: &BackendId, total: u32, out: &mut Vec<Action>) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let grew = {
+            let b = &mut self.backends[backend as usize];
+            let before = b.others;
+            b.measure(total, now);
+            b.others >= before
+        };
+        if !grew {
+            self.pump(now, Scope::Backend(backend), out);
+        }
+    }
+
+    /// Takes a peer's view, which counts only where it is newer than the own one.
+    pub(crate) fn digest(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        load: BackendLoad,
+        age: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let then = Instant::from_micros(now.as_micros().saturating_sub(age.get()));
+        let b = &mut self.backends[backend as usize];
+        if !b.meet(load.incarnation, then) {
+            return;
+        }
+        match load.liveness {
+            Liveness::Leaving => b.leave(LeavingBy::Server),
+            Liveness::Dead if then >= b.measured && !b.local => self.set_dead(backend),
+            Liveness::Live if b.leaving_by.is_none() && then >= b.measured => {
+                b.liveness = Liveness::Live;
+            }
+            _ => {}
+        }
+        let b = &mut self.backends[backend as usize];
+        let before = b.others;
+        if b.measure(u32::from(load.in_flight), then) {
+            b.others = b.others.max(load.own);
+            b.tokens_per_second = load.tokens_per_second as f32;
+        }
+        if b.others < before {
+            self.pump(now, Scope::Backend(backend), out);
+        }
+    }
+
+    /// Takes the platform's or the driver's word on a backend server.
+    ///
+    /// The platform's list lags, so it does not bring back a server that said itself that it is
+    /// leaving; only a new life of the process does.
+    pub(crate) fn liveness(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        liveness: Liveness,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let b = &mut self.backends[backend as usize];
+        match liveness {
+            Liveness::Live if b.leaving_by == Some(LeavingBy::Server) => {}
+            Liveness::Live => {
+                b.leaving_by = None;
+                b.liveness = Liveness::Live;
+            }
+            Liveness::Leaving if b.leaving_by.is_none() => b.leave(LeavingBy::Platform),
+            Liveness::Leaving => {}
+            Liveness::Dead => self.set_dead(backend),
+        }
+        self.pump(now, Scope::All, out);
+    }
+
+    pub(crate) fn prefix(&mut self, id: &BackendId, prefix: u64) {
+        if let Some(backend) = self.backend_index(id) {
+            self.backends[backend as usize].prefixes.insert(prefix);
+        }
+    }
+
+    pub(crate) fn prefix_gap(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backend_index(id) {
+            self.backends[backend as usize].prefixes.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/remote.rs
@@ -0,0 +1,99 @@
+//! Forwarding to other data centres.
+
+use rand::RngExt;
+use types::{DataCentreId, Instant, ModelId};
+
+use crate::{
+    event::Action,
+    flight::Phase,
+    router::{Router, Scope},
+};
+
+/// What is known of another data centre.
+#[derive(Debug, Default)]
+pub(crate) struct Remote {
+    /// Models that are resident there, sorted.
+    pub models: Vec<u16>,
+    /// Own requests that are forwarded there.
+    pub own: u32,
+}
+
+impl Router {
+    pub(crate) fn remote(
+        &mut self,
+        now: Instant,
+        dc: &DataCentreId,
+        models: &[ModelId],
+        out: &mut Vec<Action>,
+    ) {
+        let Some(names) = &self.names else {
+            return;
+        };
+        let Some(dc) = names.dc(dc) else {
+            return;
+        };
+        let mut known: Vec<u16> = models.iter().filter_map(|m| names.model(m)).collect();
+        known.sort_unstable();
+        self.remotes[usize::from(dc)].models = known;
+        self.pump(now, Scope::All, out);
+    }
+
+    /// Chooses a data centre that can serve a request and whose load is below a bound.
+    ///
+    /// Of two random ones the less loaded is taken; its load is known from digests, which lag.
+    pub(crate) fn forward_target(&mut self, slot: u32, below: f64) -> Option<u16> {
+        let flight = self.flights.get(slot)?;
+        if !self.cfg.forwarding || flight.stays || flight.may_have_run {
+            return None;
+        }
+        let (service, model) = (flight.service, flight.model);
+        let mut able = self.able(service, model);
+        able.retain(|&(_, load)| load < below);
+        if able.is_empty() {
+            return None;
+        }
+        let first = able[self.rng.random_range(0..able.len())];
+        let second = able[self.rng.random_range(0..able.len())];
+        let better = if second.1 < first.1 { second } else { first };
+        Some(better.0)
+    }
+
+    /// Other data centres that can serve a model or plain service, each with its load.
+    fn able(&self, service: u16, model: Option<u16>) -> Vec<(u16, f64)> {
+        let Some(names) = &self.names else {
+            return Vec::new();
+        };
+        let own = self.cfg.dc.as_ref().and_then(|dc| names.dc(dc));
+        if own.is_none() {
+            return Vec::new();
+        }
+        let dcs = (0..self.remotes.len()).filter_map(|dc| u16::try_from(dc).ok());
+        dcs.filter(|&dc| Some(dc) != own)
+            .filter(|&dc| match model {
+                Some(m) => self.remotes[usize::from(dc)]
+                    .models
+                    .binary_search(&m)
+                    .is_ok(),
+                None => true,
+            })
+            .map(|dc| (dc, self.dc_load(dc, service)))
+            .filter(|&(_, load)| model.is_some() || load < 1.0)
+            .collect()
+    }
+
+    pub(crate) fn forward(&mut self, now: Instant, slot: u32, dc: u16, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get_mut(slot) else {
+            return;
+        };
+        flight.phase = Phase::Forwarded { dc };
+        flight.dispatched = now;
+        self.remotes[usize::from(dc)].own += 1;
+        self.counts.forwarded += 1;
+        if let Some(names) = &self.names {
+            out.push(Action::Forward {
+                id: flight.ticket.id,
+                dc: names.dc_id(dc).clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/slots.rs
@@ -0,0 +1,61 @@
+//! Suspect slots that one entry host grants for its data centre.
+
+use types::{BackendId, Deadline, Instant, Micros};
+
+use crate::event::{Fingerprint, SuspectMark, SuspectState};
+
+/// Table of the suspects that may run now.
+///
+/// It admits one suspect per backend server, and each suspect on one backend server at a time. A
+/// mark that clears or convicts a suspect frees its slot; otherwise the slot is freed by time.
+///
+/// ```
+/// use route::{Fingerprint, SlotTable};
+/// use types::{Instant, Micros};
+///
+/// let mut slots = SlotTable::new(Micros::from_secs(60));
+/// let (a, b) = (Fingerprint::new(1), Fingerprint::new(2));
+/// assert!(slots.grant(Instant::ZERO, a, &"w1".parse()?));
+/// assert!(!slots.grant(Instant::ZERO, b, &"w1".parse()?));
+/// # Ok::<(), types::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct SlotTable {
+    ttl: Micros,
+    held: Vec<(Fingerprint, BackendId, Deadline)>,
+}
+
+impl SlotTable {
+    /// Makes a table whose slots are freed after `ttl`, which must exceed the longest deadline.
+    #[must_use]
+    pub const fn new(ttl: Micros) -> Self {
+        Self {
+            ttl,
+            held: Vec::new(),
+        }
+    }
+
+    /// Grants or denies a slot.
+    pub fn grant(&mut self, now: Instant, fingerprint: Fingerprint, backend: &BackendId) -> bool {
+        self.held.retain(|h| !h.2.is_past(now));
+        if self
+            .held
+            .iter()
+            .any(|h| h.0 == fingerprint || h.1 == *backend)
+        {
+            return false;
+        }
+        let until = Deadline::after(now, self.ttl);
+        self.held.push((fingerprint, backend.clone(), until));
+        true
+    }
+
+    /// Frees the slots of suspects that were cleared or convicted.
+    pub fn hear(&mut self, marks: &[SuspectMark]) {
+        let ended = |f: &Fingerprint| {
+            let mut of = marks.iter().filter(|m| m.fingerprint == *f);
+            of.any(|m| m.state != SuspectState::Suspected)
+        };
+        self.held.retain(|h| !ended(&h.0));
+    }
+}
--- /dev/null
+++ b/crates/route/src/suspect.rs
@@ -0,0 +1,98 @@
+//! Requests that were in flight when a backend server crashed.
+
+use types::{BackendId, Deadline, Incarnation, Instant};
+
+use crate::event::{Fingerprint, SuspectMark, SuspectState};
+
+/// Suspected or convicted request.
+#[derive(Clone, Debug)]
+struct Entry {
+    mark: SuspectMark,
+    until: Deadline,
+}
+
+/// Table of suspects, sorted by fingerprint.
+#[derive(Debug, Default)]
+pub(crate) struct Suspects {
+    entries: Vec<Entry>,
+}
+
+impl Suspects {
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&fingerprint, |e| e.mark.fingerprint)
+    }
+
+    pub(crate) fn state(&self, fingerprint: Fingerprint, now: Instant) -> Option<SuspectState> {
+        let entry = &self.entries[self.find(fingerprint).ok()?];
+        (!entry.until.is_past(now)).then_some(entry.mark.state)
+    }
+
+    /// Tells whether the request was already suspected for an earlier crash than this one.
+    pub(crate) fn suspected_before(
+        &self,
+        fingerprint: Fingerprint,
+        backend: &BackendId,
+        incarnation: Incarnation,
+    ) -> bool {
+        self.find(fingerprint).is_ok_and(|at| {
+            let mark = &self.entries[at].mark;
+            let same = mark.backend == *backend && mark.incarnation == incarnation;
+            mark.state == SuspectState::Suspected && !same
+        })
+    }
+
+    /// Takes a mark; a conviction is never weakened by a suspicion.
+    ///
+    /// A conviction names the cause of a crash, so the other requests that were suspected for the
+    /// same crash are cleared.
+    pub(crate) fn note(&mut self, mark: SuspectMark, until: Deadline) {
+        match mark.state {
+            SuspectState::Cleared => self.clear(mark.fingerprint),
+            SuspectState::Suspected => self.insert(mark, until, false),
+            SuspectState::Convicted => {
+                let same = |e: &Entry| {
+                    e.mark.backend == mark.backend && e.mark.incarnation == mark.incarnation
+                };
+                self.entries
+                    .retain(|e| e.mark.state != SuspectState::Suspected || !same(e));
+                self.insert(mark, until, true);
+            }
+        }
+    }
+
+    fn insert(&mut self, mark: SuspectMark, until: Deadline, replace: bool) {
+        match self.find(mark.fingerprint) {
+            Ok(at) if replace && self.entries[at].mark.state != SuspectState::Convicted => {
+                self.entries[at] = Entry { mark, until };
+            }
+            Ok(_) => {}
+            Err(at) => self.entries.insert(at, Entry { mark, until }),
+        }
+    }
+
+    /// Forgets a suspicion; a conviction stays until its time is over.
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        if let Ok(at) = self.find(fingerprint)
+            && self.entries[at].mark.state == SuspectState::Suspected
+        {
+            self.entries.remove(at);
+        }
+    }
+
+    pub(crate) fn get(&self, fingerprint: Fingerprint) -> Option<&SuspectMark> {
+        self.find(fingerprint).ok().map(|at| &self.entries[at].mark)
+    }
+
+    pub(crate) fn prune(&mut self, now: Instant) {
+        self.entries.retain(|e| !e.until.is_past(now));
+    }
+
+    pub(crate) fn marks(&self) -> impl Iterator<Item = &SuspectMark> {
+        self.entries.iter().map(|e| &e.mark)
+    }
+
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<Entry>()
+    }
+}
--- /dev/null
+++ b/crates/route/src/view.rs
@@ -0,0 +1,144 @@
+//! Read-only views for the report, the digests and the controller.
+
+use types::{BackendId, Incarnation, Instant, Micros, ModelId};
+
+use crate::{
+    counts::Counts,
+    event::{BackendLoad, Liveness, SuspectMark},
+    router::Router,
+};
+
+/// What the router knows of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendView<'a> {
+    /// The backend server.
+    pub id: &'a BackendId,
+    /// Whether it is in this host's data centre.
+    pub local: bool,
+    /// Whether a view of its life has been heard.
+    pub heard: bool,
+    /// Its load in the form that is shared with peers.
+    pub load: BackendLoad,
+    /// Time since the load was measured.
+    pub age: Micros,
+    /// Learned time of a request relative to what the configured speed predicts.
+    pub pace: f32,
+}
+
+/// Smoothed demand for a model at this host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelDemand<'a> {
+    /// The model.
+    pub model: &'a ModelId,
+    /// Tokens a second.
+    pub tokens_per_second: f64,
+    /// Requests a second that were refused.
+    pub missed_per_second: f64,
+}
+
+impl Router {
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of requests that wait or run.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns the view of every configured backend server, in the order of their names.
+    pub fn backends(&self, now: Instant) -> impl Iterator<Item = BackendView<'_>> {
+        let servers = self.names.iter().flat_map(|n| &n.deployment().backends);
+        servers
+            .zip(&self.backends)
+            .map(move |(server, b)| BackendView {
+                id: &server.id,
+                local: b.local,
+                heard: b.incarnation.is_some(),
+                load: BackendLoad {
+                    incarnation: b.incarnation.unwrap_or(Incarnation::new(0)),
+                    liveness: b.liveness,
+                    in_flight: b.in_flight(true),
+                    own: b.own,
+                    #[expect(
+                        clippy::cast_possible_truncation,
+                        clippy::cast_sign_loss,
+                        reason = "a float-to-integer cast saturates, which suits a digest"
+                    )]
+                    tokens_per_second: b.tokens_per_second as u32,
+                },
+                age: now.since(b.measured),
+                pace: b.pace,
+            })
+    }
+
+    /// Returns the models of which no live backend server of this data centre holds a copy.
+    pub fn missing(&self) -> impl Iterator<Item = &ModelId> {
+        let models = self.names.iter().flat_map(|n| &n.deployment().models);
+        let live = |b: &u32| self.backends[*b as usize].liveness == Liveness::Live;
+        let held = self.holders.iter().map(move |h| h.iter().any(live));
+        models
+            .zip(held)
+            .filter(|(_, held)| !held)
+            .map(|(m, _)| &m.id)
+    }
+
+    /// Returns the smoothed demand of every model, in the order of their names.
+    pub fn demand(&self, now: Instant) -> impl Iterator<Item = ModelDemand<'_>> {
+        let models = self.names.iter().flat_map(|n| &n.deployment().models);
+        models.zip(&self.demand).map(move |(model, demand)| {
+            let (tokens_per_second, missed_per_second) =
+                demand.rates(now, self.cfg.demand_half_life);
+            ModelDemand {
+                model: &model.id,
+                tokens_per_second,
+                missed_per_second,
+            }
+        })
+    }
+
+    /// Returns the suspects and convictions, for a peer that starts.
+    pub fn suspect_marks(&self) -> impl Iterator<Item = &SuspectMark> {
+        self.suspects.marks()
+    }
+
+    /// Returns the bytes that the router's own vectors hold, without the configuration.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let lists = |lists: &Vec<Vec<u32>>| {
+            let inner: usize = lists.iter().map(|l| l.capacity() * size_of::<u32>()).sum();
+            inner + lists.capacity() * size_of::<Vec<u32>>()
+        };
+        let backends: usize = self
+            .backends
+            .iter()
+            .map(crate::backend::Backend::heap_bytes)
+            .sum();
+        let remotes: usize = self
+            .remotes
+            .iter()
+            .map(|r| size_of_val(r) + r.models.capacity() * size_of::<u16>())
+            .sum();
+        size_of::<Self>()
+            + backends
+            + self.backends.capacity() * size_of::<crate::backend::Backend>()
+            + lists(&self.holders)
+            + lists(&self.members)
+            + remotes
+            + self.flights.heap_bytes()
+            + self.queue.heap_bytes()
+            + self.waiting.capacity() * size_of::<u32>()
+            + self.suspects.heap_bytes()
+            + self.departed.capacity() * size_of::<crate::router::Departed>()
+            + self.demand.capacity() * size_of::<crate::demand::Demand>()
+    }
+}
