Test the router's behaviour and its invariants

Every mechanism now has a test that shows it at work and one with its switch off that shows the invariant breaking; a property test drives random sequences against an outside observer.

--- /dev/null
+++ b/crates/route/tests/behaviour/choice.rs
@@ -0,0 +1,218 @@
+//! Choice of a backend server or of another data centre.
+
+use std::collections::BTreeMap;
+
+use route::{Action, BackendLoad, Event, Liveness};
+use types::{Code, Incarnation, Micros, RetryReason};
+
+use crate::fixture::{Host, LIMIT, deployment, id, model, order};
+
+/// Servers that got one of `n` requests.
+fn spread(host: &mut Host, n: usize) -> BTreeMap<String, usize> {
+    let mut per_server = BTreeMap::new();
+    for _ in 0..n {
+        host.send(|_| {});
+        for (_, backend) in host.dispatched() {
+            *per_server.entry(backend).or_insert(0) += 1;
+        }
+    }
+    per_server
+}
+
+/// Guards against new work on a server that is known to be leaving or dead.
+#[test]
+fn leaving_and_dead_servers_get_no_work() {
+    let mut host = Host::new(|_| {});
+    host.set("w1", Liveness::Leaving);
+    host.set("w2", Liveness::Dead);
+    let used = spread(&mut host, 4);
+    assert_eq!(used.keys().collect::<Vec<_>>(), ["w3"]);
+}
+
+#[test]
+fn without_liveness_a_leaving_server_gets_work() {
+    let mut host = Host::new(|cfg| cfg.liveness = false);
+    host.set("w1", Liveness::Leaving);
+    assert!(spread(&mut host, 9).contains_key("w1"));
+}
+
+/// Guards against a lagging list that brings a leaving server back.
+#[test]
+fn a_server_that_says_it_leaves_stays_out_until_it_restarts() {
+    let mut host = Host::new(|_| {});
+    let first = host.send(|_| {});
+    let (_, left) = host.dispatched().remove(0);
+    host.fail(first, RetryReason::Leaving, false);
+    host.set(&left, Liveness::Live);
+    host.report(&left, 1, 0, &["m1"]);
+    assert!(!spread(&mut host, 5).contains_key(&left));
+    host.pass(10);
+    host.report(&left, 2, 0, &["m1"]);
+    assert!(spread(&mut host, 6).contains_key(&left));
+}
+
+/// Guards against a peer's digest of a leaving server being ignored.
+#[test]
+fn a_peer_tells_that_a_server_leaves() {
+    let mut host = Host::new(|_| {});
+    host.step(Event::Digest {
+        backend: id("w1"),
+        load: BackendLoad {
+            incarnation: Incarnation::new(1),
+            liveness: Liveness::Leaving,
+            in_flight: 0,
+            own: 0,
+            tokens_per_second: 0,
+        },
+        age: Micros::from_millis(900),
+    });
+    assert!(!spread(&mut host, 8).contains_key("w1"));
+}
+
+/// Guards against more requests in flight on a server than it runs at once.
+#[test]
+fn requests_in_flight_stay_within_the_limit() {
+    let mut host = Host::new(|_| {});
+    let used = spread(&mut host, 20);
+    assert!(used.values().all(|&n| n <= LIMIT as usize), "{used:?}");
+    assert_eq!(host.router.queue_len(), 8);
+}
+
+#[test]
+fn without_limits_a_server_gets_more_than_it_runs() {
+    let mut host = Host::new(|cfg| cfg.in_flight_limits = false);
+    let used = spread(&mut host, 20);
+    assert!(used.values().any(|&n| n > LIMIT as usize), "{used:?}");
+}
+
+/// Guards against herding on the server that an old report shows as idle.
+#[test]
+fn own_requests_correct_a_stale_report() {
+    let herd = |corrected: bool| {
+        let mut host = Host::new(|cfg| {
+            cfg.report_correction = corrected;
+            cfg.in_flight_limits = false;
+        });
+        host.report("w1", 1, 0, &["m1"]);
+        host.report("w2", 1, 3, &["m1"]);
+        host.report("w3", 1, 3, &["m1"]);
+        spread(&mut host, 9).get("w1").copied().unwrap_or_default()
+    };
+    assert!(herd(true) <= 5);
+    assert_eq!(herd(false), 9);
+}
+
+/// Guards against counting own requests twice, once in the report and once as in flight.
+#[test]
+fn an_aged_report_is_compared_with_the_own_requests_of_its_time() {
+    let mut host = Host::new(|_| {});
+    host.pass(1_000);
+    let sent: Vec<_> = (0..3).map(|_| host.send(|_| {})).collect();
+    host.pass(500);
+    for id in sent {
+        host.finish(id);
+    }
+    // Measured 300 ms ago, when the three requests were still in flight.
+    for worker in crate::fixture::LOCAL {
+        host.report_aged(worker, 1, 1, &["m1"], 300);
+    }
+    let now = host.now;
+    let seen: Vec<_> = host
+        .router
+        .backends(now)
+        .map(|b| b.load.in_flight)
+        .collect();
+    assert_eq!(seen, [0; 6]);
+}
+
+/// Guards against throwing away the cache of a worker that holds the prompt's prefix.
+#[test]
+fn a_cached_prefix_attracts_until_a_gap() {
+    let mut host = Host::new(|_| {});
+    let prefix = Event::Prefix {
+        backend: id("w3"),
+        prefix: 42,
+    };
+    let to_w3 = |host: &mut Host| {
+        let sent = host.send(|t| {
+            t.prompt_tokens = 10_000;
+            t.prefixes = vec![42];
+            t.idempotent = false;
+        });
+        let hit = host.dispatched()[0].1 == "w3";
+        host.fail(sent, RetryReason::Cut, true);
+        hit
+    };
+    host.step(prefix);
+    assert!((0..10).all(|_| to_w3(&mut host)));
+    host.step(Event::PrefixGap(id("w3")));
+    let blind = Host::new(|cfg| cfg.prefix_hints = false);
+    let mut blind = blind;
+    assert!(!(0..10).all(|_| to_w3(&mut blind)));
+}
+
+/// Guards against a refusal where another data centre holds the model, and against two hops.
+#[test]
+fn a_model_that_is_elsewhere_is_one_hop_away() {
+    let mut host = Host::new(|_| {});
+    host.step(Event::Remote {
+        dc: "b".parse().expect("a name"),
+        models: vec!["m2".parse().expect("a name")],
+    });
+    host.send(|t| t.target = model("m2"));
+    assert!(matches!(&host.out[0], Action::Forward { dc, .. } if dc.as_str() == "b"));
+    let twice = host.send(|t| {
+        t.target = model("m2");
+        t.forwarded = true;
+    });
+    assert_eq!(host.refused(), [(twice, Code::NotResident)]);
+}
+
+/// Guards against one code for different causes.
+#[test]
+fn refusals_name_their_reason() {
+    let mut host = Host::new(|_| {});
+    let absent = host.send(|t| t.target = model("m2"));
+    assert_eq!(host.refused(), [(absent, Code::NotResident)]);
+    assert!(matches!(&host.out[0], Action::Want { model, .. } if model.as_str() == "m2"));
+    for worker in crate::fixture::LOCAL {
+        host.set(worker, Liveness::Dead);
+    }
+    let dead = host.send(|_| {});
+    assert_eq!(host.refused(), [(dead, Code::NoBackend)]);
+    let unknown = host.send(|t| t.target = model("m3"));
+    assert_eq!(host.refused(), [(unknown, Code::UnknownModel)]);
+}
+
+/// Guards against a plain service that is lost with the server of one data centre.
+#[test]
+fn a_plain_request_is_forwarded_when_the_local_server_is_gone() {
+    let mut host = Host::new(|_| {});
+    host.set("p1", Liveness::Leaving);
+    host.send(order);
+    assert!(matches!(&host.out[0], Action::Forward { dc, .. } if dc.as_str() == "b"));
+}
+
+/// Guards against lost state when indexes change with a new file.
+#[test]
+fn a_new_file_keeps_requests_and_views() {
+    let mut host = Host::new(|_| {});
+    let running = host.send(|_| {});
+    let (_, backend) = host.dispatched().remove(0);
+    let mut changed = deployment();
+    changed.models.remove(1);
+    changed.models.insert(0, changed.models[0].clone());
+    changed.models[0].id = "a0".parse().expect("a name");
+    changed.backends.remove(0);
+    host.configure(2, changed);
+    let now = host.now;
+    let own = |host: &Host| {
+        let mut views = host.router.backends(now);
+        views.find(|b| b.id.as_str() == backend).map(|b| b.load.own)
+    };
+    assert_eq!(own(&host), Some(1));
+    host.finish(running);
+    assert_eq!(own(&host), Some(0));
+    host.send(|_| {});
+    assert_eq!(host.dispatched().len(), 1);
+}
--- /dev/null
+++ b/crates/route/tests/behaviour/main.rs
@@ -0,0 +1,8 @@
+//! Behaviour of the router, driven event by event.
+
+mod choice;
+mod fixture;
+mod properties;
+mod queueing;
+mod retries;
+mod suspects;
--- /dev/null
+++ b/crates/route/tests/behaviour/properties.rs
@@ -0,0 +1,205 @@
+//! Invariants under random sequences of events.
+
+use std::collections::BTreeMap;
+
+use config::Priority;
+use proptest::prelude::*;
+use route::{Action, Event, Liveness};
+use types::{Deadline, Micros, Ran, RequestId, RetryReason};
+
+use crate::fixture::{Host, LIMIT, LOCAL};
+
+/// One random input.
+#[derive(Clone, Debug)]
+enum Op {
+    Send {
+        idempotent: bool,
+        priority: u8,
+    },
+    Finish(usize),
+    Fail {
+        at: usize,
+        reason: RetryReason,
+        ran: bool,
+    },
+    Set(usize, Liveness),
+    Crash(usize),
+    Report {
+        at: usize,
+        in_flight: u32,
+    },
+    Pass(u64),
+    Slot(bool),
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let reason = prop::sample::select(vec![
+        RetryReason::Unreachable,
+        RetryReason::Cut,
+        RetryReason::Leaving,
+        RetryReason::Refused,
+        RetryReason::NotResident,
+    ]);
+    let state = prop::sample::select(vec![Liveness::Live, Liveness::Leaving, Liveness::Dead]);
+    let op = prop_oneof![
+        8 => (any::<bool>(), 0..3_u8)
+            .prop_map(|(idempotent, priority)| Op::Send { idempotent, priority }),
+        4 => any::<usize>().prop_map(Op::Finish),
+        4 => (any::<usize>(), reason, any::<bool>())
+            .prop_map(|(at, reason, ran)| Op::Fail { at, reason, ran }),
+        1 => (0..3_usize, state).prop_map(|(at, state)| Op::Set(at, state)),
+        1 => (0..3_usize).prop_map(Op::Crash),
+        3 => (0..3_usize, 0..6_u32).prop_map(|(at, in_flight)| Op::Report { at, in_flight }),
+        2 => (1..600_u64).prop_map(Op::Pass),
+        1 => any::<bool>().prop_map(Op::Slot),
+    ];
+    prop::collection::vec(op, 1..120)
+}
+
+/// What an observer outside the router knows.
+#[derive(Default)]
+struct Observer {
+    idempotent: BTreeMap<RequestId, bool>,
+    running: BTreeMap<RequestId, String>,
+    asking: Vec<RequestId>,
+    ran: Vec<RequestId>,
+    down: BTreeMap<String, bool>,
+    lives: [u64; 3],
+}
+
+impl Observer {
+    fn check(&mut self, host: &Host) {
+        for action in &host.out {
+            match action {
+                Action::Dispatch { id, backend, .. } => {
+                    self.asking.retain(|a| a != id);
+                    let server = backend.to_string();
+                    assert!(
+                        !self.down.get(&server).copied().unwrap_or(false),
+                        "{server} is down"
+                    );
+                    let again = self.ran.contains(id) && !self.idempotent[id];
+                    assert!(!again, "{id} runs twice");
+                    assert!(self.running.insert(*id, server.clone()).is_none());
+                    let on = self.running.values().filter(|s| **s == server).count();
+                    assert!(on <= LIMIT as usize, "{on} on {server}");
+                }
+                Action::Refuse { id, code, .. } => {
+                    self.asking.retain(|a| a != id);
+                    assert!(
+                        self.idempotent.remove(id).is_some(),
+                        "one outcome per request"
+                    );
+                    assert!(!self.running.contains_key(id));
+                    let lied = code.ran() == Ran::No && self.ran.contains(id);
+                    assert!(!lied, "{id} may have run, refused with {code}");
+                }
+                Action::AskSlot { id, .. } => self.asking.push(*id),
+                _ => {}
+            }
+        }
+    }
+
+    fn pick(&self, at: usize) -> Option<(RequestId, String)> {
+        let at = at % self.running.len().max(1);
+        let picked = self.running.iter().nth(at);
+        picked.map(|(id, server)| (*id, server.clone()))
+    }
+
+    fn apply(&mut self, host: &mut Host, op: &Op) {
+        host.out.clear();
+        match *op {
+            Op::Send {
+                idempotent,
+                priority,
+            } => {
+                let mut ticket = host.ticket();
+                ticket.idempotent = idempotent;
+                ticket.priority = Priority::new(priority);
+                ticket.deadline = Deadline::after(host.now, Micros::from_secs(2));
+                self.idempotent.insert(ticket.id, idempotent);
+                host.step(Event::Arrive(ticket));
+            }
+            Op::Finish(at) => {
+                let Some((id, _)) = self.pick(at) else { return };
+                self.running.remove(&id);
+                self.idempotent.remove(&id);
+                host.finish(id);
+            }
+            Op::Fail { at, reason, ran } => {
+                let Some((id, server)) = self.pick(at) else {
+                    return;
+                };
+                self.running.remove(&id);
+                if ran {
+                    self.ran.push(id);
+                }
+                if reason == RetryReason::Leaving {
+                    self.down.insert(server, true);
+                }
+                host.fail(id, reason, ran);
+            }
+            Op::Set(at, state) => {
+                let server = LOCAL[at].to_owned();
+                if state == Liveness::Live {
+                    self.restart(host, at);
+                } else {
+                    self.down.insert(server, true);
+                    host.set(LOCAL[at], state);
+                }
+            }
+            Op::Crash(at) => self.crash(host, at),
+            Op::Report { at, in_flight } => {
+                if !self.down.get(LOCAL[at]).copied().unwrap_or(false) {
+                    host.report(LOCAL[at], self.lives[at] + 1, in_flight, &["m1"]);
+                }
+            }
+            Op::Pass(millis) => host.pass(millis),
+            Op::Slot(granted) => {
+                let Some(id) = self.asking.pop() else { return };
+                host.step(Event::Slot { id, granted });
+            }
+        }
+        self.check(host);
+    }
+
+    /// The server comes back as a new life, which is live again wherever it was out.
+    fn restart(&mut self, host: &mut Host, at: usize) {
+        self.lives[at] += 1;
+        self.down.insert(LOCAL[at].to_owned(), false);
+        host.now = host.now + Micros::from_millis(1);
+        host.set(LOCAL[at], Liveness::Live);
+        self.check(host);
+        host.report(LOCAL[at], self.lives[at] + 1, 0, &["m1"]);
+    }
+
+    fn crash(&mut self, host: &mut Host, at: usize) {
+        self.down.insert(LOCAL[at].to_owned(), true);
+        host.crash(LOCAL[at], self.lives[at] + 1);
+        self.check(host);
+        let there = self.running.iter().filter(|(_, s)| *s == LOCAL[at]);
+        let there: Vec<RequestId> = there.map(|(id, _)| *id).collect();
+        for id in there {
+            self.running.remove(&id);
+            self.ran.push(id);
+            host.fail(id, RetryReason::Crash, true);
+            self.check(host);
+        }
+        host.out.clear();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against work on servers that are out, too many requests in flight, a
+    /// non-idempotent request that runs twice, two outcomes, and a false "not run".
+    #[test]
+    fn no_sequence_of_events_breaks_an_invariant(ops in ops()) {
+        let mut host = Host::new(|_| {});
+        let mut observer = Observer::default();
+        for op in &ops {
+            observer.apply(&mut host, op);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/behaviour/retries.rs
@@ -0,0 +1,95 @@
+//! Failed attempts.
+
+use types::{Code, Ran, RetryReason};
+
+use crate::fixture::{Host, order};
+
+/// Guards against a booking that runs twice.
+#[test]
+fn a_non_idempotent_request_that_may_have_run_is_never_sent_again() {
+    let mut host = Host::new(|_| {});
+    let booking = host.send(|t| t.idempotent = false);
+    host.fail(booking, RetryReason::Cut, true);
+    assert!(host.dispatched().is_empty());
+    assert_eq!(host.refused(), [(booking, Code::ConnectionCut)]);
+}
+
+#[test]
+fn without_the_rule_it_is_sent_again() {
+    let mut host = Host::new(|cfg| cfg.at_most_once = false);
+    let booking = host.send(|t| t.idempotent = false);
+    host.fail(booking, RetryReason::Cut, true);
+    assert_eq!(host.dispatched().len(), 1);
+}
+
+/// Guards against a needless refusal when the request certainly did not run.
+#[test]
+fn a_request_that_did_not_run_goes_to_another_server() {
+    let mut host = Host::new(|_| {});
+    let booking = host.send(|t| t.idempotent = false);
+    let (_, first) = host.dispatched().remove(0);
+    host.fail(booking, RetryReason::Unreachable, false);
+    let (_, second) = host.dispatched().remove(0);
+    assert_ne!(first, second);
+}
+
+/// Guards against the refusal "not run" for a request that may have run.
+#[test]
+fn a_refusal_after_an_attempt_never_says_not_run() {
+    let mut host = Host::new(|cfg| cfg.max_attempts = 9);
+    let id = host.send(|_| {});
+    host.fail(id, RetryReason::Cut, true);
+    host.fail(id, RetryReason::Unreachable, false);
+    host.fail(id, RetryReason::Unreachable, false);
+    let (_, code) = host.refused()[0];
+    assert_ne!(code.ran(), Ran::No, "{code}");
+}
+
+/// Retries of 100 requests whose first attempt is cut.
+fn retries(budget: bool) -> usize {
+    let mut host = Host::new(|cfg| cfg.retry_budget = budget);
+    let mut retried = 0;
+    for _ in 0..100 {
+        let id = host.send(|_| {});
+        host.fail(id, RetryReason::Cut, true);
+        retried += host.dispatched().len();
+        host.step(route::Event::Cancel(id));
+    }
+    retried
+}
+
+/// Guards against retries that double the load of an outage.
+#[test]
+fn retries_stay_within_the_budget() {
+    assert_eq!(retries(true), 10);
+}
+
+#[test]
+fn without_a_budget_every_failure_is_retried() {
+    assert_eq!(retries(false), 100);
+}
+
+/// Guards against a retry that appends to an answer the caller already reads.
+#[test]
+fn an_answer_that_has_begun_is_not_started_again() {
+    let mut host = Host::new(|_| {});
+    let id = host.send(|_| {});
+    host.step(route::Event::Failed {
+        id,
+        failure: route::Failure {
+            reason: RetryReason::Cut,
+            may_have_run: true,
+            answered: true,
+        },
+    });
+    assert_eq!(host.refused(), [(id, Code::StreamInterrupted)]);
+}
+
+/// Guards against a retry of a plain order after its only server was cut off.
+#[test]
+fn an_order_ends_with_its_first_attempt() {
+    let mut host = Host::new(|_| {});
+    let id = host.send(order);
+    host.fail(id, RetryReason::Crash, true);
+    assert_eq!(host.refused(), [(id, Code::BackendCrashed)]);
+}
