Add the placement controller

Cause: the lease, the ledgers and the placement need one place that performs their actions. Change: control::Controller runs on every host, takes the lease, raises the records, polls load reports, plans every second and on changes, and sends orders through the traits Engines and Peers; Handle answers yield questions. Measured: doc test passes (takes and hands over the lease on a paused clock). Conclusion: the binary can be wired against Controller, Handle, Event and Status.

--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,207 @@
+//! Calls to the platform, backend servers and peers, each in its own task.
+
+use std::time::Duration;
+
+use orders::{Answer, Sender};
+use store::{Category, Kind, Platform, Revision};
+use tokio::{task::JoinSet, time::timeout};
+use types::{BackendId, Clock, Epoch, Instant, LoadReport, Order};
+
+use crate::{
+    event::{Engines, Peers},
+    kinds::{LeaseObject, RecordObject},
+    yields::Sending,
+};
+
+/// Bounds a call that its implementation does not bound; orders are small and answered at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What came of a call.
+#[derive(Debug)]
+pub(crate) enum Done {
+    Lease(lease::Event<Revision>),
+    Ledger {
+        epoch: Epoch,
+        backend: BackendId,
+        ev: orders::Event<Revision>,
+    },
+    Proof {
+        epoch: Epoch,
+        sender: Sender,
+        gone: bool,
+    },
+    Load {
+        backend: BackendId,
+        asked: Instant,
+        report: Option<LoadReport>,
+    },
+}
+
+/// Outcome of a write as the state machines see it.
+enum Wrote {
+    Done(Revision),
+    Refused,
+    Unanswered,
+}
+
+async fn wrote(call: impl Future<Output = store::Result<Revision>>) -> Wrote {
+    match timeout(CALL_TIMEOUT, call).await {
+        Ok(Ok(revision)) => Wrote::Done(revision),
+        Ok(Err(e)) if !matches!(e.category(), Category::Unknown | Category::Garbage) => {
+            Wrote::Refused
+        }
+        Ok(Err(_)) | Err(_) => Wrote::Unanswered,
+    }
+}
+
+impl From<Wrote> for lease::Event<Revision> {
+    fn from(wrote: Wrote) -> Self {
+        match wrote {
+            Wrote::Done(revision) => Self::Written(revision),
+            Wrote::Refused => Self::Refused,
+            Wrote::Unanswered => Self::Unanswered,
+        }
+    }
+}
+
+impl From<Wrote> for orders::Event<Revision> {
+    fn from(wrote: Wrote) -> Self {
+        match wrote {
+            Wrote::Done(revision) => Self::Written(revision),
+            Wrote::Refused => Self::Refused,
+            Wrote::Unanswered => Self::Unanswered,
+        }
+    }
+}
+
+/// Performs the calls of a controller.
+#[derive(Debug)]
+pub(crate) struct Calls<P, C, E, N> {
+    pub(crate) platform: P,
+    pub(crate) clock: C,
+    pub(crate) engines: E,
+    pub(crate) peers: N,
+    pub(crate) tasks: JoinSet<Done>,
+}
+
+impl<P: Platform, C: Clock, E: Engines, N: Peers> Calls<P, C, E, N> {
+    pub(crate) fn lease(&mut self, name: String, action: lease::Action<Revision>) {
+        let platform = self.platform.clone();
+        self.tasks.spawn(async move {
+            use lease::{Action, Event};
+            Done::Lease(match action {
+                Action::Create(record) => create::<LeaseObject, _>(&platform, &name, record).await,
+                Action::Update(record, at) => {
+                    update::<LeaseObject, _>(&platform, &name, record, at).await
+                }
+                _ => match get::<LeaseObject, _>(&platform, &name).await {
+                    Some(object) => Event::Read(object),
+                    None => Event::ReadFailed,
+                },
+            })
+        });
+    }
+
+    pub(crate) fn ledger(
+        &mut self,
+        epoch: Epoch,
+        backend: BackendId,
+        action: orders::Action<Revision>,
+    ) {
+        let platform = self.platform.clone();
+        self.tasks.spawn(async move {
+            use orders::{Action, Event};
+            let name = backend.as_str();
+            let ev = match action {
+                Action::Create(record) => create::<RecordObject, _>(&platform, name, record).await,
+                Action::Update(record, at) => {
+                    update::<RecordObject, _>(&platform, name, record, at).await
+                }
+                _ => match get::<RecordObject, _>(&platform, name).await {
+                    Some(object) => Event::Read(object),
+                    None => Event::ReadFailed,
+                },
+            };
+            Done::Ledger { epoch, backend, ev }
+        });
+    }
+
+    /// Sends an order; `sending` is kept until no more of it can leave the process.
+    pub(crate) fn post(&mut self, backend: BackendId, order: Order, sending: Sending) {
+        let engines = self.engines.clone();
+        self.tasks.spawn(async move {
+            let post = timeout(CALL_TIMEOUT, engines.post(&backend, &order));
+            let answer = post.await.unwrap_or(Answer::Lost);
+            drop(sending);
+            Done::Ledger {
+                epoch: order.fence,
+                backend,
+                ev: orders::Event::Posted {
+                    id: order.id,
+                    answer,
+                },
+            }
+        });
+    }
+
+    pub(crate) fn prove(&mut self, epoch: Epoch, sender: Sender) {
+        let peers = self.peers.clone();
+        self.tasks.spawn(async move {
+            let gone = peers.is_gone(&sender.host) || {
+                let ask = peers.gave_up(&sender.host, sender.epoch);
+                timeout(CALL_TIMEOUT, ask).await.unwrap_or(false)
+            };
+            Done::Proof {
+                epoch,
+                sender,
+                gone,
+            }
+        });
+    }
+
+    pub(crate) fn load(&mut self, backend: BackendId) {
+        let (engines, clock) = (self.engines.clone(), self.clock.clone());
+        self.tasks.spawn(async move {
+            let asked = clock.now();
+            let load = timeout(CALL_TIMEOUT, engines.load(&backend)).await;
+            Done::Load {
+                report: load.unwrap_or(None),
+                backend,
+                asked,
+            }
+        });
+    }
+}
+
+async fn create<K, E>(platform: &impl Platform, name: &str, value: impl Into<K> + Send) -> E
+where
+    K: Kind,
+    E: From<Wrote>,
+{
+    let object = value.into();
+    wrote(platform.create(name, &object)).await.into()
+}
+
+async fn update<K, E>(
+    platform: &impl Platform,
+    name: &str,
+    value: impl Into<K> + Send,
+    at: Revision,
+) -> E
+where
+    K: Kind,
+    E: From<Wrote>,
+{
+    let object = value.into();
+    wrote(platform.update(name, &object, &at)).await.into()
+}
+
+/// Reads an object, or returns nothing when the platform fails or the object can't be decoded.
+async fn get<K, T>(platform: &impl Platform, name: &str) -> Option<Option<(T, Revision)>>
+where
+    K: Kind + Into<T>,
+{
+    let read = timeout(CALL_TIMEOUT, platform.get::<K>(name)).await;
+    let object = read.ok()?.ok()?;
+    Some(object.map(|o| (o.value.into(), o.revision)))
+}
--- /dev/null
+++ b/crates/control/src/kinds.rs
@@ -0,0 +1,36 @@
+//! Objects that the controller keeps on the platform.
+
+use serde::{Deserialize, Serialize};
+use store::Kind;
+
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $name:ident($inner:ty) $plural:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl Kind for $name {
+            const PLURAL: &'static str = $plural;
+        }
+
+        impl From<$inner> for $name {
+            fn from(value: $inner) -> Self {
+                Self(value)
+            }
+        }
+
+        impl From<$name> for $inner {
+            fn from(object: $name) -> Self {
+                object.0
+            }
+        }
+    )*};
+}
+
+kinds! {
+    /// Lease of a data centre; the object is named for the data centre.
+    LeaseObject(lease::Record) "leases";
+    /// Record of a backend server; the object is named for the backend server.
+    RecordObject(orders::Record) "records";
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,60 @@
 //! Placement controller of a data centre.
+//!
+//! A [`Controller`] runs on every entry host. One of them holds the lease of its data centre, plans
+//! the placement and turns moves into recorded orders; without authority it gives no order.
+//!
+//! ```
+//! # use control::{Controller, Engines, Peers, Planner, Settings};
+//! # use orders::Answer;
+//! # use store::MemPlatform;
+//! # use tokio_util::sync::CancellationToken;
+//! # use types::{BackendId, Clock, Epoch, HostId, LoadReport, Micros, ModelId, Monotonic, Order};
+//! # #[derive(Clone)]
+//! # struct Nobody;
+//! # impl Engines for Nobody {
+//! #     async fn post(&self, _: &BackendId, _: &Order) -> Answer { Answer::Lost }
+//! #     async fn load(&self, _: &BackendId) -> Option<LoadReport> { None }
+//! # }
+//! # impl Peers for Nobody {
+//! #     async fn gave_up(&self, _: &HostId, _: Epoch) -> bool { false }
+//! #     fn is_gone(&self, _: &HostId) -> bool { false }
+//! #     fn ready_elsewhere(&self) -> Vec<ModelId> { Vec::new() }
+//! # }
+//! # fn main() -> Result<(), types::Error> {
+//! let settings = Settings {
+//!     host: "a1".parse()?,
+//!     dc: "a".parse()?,
+//!     lease: Settings::LEASE,
+//!     seed: 1,
+//!     base_tokens_per_second: 1_000.0,
+//!     planner: Planner { plan: |_| Vec::new(), floor: |_, _| Vec::new() },
+//! };
+//! # let runtime = tokio::runtime::Builder::new_current_thread();
+//! # let runtime = { runtime }.enable_time().start_paused(true).build().unwrap();
+//! # runtime.block_on(async {
+//! let (platform, clock) = (MemPlatform::new(), Monotonic::start());
+//! let (controller, mut handle) = Controller::new(platform, clock, Nobody, Nobody, settings);
+//! let stop = CancellationToken::new();
+//! let running = tokio::spawn(controller.run(stop.clone()));
+//!
+//! // The only host of the data centre takes the lease, and hands it over when it stops.
+//! handle.status.wait_for(|status| status.authority).await.unwrap();
+//! assert!(!handle.gave_up(Epoch::new(1)));
+//! stop.cancel();
+//! running.await.unwrap();
+//! assert!(handle.gave_up(Epoch::new(1)));
+//! # });
+//! # Ok(())
+//! # }
+//! ```
+
+mod calls;
+mod controller;
+mod event;
+mod kinds;
+mod term;
+mod yields;
+
+pub use controller::{Controller, Handle};
+pub use event::{Engines, Event, ModelDemand, Peers, Planner, Settings, Status};
+pub use kinds::{LeaseObject, RecordObject};
--- /dev/null
+++ b/crates/control/src/term.rs
@@ -0,0 +1,252 @@
+//! Ledgers of a term and the placement round over them.
+
+use config::{BackendServer, Deployment, ServiceKind};
+use orders::{Copy, CopyState, Ledger, Limits, Want};
+use place::{Demand, Held, Input, Move, Worker};
+use store::Revision;
+use types::{
+    BackendId, Bytes, DataCentreId, Epoch, HostId, Instant, Micros, ModelId, OrderId, OrderOp,
+};
+
+use crate::event::{ModelDemand, Settings};
+
+/// Time after the start of a term in which records and reports are awaited before anything moves.
+const SETTLE: Micros = Micros::from_secs(5);
+
+/// Ledgers of the backend servers of a data centre for one term.
+#[derive(Debug)]
+pub(crate) struct Term {
+    pub(crate) epoch: Epoch,
+    host: HostId,
+    started: Instant,
+    pub(crate) workers: Vec<Managed>,
+}
+
+/// Backend server under the authority of the term.
+#[derive(Debug)]
+pub(crate) struct Managed {
+    pub(crate) id: BackendId,
+    pub(crate) ledger: Ledger<Revision>,
+    /// A load report was asked for and is not there yet.
+    pub(crate) asking: bool,
+    pub(crate) next_load: Instant,
+}
+
+/// What a round knows besides the ledgers.
+#[derive(Debug)]
+pub(crate) struct Surroundings<'a> {
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) settings: &'a Settings,
+    pub(crate) live: &'a [BackendId],
+    pub(crate) demand: &'a [ModelDemand],
+    pub(crate) ready_elsewhere: Vec<ModelId>,
+    pub(crate) loads: u32,
+}
+
+fn limits(b: &BackendServer) -> Limits {
+    Limits {
+        memory: b.memory,
+        adapter_pool: b.adapter_pool,
+        fences: b.fences,
+    }
+}
+
+/// Returns the backend servers of a data centre that hold models.
+fn workers<'a>(
+    deployment: &'a Deployment,
+    dc: &'a DataCentreId,
+) -> impl Iterator<Item = &'a BackendServer> {
+    let is_model = |b: &BackendServer| {
+        let at = deployment
+            .services
+            .binary_search_by(|s| s.name.cmp(&b.service));
+        at.is_ok_and(|at| deployment.services[at].kind == ServiceKind::Model)
+    };
+    let backends = deployment.backends.iter();
+    backends.filter(move |b| b.dc == *dc && b.memory > Bytes::ZERO && is_model(b))
+}
+
+impl Term {
+    pub(crate) fn new(host: HostId, epoch: Epoch, now: Instant) -> Self {
+        Self {
+            epoch,
+            host,
+            started: now,
+            workers: Vec::new(),
+        }
+    }
+
+    pub(crate) fn find(&self, id: &BackendId) -> Option<usize> {
+        self.workers.binary_search_by(|w| w.id.cmp(id)).ok()
+    }
+
+    /// Brings the ledgers in line with a configuration; returns changed limits by position.
+    pub(crate) fn configure(
+        &mut self,
+        deployment: &Deployment,
+        dc: &DataCentreId,
+    ) -> Vec<(usize, Limits)> {
+        let wanted: Vec<_> = workers(deployment, dc).collect();
+        self.workers.retain(|w| wanted.iter().any(|b| b.id == w.id));
+        let mut changed = Vec::new();
+        for b in wanted {
+            match self.workers.binary_search_by(|w| w.id.cmp(&b.id)) {
+                Ok(at) => changed.push((at, limits(b))),
+                Err(at) => self.workers.insert(
+                    at,
+                    Managed {
+                        id: b.id.clone(),
+                        ledger: Ledger::new(self.host.clone(), self.epoch, limits(b)),
+                        asking: false,
+                        next_load: Instant::ZERO,
+                    },
+                ),
+            }
+        }
+        changed
+    }
+
+    /// Returns the number of recorded orders that are not closed.
+    pub(crate) fn pending(&self) -> usize {
+        let records = self.workers.iter().filter_map(|w| w.ledger.record());
+        records.map(|r| r.pending().count()).sum()
+    }
+
+    /// Returns the number of models that are being loaded.
+    pub(crate) fn loading(&self) -> usize {
+        let copies = self.workers.iter().flat_map(|w| w.ledger.copies());
+        copies
+            .filter(|c| !c.adapter && c.state == CopyState::Loading)
+            .count()
+    }
+
+    /// Tells whether the state of the data centre is known well enough to change it.
+    pub(crate) fn is_settled(&self, now: Instant, live: &[BackendId]) -> bool {
+        let known = |w: &Managed| {
+            w.ledger.is_ready() && (w.ledger.is_reported() || live.binary_search(&w.id).is_err())
+        };
+        now.since(self.started) >= SETTLE || self.workers.iter().all(known)
+    }
+
+    /// Builds the input of a placement round.
+    pub(crate) fn input(&self, around: &Surroundings<'_>) -> Input {
+        let dc = &around.settings.dc;
+        Input {
+            objective: around.deployment.objective,
+            workers: workers(around.deployment, dc)
+                .filter_map(|b| Some(worker_of(&self.workers[self.find(&b.id)?], b, around.live)))
+                .collect(),
+            demand: demand(around.deployment, around.demand),
+            floor: (around.settings.planner.floor)(around.deployment, dc),
+            ready_elsewhere: around.ready_elsewhere.clone(),
+            base_tokens_per_second: around.settings.base_tokens_per_second,
+            loads: around.loads,
+        }
+    }
+}
+
+fn worker_of(managed: &Managed, b: &BackendServer, live: &[BackendId]) -> Worker {
+    let ledger = &managed.ledger;
+    let is_live = live.binary_search(&b.id).is_ok();
+    let held = ledger.copies().into_iter();
+    Worker {
+        id: b.id.clone(),
+        dc: b.dc.clone(),
+        memory: b.memory.saturating_sub(b.adapter_pool),
+        accelerators: b.accelerators,
+        speed: b.speed,
+        live: is_live && ledger.is_ready() && ledger.is_reported(),
+        held: held.filter(|c| !c.adapter).filter_map(held_of).collect(),
+    }
+}
+
+fn held_of(copy: Copy) -> Option<Held> {
+    Some(Held {
+        model: copy.name.parse().ok()?,
+        version: copy.version,
+        bytes: copy.bytes,
+        state: match copy.state {
+            CopyState::Loading => place::CopyState::Loading,
+            CopyState::Ready => place::CopyState::Ready,
+            CopyState::Unloading => place::CopyState::Unloading,
+        },
+    })
+}
+
+fn demand(deployment: &Deployment, measured: &[ModelDemand]) -> Vec<Demand> {
+    let of = |id: &ModelId| {
+        let at = measured.binary_search_by(|d| d.model.cmp(id)).ok()?;
+        Some(&measured[at])
+    };
+    deployment
+        .models
+        .iter()
+        .map(|m| Demand {
+            model: m.id.clone(),
+            version: m.version.clone(),
+            bytes: m.bytes,
+            priority: m.priority.get(),
+            tokens_per_second: of(&m.id).map_or(0.0, |d| d.tokens_per_second),
+            missed_per_second: of(&m.id).map_or(0.0, |d| d.missed_per_second),
+        })
+        .collect()
+}
+
+/// Turns a move into the backend server and the order that it wants.
+pub(crate) fn want(mv: Move, id: OrderId) -> (BackendId, Want) {
+    match mv {
+        Move::Load {
+            worker,
+            model,
+            version,
+            bytes,
+        } => {
+            let name = model.to_string();
+            let op = OrderOp::Load;
+            (
+                worker,
+                Want {
+                    id,
+                    op,
+                    name,
+                    version,
+                    bytes,
+                },
+            )
+        }
+        Move::Unload {
+            worker,
+            model,
+            version,
+        } => {
+            let name = model.to_string();
+            let (op, bytes) = (OrderOp::Unload, Bytes::ZERO);
+            (
+                worker,
+                Want {
+                    id,
+                    op,
+                    name,
+                    version,
+                    bytes,
+                },
+            )
+        }
+    }
+}
+
+/// Returns the models that have a floor copy which is not ready, sorted.
+pub(crate) fn below_floor(input: &Input) -> Vec<ModelId> {
+    let ready = |copy: &place::Copy| {
+        let worker = input.workers.iter().find(|w| w.id == copy.worker);
+        worker.is_some_and(|w| {
+            let mut held = w.held.iter();
+            held.any(|h| h.model == copy.model && h.state == place::CopyState::Ready)
+        })
+    };
+    let missing = input.floor.iter().filter(|copy| !ready(copy));
+    let mut models: Vec<_> = missing.map(|copy| copy.model.clone()).collect();
+    models.sort_unstable();
+    models.dedup();
+    models
+}
--- a/crates/orders/src/ledger.rs
+++ b/crates/orders/src/ledger.rs
@@ -397,7 +397,11 @@
     fn add_wants(&mut self, record: &mut Record, out: &mut Vec<Action<R>>) {
         let mut wants = std::mem::take(&mut self.wants);
         wants.retain(|want| {
-            let pending = self.pending(want);
+            let mut pending = self.pending(want);
+            // An unload keeps the memory of its copy reserved, whatever the caller says.
+            if let Some(r) = record.resident(pending.key()) {
+                pending.bytes = pending.bytes.max(r.bytes);
+            }
             let accepted = self.view.is_some() && fits(record, &pending);
             if accepted {
                 record.list_mut(want.op).push(pending);
@@ -430,7 +434,8 @@
 
 /// Tells whether an order makes sense on a record and its memory is free.
 fn fits(record: &Record, order: &Pending) -> bool {
-    if record.is_pending(order.key()) || record.holds(order.key()) == is_load(order.op) {
+    if record.is_pending(order.key()) || record.resident(order.key()).is_some() == is_load(order.op)
+    {
         return false;
     }
     if !is_load(order.op) {
--- a/crates/orders/src/record.rs
+++ b/crates/orders/src/record.rs
@@ -124,8 +124,8 @@
         }
     }
 
-    pub(crate) fn holds(&self, key: Key<'_>) -> bool {
-        self.residents.iter().any(|r| resident_key(r) == key)
+    pub(crate) fn resident(&self, key: Key<'_>) -> Option<&Resident> {
+        self.residents.iter().find(|r| resident_key(r) == key)
     }
 
     pub(crate) fn is_pending(&self, key: Key<'_>) -> bool {
