Add the development tasks and the harness for the example files

`test` passes over exactly the tests of KNOWN-RED.txt, runs each of them alone and fails when one passes or does not exist. The harness reads the layout of a cluster from a deployment file and writes host settings in the format of the config crate.

The demo is not run yet; it needs the binary.

--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -18,6 +18,15 @@
 /// Token with which entry hosts know each other.
 const PEER_TOKEN: &str = "peer-token";
 
+/// Token with which operators read reports.
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
+
+/// Lease of the tests; short, so that a takeover takes a few seconds.
+const LEASE: &str = "3 s";
+
+/// Exchange period of the tests; short, so that news spreads in less than a second.
+const EXCHANGE: &str = "200 ms";
+
 /// Target of a link whose process has no address yet; nothing listens there.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
@@ -150,12 +159,21 @@
         let seeds = self.seen.iter().filter(seen_here);
         let seeds: Vec<String> = seeds.map(|seen| format!("\"{}\"", seen.peer)).collect();
         let platform = self.platform_links[host];
+        let seeds = seeds.join(", ");
         let text = format!(
-            "name = \"{name}\"\ndc = \"{dc}\"\nhttp = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
-             platform = \"http://{platform}/{dc}\"\nseeds = [{}]\n\
-             platform_token = \"{PLATFORM_TOKEN}\"\npeer_token = \"{PEER_TOKEN}\"\n",
-            seeds.join(", ")
+            r#"host = "{name}"
+data_centre = "{dc}"
+listen = {{ http = "127.0.0.1:0", peers = "127.0.0.1:0" }}
+platform = {{ url = "http://{platform}/{dc}", token_file = "platform.token" }}
+peers = {{ seeds = [{seeds}], token_file = "peer.token" }}
+operators = {{ token_file = "operator.token" }}
+log = {{ format = "text", level = "info" }}
+tuning = {{ lease_duration = "{LEASE}", exchange_period = "{EXCHANGE}" }}
+"#
         );
+        self.write("platform.token", PLATFORM_TOKEN);
+        self.write("peer.token", PEER_TOKEN);
+        self.write("operator.token", OPERATOR_TOKEN);
         let path = self.stage.dir().join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("the settings can be written");
         path
@@ -226,7 +244,6 @@
     ///
     /// # Panics
     /// When the file can't be written.
-    #[must_use]
     pub fn write(&self, name: &str, text: &str) -> String {
         let path = self.stage.dir().join(name);
         std::fs::write(&path, text).expect("the file can be written");
--- a/crates/standin/src/harness/entry.rs
+++ b/crates/standin/src/harness/entry.rs
@@ -12,7 +12,9 @@
 use serde_json::{Value, json};
 
 use super::{
-    CLIENT, eventually,
+    CLIENT,
+    cluster::OPERATOR_TOKEN,
+    eventually,
     process::{Process, program},
 };
 
@@ -125,7 +127,8 @@
 
     /// Returns the text of the host's report.
     pub async fn report(&self) -> String {
-        match self.request(Method::GET, "/report").send().await {
+        let url = format!("http://{}/report", self.http);
+        match CLIENT.get(url).bearer_auth(OPERATOR_TOKEN).send().await {
             Ok(res) => res.text().await.unwrap_or_default(),
             Err(_e) => String::new(),
         }
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Starts, holds, freezes and stops the processes of a test.
 
 mod cluster;
+mod deployment;
 mod entry;
 mod process;
 mod stage;
@@ -12,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 pub use cluster::{Backend, Cluster, Layout};
+pub use deployment::{CALLER_TOKEN, small};
 pub use entry::{EntryHost, Reply};
 pub use process::Process;
 pub use stage::{Stage, StandIn};
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,64 @@
 //! Development tasks: demo, test, bench and ci.
 
-fn main() {}
+mod demo;
+mod known_red;
+mod steps;
+mod test;
+mod traffic;
+
+use std::process::ExitCode;
+
+use lexopt::{Arg, Parser, ValueExt};
+
+const USAGE: &str = "usage: cargo xtask demo [--deployment te-awa|nour] [--keep] | test | \
+    bench [--check] | ci";
+
+#[derive(Default)]
+struct Args {
+    task: String,
+    deployment: Option<String>,
+    keep: bool,
+    check: bool,
+}
+
+/// Failure of a task as one line.
+type Failure = String;
+
+fn parse() -> Result<Args, lexopt::Error> {
+    let mut args = Args::default();
+    let mut parser = Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Value(task) if args.task.is_empty() => args.task = task.string()?,
+            Arg::Long("deployment") => args.deployment = Some(parser.value()?.string()?),
+            Arg::Long("keep") => args.keep = true,
+            Arg::Long("check") => args.check = true,
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(args)
+}
+
+fn run(args: &Args) -> Result<(), Failure> {
+    match args.task.as_str() {
+        "demo" => demo::run(args.deployment.as_deref().unwrap_or("te-awa"), args.keep),
+        "test" => test::run(),
+        "bench" => steps::bench(args.check),
+        "ci" => steps::ci(),
+        _ => Err(USAGE.to_owned()),
+    }
+}
+
+fn main() -> ExitCode {
+    let result = match parse() {
+        Ok(args) => run(&args),
+        Err(e) => Err(format!("{e}; {USAGE}")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("xtask: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
