Refuse connections through a link whose process has ended

Cause: an entry host tells a crash of a backend server from a broken connection by a refused connection; behind the proxy a crash looked like a cut, since a TCP proxy accepts before it knows its target.

Change: a link whose target refuses stops listening before its client sees the end of a connection, and listens again once the target accepts. Cache events have the fields that the engine client reads: seq, event, prefix. At most two clusters of a test program run at a time.

Conclusion: crashes behind the proxy can be diagnosed as in the field.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -166,16 +166,17 @@
     }
 
     /// Publishes that a prompt's prefix is in the cache, unless a gap is asked for.
-    fn publish_prefix(&self, model: &str, prompt: &str) {
+    fn publish_prefix(&self, prompt: &str) {
         let mut state = self.lock();
         state.event_seq += 1;
         if backend::take(&mut state.knobs.event_gaps) {
             return;
         }
         let prefix: String = prompt.chars().take(32).collect();
-        let hash = blake3::hash(prefix.as_bytes()).to_hex();
-        let event = json!({"seq": state.event_seq, "op": "stored", "model": model,
-            "prefix": &hash[..16]});
+        let hash = blake3::hash(prefix.as_bytes());
+        let head = hash.as_bytes().first_chunk().expect("a hash has 32 bytes");
+        let prefix = u64::from_le_bytes(*head);
+        let event = json!({"seq": state.event_seq, "event": "stored", "prefix": prefix});
         // Without a reader there is no receiver, which is no error.
         drop(self.events.send(event));
     }
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -200,7 +200,7 @@
             (faults.poison.clone(), faults.spoil(), prefill)
         };
         let run = self.runs.start(call, &text, &poison);
-        self.publish_prefix(model, &text);
+        self.publish_prefix(&text);
         sleep(Duration::from_millis(prefill)).await;
         let id = backend::request_id(call);
         let job = self.job(&id, &body, text.clone(), chat);
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -4,16 +4,22 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Output, Stdio},
+    time::Duration,
 };
 
 use serde_json::{Map, Value, json};
-use tokio::process::Command;
+use tokio::{
+    process::Command,
+    sync::{Semaphore, SemaphorePermit},
+};
 
 use super::{
+    deployment::small,
     entry::EntryHost,
     process::program,
     stage::{PLATFORM_TOKEN, Stage, StandIn},
 };
+use crate::backend::RunLine;
 
 /// Token with which entry hosts know each other.
 const PEER_TOKEN: &str = "peer-token";
@@ -78,9 +84,37 @@
     /// Link from each entry host to the platform.
     pub platform_links: Vec<SocketAddr>,
     seen: Vec<Seen>,
+    _turn: SemaphorePermit<'static>,
 }
 
+/// Clusters of one test program at a time; more would mostly measure the machine.
+static TURNS: Semaphore = Semaphore::const_new(2);
+
+/// Bounds the time until a deployment is served as intended.
+const SERVED_LIMIT: Duration = Duration::from_secs(60);
+
 impl Cluster {
+    /// Starts the small deployment with three entry hosts and waits until it is served.
+    pub async fn small() -> Self {
+        let cluster = Self::start(Layout::small()).await;
+        cluster.serve(&small()).await;
+        cluster
+    }
+
+    /// Applies a file and waits until every host says that the intended state holds.
+    pub async fn serve(&self, text: &str) {
+        self.apply(text).await;
+        self.wait_ready().await;
+        self.wait_ok().await;
+    }
+
+    /// Waits until every host says that the intended state holds.
+    pub async fn wait_ok(&self) {
+        for host in &self.hosts {
+            host.wait_report(SERVED_LIMIT, "OK").await;
+        }
+    }
+
     /// Starts everything, without a configuration.
     pub async fn start(layout: Layout) -> Self {
         let mut cluster = Self::without_hosts(layout).await;
@@ -91,7 +125,14 @@
     }
 
     /// Starts everything but the entry hosts.
+    ///
+    /// # Panics
+    /// When a process does not start.
     pub async fn without_hosts(layout: Layout) -> Self {
+        let turn = TURNS
+            .acquire()
+            .await
+            .expect("the semaphore is never closed");
         let stage = Stage::new().await;
         let platform = stage.platform().await;
         let mut cluster = Self {
@@ -103,6 +144,7 @@
             backend_links: Vec::new(),
             platform_links: Vec::new(),
             seen: Vec::new(),
+            _turn: turn,
         };
         for backend in cluster.layout.backends.clone() {
             cluster.start_backend(&backend).await;
@@ -240,6 +282,35 @@
         command.output().await.expect("the program runs")
     }
 
+    /// Returns the backend server of a name.
+    ///
+    /// # Panics
+    /// When there is none.
+    #[must_use]
+    pub fn backend(&self, name: &str) -> usize {
+        let found = self.layout.backends.iter().position(|b| b.name == name);
+        found.expect("a backend server of this name")
+    }
+
+    /// Returns the runs that started on any backend server and whose text contains a part.
+    #[must_use]
+    pub fn started(&self, part: &str) -> Vec<RunLine> {
+        self.backends.iter().flat_map(|b| b.started(part)).collect()
+    }
+
+    /// Asserts that no engine was ever asked for more memory than it has.
+    ///
+    /// # Panics
+    /// When one was.
+    pub async fn assert_memory(&self) {
+        for (backend, server) in self.layout.backends.iter().zip(&self.backends) {
+            if backend.engine.is_some() {
+                let counts = &server.state().await["counts"];
+                assert_eq!(counts["overcommits"], 0, "{}: {counts}", backend.name);
+            }
+        }
+    }
+
     /// Writes a deployment file and returns its path.
     ///
     /// # Panics
--- a/crates/standin/src/harness/entry.rs
+++ b/crates/standin/src/harness/entry.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use reqwest::{Method, Response};
 use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
 
 use super::{
     CLIENT,
@@ -21,6 +22,9 @@
 /// Bounds the time from the start of a host to its readiness.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Pause between two looks at a report.
+const REPORT_POLL: Duration = Duration::from_millis(100);
+
 /// Answer as a caller sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Reply {
@@ -125,6 +129,34 @@
         super::get(self.http, "/readyz").await.0 == 200
     }
 
+    /// Waits until the report contains a text.
+    ///
+    /// # Panics
+    /// When it does not.
+    pub async fn wait_report(&self, limit: Duration, part: &str) {
+        let until = Instant::now() + limit;
+        loop {
+            let report = self.report().await;
+            // `NOT OK` is no `OK`.
+            if report.contains(part) && (part != "OK" || report.starts_with("OK\n")) {
+                return;
+            }
+            assert!(
+                Instant::now() < until,
+                "{}: no {part:?} in {report}",
+                self.name
+            );
+            sleep(REPORT_POLL).await;
+        }
+    }
+
+    /// Returns the report as JSON.
+    pub async fn facts(&self) -> Value {
+        let url = format!("http://{}/report?json", self.http);
+        let req = CLIENT.get(url).bearer_auth(OPERATOR_TOKEN);
+        super::finish(req).await.1["facts"].take()
+    }
+
     /// Returns the text of the host's report.
     pub async fn report(&self) -> String {
         let url = format!("http://{}/report", self.http);
@@ -146,7 +178,7 @@
     /// Asks a model or adapter for a stream and reads it to its end.
     pub async fn stream(&self, model: &str, prompt: &str, tokens: usize) -> Reply {
         let req = self.request(Method::POST, "/v1/chat/completions");
-        let started = tokio::time::Instant::now();
+        let started = Instant::now();
         let req = req.json(&chat_body(model, prompt, tokens, true));
         match req.send().await {
             Ok(res) if res.status() == 200 => read_stream(res, started).await,
@@ -189,7 +221,7 @@
     }
 }
 
-async fn read_stream(res: Response, started: tokio::time::Instant) -> Reply {
+async fn read_stream(res: Response, started: Instant) -> Reply {
     let mut reply = Reply {
         status: 200,
         ..Reply::default()
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -54,6 +54,11 @@
     call(Method::GET, addr, path, None).await
 }
 
+/// Sends a JSON body and returns the status and JSON body, with status 0 for a broken connection.
+pub async fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    call(Method::POST, addr, path, Some(body)).await
+}
+
 /// Sends a call with a JSON body and returns the status and JSON body.
 pub(crate) async fn call(
     method: Method,
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -21,6 +21,9 @@
 /// Bytes that are forwarded at once.
 const BUF: usize = 16 << 10;
 
+/// Pause between two looks at a target that refuses connections.
+const PROBE: Duration = Duration::from_millis(20);
+
 /// What a link does with its traffic.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -50,6 +53,17 @@
     addr: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     knobs: Arc<watch::Sender<Knobs>>,
+    refusing: Arc<watch::Sender<Target>>,
+}
+
+/// Whether the target of a link accepts connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Target {
+    #[default]
+    Accepts,
+    Refuses,
+    /// The target refuses and the link does not listen.
+    Closed,
 }
 
 #[derive(Default)]
@@ -97,6 +111,7 @@
             addr: listener.local_addr().ok()?,
             target: Arc::new(Mutex::new(new.target)),
             knobs: Arc::default(),
+            refusing: Arc::default(),
         };
         tokio::spawn(accept(listener, link.clone()));
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
@@ -122,38 +137,101 @@
     }
 }
 
-async fn accept(listener: TcpListener, link: Link) {
-    while let Ok((near, _)) = listener.accept().await {
-        tokio::spawn(forward(near, link.clone()));
+/// Accepts connections, and stops listening while the target refuses them.
+///
+/// A client tells a crash from a broken connection by a refused connection, so a link to a process
+/// that ended must refuse, too.
+async fn accept(mut listener: TcpListener, link: Link) {
+    let mut refusing = link.refusing.subscribe();
+    loop {
+        let refused = async {
+            let refused = refusing.wait_for(|state| *state == Target::Refuses).await;
+            refused.is_ok()
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted.ok(),
+            _ = refused => None,
+        };
+        if let Some((near, _)) = accepted {
+            tokio::spawn(forward(near, link.clone()));
+        } else {
+            drop(listener);
+            link.refusing.send_replace(Target::Closed);
+            listener = reopen(&link).await;
+            link.refusing.send_replace(Target::Accepts);
+        }
     }
 }
 
-async fn forward(mut near: TcpStream, link: Link) {
+/// Waits until the target accepts again, and listens again.
+async fn reopen(link: &Link) -> TcpListener {
+    loop {
+        sleep(PROBE).await;
+        if TcpStream::connect(link.target()).await.is_ok()
+            && let Ok(listener) = TcpListener::bind(link.addr).await
+        {
+            return listener;
+        }
+    }
+}
+
+impl Link {
+    fn target(&self) -> SocketAddr {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Connects to the target; when it refuses, returns after the link has stopped listening.
+    async fn connect(&self) -> Option<TcpStream> {
+        match TcpStream::connect(self.target()).await {
+            Ok(stream) => return Some(stream),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+            Err(_e) => return None,
+        }
+        self.refusing.send_if_modified(|state| {
+            let first = *state == Target::Accepts;
+            if first {
+                *state = Target::Refuses;
+            }
+            first
+        });
+        let mut state = self.refusing.subscribe();
+        drop(state.wait_for(|state| *state != Target::Refuses).await);
+        None
+    }
+}
+
+async fn forward(near: TcpStream, link: Link) {
     let mut cut = link.knobs.subscribe();
-    let _open = cut
-        .wait_for(|knobs| knobs.mode != Mode::Freeze)
-        .await
-        .is_ok();
+    drop(cut.wait_for(|knobs| knobs.mode != Mode::Freeze).await);
     if cut.borrow().mode == Mode::Cut {
         return;
     }
-    let target = *link.target.lock().unwrap_or_else(PoisonError::into_inner);
-    let Ok(mut far) = TcpStream::connect(target).await else {
+    let Some(far) = link.connect().await else {
         return;
     };
     drop((near.set_nodelay(true), far.set_nodelay(true)));
-    let (near_rx, near_tx) = near.split();
-    let (far_rx, far_tx) = far.split();
-    let up = pump(near_rx, far_tx, link.knobs.subscribe(), Mode::DropUp);
-    let down = pump(far_rx, near_tx, link.knobs.subscribe(), Mode::DropDown);
+    let (near_rx, near_tx) = near.into_split();
+    let (far_rx, far_tx) = far.into_split();
+    let up = async {
+        let mut far_tx = far_tx;
+        pump(near_rx, &mut far_tx, link.knobs.subscribe(), Mode::DropUp).await;
+        drop(far_tx.shutdown().await);
+    };
+    let down = async {
+        let mut near_tx = near_tx;
+        pump(far_rx, &mut near_tx, link.knobs.subscribe(), Mode::DropDown).await;
+        // The client must not see the end before the link refuses, if the process ended.
+        drop(link.connect().await);
+        drop(near_tx.shutdown().await);
+    };
     tokio::select! {
         _ = async { tokio::join!(up, down) } => {}
         _ = cut.wait_for(|knobs| knobs.mode == Mode::Cut) => {}
     }
 }
 
-/// Forwards one direction until its end, and then closes it.
-async fn pump<R, W>(mut from: R, mut to: W, mut knobs: watch::Receiver<Knobs>, lossy: Mode)
+/// Forwards one direction until its end.
+async fn pump<R, W>(mut from: R, to: &mut W, mut knobs: watch::Receiver<Knobs>, lossy: Mode)
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
@@ -169,5 +247,4 @@
             return;
         }
     }
-    drop(to.shutdown().await);
 }
--- a/crates/standin/tests/stand_ins.rs
+++ b/crates/standin/tests/stand_ins.rs
@@ -111,3 +111,24 @@
     stage.set_link(link, &json!({"mode": "cut"})).await;
     assert_eq!(standin::harness::get(link, "/bench/1").await.0, 0);
 }
+
+#[tokio::test]
+async fn a_link_refuses_while_its_process_is_dead() {
+    let stage = Stage::new().await;
+    let mut plain = stage.plain("b0").await;
+    plain.set(&json!({"poison": "boom"})).await;
+    let link = stage.link(plain.addr()).await;
+
+    assert_eq!(
+        standin::harness::post(link, "/bench/1", &json!("boom"))
+            .await
+            .0,
+        0
+    );
+    tokio::net::TcpStream::connect(link).await.unwrap_err();
+
+    plain.restart().await;
+    let limit = std::time::Duration::from_secs(10);
+    let answers = || async { standin::harness::get(link, "/bench/1").await.0 == 200 };
+    standin::harness::eventually(limit, "the link accepts again", answers).await;
+}
