Exchange state between entry hosts

Cause: hosts must learn the configuration, the host list, each other's liveness, loads and suspects without each of them loading the platform. Change: pure exchange state (membership by heartbeat counters, versions, host list, load digests, residents, suspect slots), a tarpc service that authenticates in its first call, and a handle for the process; bincode, which tarpc's transport uses, becomes a declared dependency because bytes are counted with it. Conclusion: the binary can be wired against peer::start and its handle.

--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -63,7 +63,10 @@
         let needed: Bytes = d.models.iter().map(|m| m.bytes).sum();
         assert!(fits_twice(&d), "{name}: two copies fit");
         let largest = d.backends.iter().map(|b| b.memory).max();
-        assert!(largest < Some(needed), "{name}: no worker holds every model");
+        assert!(
+            largest < Some(needed),
+            "{name}: no worker holds every model"
+        );
         let speeds = d
             .backends
             .iter()
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,89 @@
 //! Exchange between entry hosts: heartbeats, digests and configuration deltas.
+//!
+//! [`start`] listens for peers, exchanges state with two of them a second and follows the
+//! configuration on the platform. A pure state decides what to send and what to accept; the
+//! [`Handle`] gives the process the results and takes what the host itself knows.
+//!
+//! ```
+//! use config::Secret;
+//! use peer::{Options, Served, Spread};
+//! use types::{AdapterId, Epoch, Micros, ModelId, Monotonic};
+//!
+//! #[derive(Clone)]
+//! struct Process;
+//!
+//! impl Served for Process {
+//!     async fn want(&self, _: ModelId, _: Option<AdapterId>) {}
+//!
+//!     async fn yielded(&self, _: Epoch) -> bool {
+//!         true
+//!     }
+//! }
+//!
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let options = Options {
+//!     host: "entry-1".parse()?,
+//!     dc: "akl-north".parse()?,
+//!     listen: "127.0.0.1:0".parse()?,
+//!     advertise: None,
+//!     http: "127.0.0.1:8080".parse()?,
+//!     seeds: Vec::new(),
+//!     token: Secret::new("shared-by-all"),
+//!     period: Micros::from_millis(20),
+//!     spread: Spread::Relay,
+//! };
+//! let platform = store::MemPlatform::new();
+//! let (handle, _news) = peer::start(options, platform, Monotonic::start(), Process).await?;
+//!
+//! let mut members = handle.members();
+//! members.wait_for(|members| members.len() == 1).await?;
+//! handle.stop();
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! # }).unwrap();
+//! ```
+
+mod codec;
+mod error;
+mod event;
+mod exchange;
+mod handle;
+mod hosts;
+mod load;
+mod member;
+mod message;
+mod node;
+mod residents;
+mod serve;
+mod slot;
+mod state;
+mod traffic;
+mod version;
+mod wire;
+
+pub use error::{Category, Error, Result};
+pub use event::Spread;
+pub use handle::{Convergence, Handle, Options, Shared, start};
+pub use hosts::{Host, Inventory};
+pub use member::{Member, MemberState};
+pub use message::{MessageKind, OwnState};
+pub use node::{Heard, News};
+pub use serve::Served;
+pub use traffic::Traffic;
+
+/// Hashes parts such that no two lists of parts are alike.
+pub(crate) fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
+
+/// Hashes parts to four bytes that are never all zero.
+pub(crate) fn short_hash(parts: &[&[u8]]) -> u32 {
+    let [a, b, c, d, ..] = hash(parts).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d]).max(1)
+}
--- /dev/null
+++ b/crates/peer/src/traffic.rs
@@ -0,0 +1,86 @@
+//! Counts of bytes by kind of message.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bincode::Options;
+use serde::Serialize;
+
+use crate::message::MessageKind;
+
+/// Bytes around each message: frame length, request id, deadline, trace context and variant.
+const ENVELOPE: u64 = 48;
+
+/// Bytes of one kind of message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Traffic {
+    /// Kind of message.
+    pub kind: MessageKind,
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+}
+
+/// Bytes by kind of message.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    sent: [AtomicU64; MessageKind::ALL.len()],
+    received: [AtomicU64; MessageKind::ALL.len()],
+    garbage: AtomicU64,
+    refused: AtomicU64,
+}
+
+/// Returns the size of a message on the wire.
+pub(crate) fn size<T: Serialize>(message: &T) -> u64 {
+    let payload = bincode::DefaultOptions::new().serialized_size(message);
+    payload.unwrap_or_default() + ENVELOPE
+}
+
+impl Counts {
+    pub(crate) fn sent<T: Serialize>(&self, kind: MessageKind, message: &T) {
+        let bytes = size(message);
+        self.sent[kind as usize].fetch_add(bytes, Ordering::Relaxed);
+        count("sent", kind, bytes);
+    }
+
+    pub(crate) fn received<T: Serialize>(&self, kind: MessageKind, message: &T) {
+        let bytes = size(message);
+        self.received[kind as usize].fetch_add(bytes, Ordering::Relaxed);
+        count("received", kind, bytes);
+    }
+
+    /// Counts a message that can't be decoded or can't be right.
+    pub(crate) fn garbage(&self) {
+        self.garbage.fetch_add(1, Ordering::Relaxed);
+        let code = types::Code::PeerGarbage.label();
+        metrics::counter!("celerytally_peer_garbage_total", "code" => code).increment(1);
+    }
+
+    pub(crate) fn garbage_count(&self) -> u64 {
+        self.garbage.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection with a wrong token.
+    pub(crate) fn refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("celerytally_peer_refused_total").increment(1);
+    }
+
+    pub(crate) fn refused_count(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn list(&self) -> Vec<Traffic> {
+        let traffic = |kind: MessageKind| Traffic {
+            kind,
+            sent: self.sent[kind as usize].load(Ordering::Relaxed),
+            received: self.received[kind as usize].load(Ordering::Relaxed),
+        };
+        MessageKind::ALL.into_iter().map(traffic).collect()
+    }
+}
+
+fn count(direction: &'static str, kind: MessageKind, bytes: u64) {
+    let labels = [("direction", direction), ("kind", kind.label())];
+    metrics::counter!("celerytally_peer_bytes_total", &labels).increment(bytes);
+}
--- /dev/null
+++ b/crates/peer/tests/sockets.rs
@@ -0,0 +1,221 @@
+//! The exchange over real connections.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use config::{Deployment, Secret};
+use peer::{Handle, News, Options, Served, Spread};
+use route::{Fingerprint, SuspectMark, SuspectState};
+use store::MemPlatform;
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::mpsc, time::timeout};
+use types::{AdapterId, Epoch, Incarnation, Micros, ModelId, Monotonic};
+
+const TOKEN: &str = "right-token";
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[derive(Clone)]
+struct Process;
+
+impl Served for Process {
+    async fn want(&self, _: ModelId, _: Option<AdapterId>) {}
+
+    async fn yielded(&self, epoch: Epoch) -> bool {
+        epoch == Epoch::new(3)
+    }
+}
+
+type Node = Handle<MemPlatform, Monotonic, Process>;
+
+async fn start(
+    platform: &MemPlatform,
+    name: &str,
+    token: &str,
+    seeds: Vec<SocketAddr>,
+) -> (Node, mpsc::Receiver<News>) {
+    let options = Options {
+        host: name.parse().unwrap(),
+        dc: "akl-north".parse().unwrap(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        advertise: None,
+        http: "127.0.0.1:9".parse().unwrap(),
+        seeds,
+        token: Secret::new(token),
+        period: Micros::from_millis(50),
+        spread: Spread::Relay,
+    };
+    let clock = Monotonic::start();
+    peer::start(options, platform.clone(), clock, Process)
+        .await
+        .unwrap()
+}
+
+async fn group(platform: &MemPlatform, n: usize) -> (Vec<Node>, Vec<mpsc::Receiver<News>>) {
+    let (first, news) = start(platform, "entry-0", TOKEN, Vec::new()).await;
+    let seed = first.addr();
+    let (mut nodes, mut all_news) = (vec![first], vec![news]);
+    for i in 1..n {
+        let (node, news) = start(platform, &format!("entry-{i}"), TOKEN, vec![seed]).await;
+        nodes.push(node);
+        all_news.push(news);
+    }
+    for node in &nodes {
+        let mut members = node.members();
+        let complete = members.wait_for(|m| m.len() == n);
+        timeout(LIMIT, complete)
+            .await
+            .expect("members meet")
+            .unwrap();
+    }
+    (nodes, all_news)
+}
+
+fn te_awa() -> Deployment {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    config::from_path(root.join("../../examples/te-awa.toml")).unwrap()
+}
+
+async fn in_force(node: &Node, version: u64) {
+    let mut rx = node.in_force();
+    let reached = rx.wait_for(|c| c.as_ref().is_some_and(|c| c.version.get() >= version));
+    timeout(LIMIT, reached)
+        .await
+        .expect("the version spreads")
+        .unwrap();
+}
+
+/// Guards against hosts that miss a change, or that follow the platform only.
+#[tokio::test]
+async fn changes_reach_every_host() {
+    let platform = MemPlatform::new();
+    let (nodes, _news) = group(&platform, 4).await;
+    let mut d = te_awa();
+    for version in 1..=3 {
+        d.limits.queue += 1;
+        config::apply(&platform, &d, "ana", None).await.unwrap();
+        for node in &nodes {
+            in_force(node, version).await;
+        }
+    }
+    platform.set_down(true);
+    let (late, _news) = start(&platform, "entry-9", TOKEN, vec![nodes[0].addr()]).await;
+    in_force(&late, 3).await;
+    let got = late.in_force().borrow().clone().unwrap();
+    assert_eq!(*got.deployment, d);
+    assert!(nodes.iter().all(|n| n.garbage() == 0));
+}
+
+/// Guards against a process that joins, or learns the configuration, without the token.
+#[tokio::test]
+async fn a_wrong_token_is_refused() {
+    let platform = MemPlatform::new();
+    let (nodes, _news) = group(&platform, 2).await;
+    config::apply(&platform, &te_awa(), "ana", None)
+        .await
+        .unwrap();
+    in_force(&nodes[0], 1).await;
+    let elsewhere = MemPlatform::new();
+    let seeds = vec![nodes[0].addr()];
+    let (stranger, _news) = start(&elsewhere, "stranger", "wrong-token", seeds).await;
+    let refused = async {
+        while nodes[0].refused() < 3 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(LIMIT, refused).await.expect("attempts are refused");
+    let traffic = stranger.traffic();
+    assert!(traffic.iter().all(|t| t.sent == 0 && t.received == 0));
+    assert!(stranger.in_force().borrow().is_none());
+    assert_eq!(stranger.members().borrow().len(), 1);
+    assert_eq!(nodes[0].members().borrow().len(), 2);
+}
+
+/// Guards against a process that stops, or hides it, when a peer sends garbage.
+#[tokio::test]
+async fn garbage_is_counted_and_dropped() {
+    let platform = MemPlatform::new();
+    let (nodes, _news) = group(&platform, 2).await;
+    let frames: [&[u8]; 3] = [
+        b"\x00\x00\x00\x08\xff\xff\xff\xff\xff\xff\xff\xff",
+        b"\xff\xff\xff\xff",
+        b"\x00\x00\x00\x05\x00\x09\x09\x09\x09",
+    ];
+    for frame in frames {
+        let mut stream = TcpStream::connect(nodes[0].addr()).await.unwrap();
+        stream.write_all(frame).await.unwrap();
+        stream.flush().await.unwrap();
+    }
+    let counted = async {
+        while nodes[0].garbage() < 3 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(LIMIT, counted).await.expect("garbage is counted");
+    config::apply(&platform, &te_awa(), "ana", None)
+        .await
+        .unwrap();
+    in_force(&nodes[0], 1).await;
+    in_force(&nodes[1], 1).await;
+}
+
+/// Guards against an acknowledgement before the router has taken the marks over.
+#[tokio::test]
+async fn suspects_are_acknowledged_once_heard() {
+    let platform = MemPlatform::new();
+    let (nodes, mut news) = group(&platform, 2).await;
+    let mark = SuspectMark {
+        fingerprint: Fingerprint::new(7),
+        state: SuspectState::Suspected,
+        backend: "w-north-1".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+    };
+    let router = async {
+        while let Some(item) = news[1].recv().await {
+            if let News::Suspects { marks, heard } = item {
+                drop(heard);
+                return marks;
+            }
+        }
+        Vec::new()
+    };
+    let (shared, marks) = tokio::join!(nodes[0].share_suspects(vec![mark.clone()]), router);
+    assert_eq!((shared.acknowledged, marks), (1, vec![mark.clone()]));
+    // A router that does not take them over leads to a missing acknowledgement.
+    let shared = nodes[0].share_suspects(vec![mark]).await;
+    assert_eq!(shared.missed, ["entry-1".parse().unwrap()]);
+}
+
+/// Guards against wants and questions that do not reach the right host.
+#[tokio::test]
+async fn questions_reach_the_right_host() {
+    let platform = MemPlatform::new();
+    let (nodes, _news) = group(&platform, 3).await;
+    let model: ModelId = "crack-spotter".parse().unwrap();
+    assert!(!nodes[0].want(model.clone(), None).await, "no controller");
+    nodes[2].set_lease(Some(Epoch::new(4)));
+    let mut members = nodes[0].members();
+    let held = members.wait_for(|m| m.iter().any(|m| m.holds.is_some()));
+    timeout(LIMIT, held).await.unwrap().unwrap();
+    assert!(nodes[0].want(model, None).await);
+    let host = "entry-1".parse().unwrap();
+    assert!(nodes[0].yielded(&host, Epoch::new(3)).await);
+    assert!(!nodes[0].yielded(&host, Epoch::new(9)).await);
+
+    config::apply(&platform, &te_awa(), "ana", None)
+        .await
+        .unwrap();
+    for node in &nodes {
+        in_force(node, 1).await;
+    }
+    let worker = "w-north-1".parse().unwrap();
+    let granted = async {
+        while !nodes[0].ask_slot(Fingerprint::new(1), &worker).await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, granted).await.expect("a slot is granted");
+    for node in &nodes {
+        assert!(
+            !node.ask_slot(Fingerprint::new(2), &worker).await,
+            "the slot is taken"
+        );
+    }
+}
