--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -91,7 +91,7 @@
 static TURNS: Semaphore = Semaphore::const_new(2);
 
 /// Bounds the time until a deployment is served as intended.
-const SERVED_LIMIT: Duration = Duration::from_secs(60);
+const SERVED_LIMIT: Duration = Duration::from_mins(1);
 
 impl Cluster {
     /// Starts the small deployment with three entry hosts and waits until it is served.
--- a/crates/standin/src/harness/process.rs
+++ b/crates/standin/src/harness/process.rs
@@ -116,7 +116,7 @@
     }
 
     /// Tells whether the process runs.
-    pub fn runs(&mut self) -> bool {
+    pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
 }
--- a/crates/standin/src/harness/stage.rs
+++ b/crates/standin/src/harness/stage.rs
@@ -116,6 +116,12 @@
         finish(req).await
     }
 
+    /// Writes a platform object whatever its version.
+    pub async fn put_object(&self, kind: &str, name: &str, spec: &Value) {
+        let path = format!("/admin/objects/{kind}/{name}");
+        call(Method::PUT, self.addr, &path, Some(spec)).await;
+    }
+
     /// Changes or adds a host in the platform's list; `null` removes it.
     pub async fn set_host(&self, name: &str, spec: &Value) {
         let path = format!("/admin/hosts/{name}");
