--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Starts, holds, freezes and stops the processes of a test.
 
 mod cluster;
+mod deployment;
 mod entry;
 mod process;
 mod stage;
@@ -12,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 pub use cluster::{Backend, Cluster, Layout};
+pub use deployment::{CALLER_TOKEN, small};
 pub use entry::{EntryHost, Reply};
 pub use process::Process;
 pub use stage::{Stage, StandIn};
@@ -52,6 +54,11 @@
     call(Method::GET, addr, path, None).await
 }
 
+/// Sends a JSON body and returns the status and JSON body, with status 0 for a broken connection.
+pub async fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    call(Method::POST, addr, path, Some(body)).await
+}
+
 /// Sends a call with a JSON body and returns the status and JSON body.
 pub(crate) async fn call(
     method: Method,
