Resume streams at their server and drive the real router

Cause: the router refuses a stream whose answer has begun, so a resumption by another dispatch never happens; a lost remote entry host was diagnosed as if it were a backend server; a remote failure of a claimed request was stored as its answer. Change: the gate resumes a broken stream at its own server, at most three times, and counts it; `Step` is implemented for `route::Router`; failures of another entry host get their own code; an outcome with a remote result code is recorded for what it is; large responses and event streams of plain services pass through; requests are counted by the entry host that the caller reached. Conclusion: the binary can wire `route::Router` without an adapter.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -2,30 +2,27 @@
 
 use std::{sync::Arc, time::Duration};
 
-use engine::{Answer, Call, Client, Error, Protocol, Server};
-use reqwest::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use engine::{Answer, Category, Client, Error, Server};
+use reqwest::header::HeaderValue;
 use route::{Event, Failure, Liveness};
 use tokio::time::Instant as TokioInstant;
-use types::{
-    BackendId, Clock, Code, DataCentreId, Deadline, Instant, Micros, Monotonic, Ran, RetryReason,
-};
+use types::{BackendId, Clock, Code, DataCentreId, Instant, Micros, Monotonic, Ran, RetryReason};
 
 use crate::{
-    auth::{FORWARDED_CALLER, HOP},
+    call,
     count::Counters,
     dispatcher::{Decision, Dispatcher, Flight, Step},
     job::Job,
-    limit::DEADLINE,
     peers::Peers,
-    refusal::{CODE, Refusal},
+    refusal::{self, Refusal},
 };
 
 /// Time after a failed attempt in which the router's decision is awaited even beyond the deadline,
 /// because suspects are shared with peers before a refusal is sent.
 const SHARE_GRACE: Duration = Duration::from_secs(2);
 
-/// Bounds a deadline that is turned into a timer.
-const MAX_TIMER: Duration = Duration::from_hours(24);
+/// Resumptions of one stream; a server that breaks it more often is not going to finish it.
+const MAX_RESUMES: u32 = 3;
 
 /// What is needed to run requests.
 pub(crate) struct Runner<R, N> {
@@ -57,27 +54,16 @@
     /// Code of the last attempt that may have run.
     ran: Option<Code>,
     failed: bool,
+    /// Whether the last attempt went to another entry host.
+    pub(crate) remote: bool,
     /// Events that were passed on to the caller; nothing until the first byte.
     pub(crate) delivered: Option<u64>,
+    resumes: u32,
     arrived: Instant,
-    pub(crate) timing: Timing,
-}
-
-/// Times that are told in the `Server-Timing` header.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Timing {
     queue: Micros,
     backend: Micros,
 }
 
-impl Timing {
-    pub(crate) fn header(self) -> Option<HeaderValue> {
-        let ms = |t: Micros| t.as_secs_f64() * 1e3;
-        let (queue, backend) = (ms(self.queue), ms(self.backend));
-        HeaderValue::try_from(format!("queue;dur={queue:.1}, backend;dur={backend:.1}")).ok()
-    }
-}
-
 impl<R: Step, N: Peers> Attempts<R, N> {
     pub(crate) fn begin(runner: Runner<R, N>, job: Arc<Job>) -> Self {
         Self {
@@ -87,30 +73,39 @@
             job,
             ran: None,
             failed: false,
+            remote: false,
             delivered: None,
-            timing: Timing::default(),
+            resumes: 0,
+            queue: Micros::ZERO,
+            backend: Micros::ZERO,
         }
     }
 
+    /// Returns the value of the `Server-Timing` header.
+    pub(crate) fn timing(&self) -> Option<HeaderValue> {
+        let ms = |t: Micros| t.as_secs_f64() * 1e3;
+        let (queue, backend) = (ms(self.queue), ms(self.backend));
+        HeaderValue::try_from(format!("queue;dur={queue:.1}, backend;dur={backend:.1}")).ok()
+    }
+
     /// Waits for the router and sends the request until a server responds or it is refused.
     pub(crate) async fn open(&mut self) -> Result<(Server, Answer), Refusal> {
         loop {
-            let decided = self.decide().await?;
+            let server = self.decide().await?;
             let sent_at = self.runner.clock.now();
-            self.timing.queue = sent_at.since(self.arrived);
-            let (server, sent) = match decided {
-                Target::Backend(server) => {
-                    let sent = self.dispatch(&server).await;
-                    (server, sent)
-                }
-                Target::EntryHost(server) => {
-                    let sent = self.forward(&server).await;
-                    (server, sent)
-                }
+            self.queue = sent_at.since(self.arrived);
+            let call = if self.remote {
+                let bearer = self.runner.host_bearer.clone();
+                call::forward(&self.job, sent_at, bearer)
+            } else {
+                call::dispatch(&self.job, sent_at)
             };
-            self.timing.backend = self.runner.clock.now().since(sent_at);
+            let sent = self.runner.engine.send(&server, call).await;
+            self.backend = self.runner.clock.now().since(sent_at);
             match sent {
-                Ok(answer) if is_refused_remotely(&answer) => self.fail_remotely(),
+                Ok(answer) if self.remote && is_refused(&answer) => {
+                    self.report(RetryReason::Refused, false);
+                }
                 Ok(answer) => {
                     self.observe(&server, &answer);
                     return Ok((server, answer));
@@ -121,7 +116,7 @@
     }
 
     /// Returns the next server to try.
-    async fn decide(&mut self) -> Result<Target, Refusal> {
+    async fn decide(&mut self) -> Result<Server, Refusal> {
         loop {
             let limit = self.decision_limit();
             let decided = tokio::time::timeout_at(limit, self.flight.decision()).await;
@@ -136,19 +131,24 @@
                     return Err(self.refusal(Code::RetriesExhausted, None));
                 }
                 Decision::Dispatch { backend, .. } => {
-                    self.runner.dispatcher.server(&backend).map(Target::Backend)
+                    self.remote = false;
+                    self.runner.dispatcher.server(&backend)
+                }
+                Decision::Forward(dc) => {
+                    self.remote = true;
+                    self.entry_host(&dc)
                 }
-                Decision::Forward(dc) => self.entry_host(&dc).map(Target::EntryHost),
             };
             match found {
-                Some(target) => return Ok(target),
-                None => self.fail_before_dispatch(),
+                Some(server) => return Ok(server),
+                None => self.report(RetryReason::Unreachable, false),
             }
         }
     }
 
     fn decision_limit(&self) -> TokioInstant {
-        let deadline = self.timer();
+        let now = self.runner.clock.now();
+        let deadline = call::timer(self.job.ticket.deadline, now);
         if self.failed {
             deadline.max(TokioInstant::now() + SHARE_GRACE)
         } else {
@@ -156,30 +156,29 @@
         }
     }
 
-    fn timer(&self) -> TokioInstant {
-        timer(self.job.ticket.deadline, self.runner.clock.now())
-    }
-
-    /// Tells whether another dispatch could run a request twice that must not be.
+    /// Tells whether another dispatch could repeat what the caller has seen or must not be run
+    /// twice.
     ///
-    /// The resumption of a stream runs nothing again.
+    /// The router decides the same; this holds even if it does not.
     fn must_not_repeat(&self) -> bool {
-        !self.job.ticket.idempotent && self.ran.is_some() && self.delivered.is_none()
+        let once = !self.job.ticket.idempotent;
+        self.delivered.is_some() || (once && self.ran.is_some())
     }
 
     fn refusal(&self, code: Code, retry_after: Option<Micros>) -> Refusal {
+        let once = !self.job.ticket.idempotent;
         match (self.delivered, self.ran) {
-            (Some(_), Some(Code::DeadlineExceeded)) => Code::DeadlineExceeded.into(),
-            (Some(_), _) => Refusal::decided(code, Some(Code::StreamInterrupted), retry_after),
-            // A code of the router that allows a resend must not hide that this one may have run.
-            (None, Some(ran)) if !self.job.ticket.idempotent && code.may_resend() => ran.into(),
-            (None, ran) => Refusal::decided(code, ran, retry_after),
+            // More is known here than in the router, which takes a timeout for a cut.
+            (_, Some(Code::DeadlineExceeded)) => Code::DeadlineExceeded.into(),
+            (Some(_), _) if !refusal::is_suspect(code) => Code::StreamInterrupted.into(),
+            // A code that allows a resend must not hide that this request may have run.
+            (_, Some(ran)) if once && code.may_resend() => ran.into(),
+            (_, ran) => Refusal::decided(code, ran, retry_after),
         }
     }
 
     fn entry_host(&self, dc: &DataCentreId) -> Option<Server> {
-        // A response that has begun can only be resumed by the server that gave it.
-        if self.job.ticket.forwarded || self.delivered.is_some() {
+        if self.job.ticket.forwarded {
             return None;
         }
         let addr = self.runner.dispatcher.entry_host(dc)?;
@@ -187,61 +186,10 @@
         Some(Server { id, addr })
     }
 
-    async fn dispatch(&self, server: &Server) -> engine::Result<Answer> {
-        let deadline = self.timer();
-        if let Some(from) = self.delivered {
-            let (id, headers) = (self.job.ticket.id, self.job.headers.clone());
-            return self
-                .runner
-                .engine
-                .resume(server, id, from, headers, deadline)
-                .await;
-        }
-        let mut headers = self.job.headers.clone();
-        if self.job.protocol == Protocol::Plain {
-            self.set_deadline(&mut headers);
-        }
-        let call = Call {
-            id: self.job.ticket.id,
-            method: self.job.method.clone(),
-            path: self.job.path.clone(),
-            headers,
-            body: self.job.body.clone(),
-            protocol: self.job.protocol,
-            idempotent: self.job.ticket.idempotent,
-            deadline,
-        };
-        self.runner.engine.send(server, call).await
-    }
-
-    async fn forward(&self, server: &Server) -> engine::Result<Answer> {
-        let mut headers = self.job.headers.clone();
-        self.set_deadline(&mut headers);
-        headers.insert(HOP, HeaderValue::from_static("1"));
-        headers.insert(AUTHORIZATION, self.runner.host_bearer.clone());
-        if let Ok(caller) = HeaderValue::from_str(self.job.sender.caller.id.as_str()) {
-            headers.insert(FORWARDED_CALLER, caller);
-        }
-        let call = Call {
-            id: self.job.ticket.id,
-            method: self.job.method.clone(),
-            path: self.job.public_path.clone(),
-            headers,
-            body: self.job.original.clone(),
-            protocol: Protocol::EntryHost,
-            idempotent: self.job.ticket.idempotent,
-            deadline: self.timer(),
-        };
-        self.runner.engine.send(server, call).await
-    }
-
-    /// Tells the receiver the remaining time, rounded down so that it never lasts longer there.
-    fn set_deadline(&self, headers: &mut HeaderMap) {
-        let remaining = self.job.ticket.deadline.remaining(self.runner.clock.now());
-        headers.insert(DEADLINE, (remaining.get() / 1_000).max(1).into());
-    }
-
     fn observe(&self, server: &Server, answer: &Answer) {
+        if self.remote {
+            return;
+        }
         let backend = || server.id.clone();
         if let Some(load) = answer.load() {
             self.runner.dispatcher.feed(Event::Hint {
@@ -258,36 +206,67 @@
         }
     }
 
+    /// Asks the server for the rest of a stream that broke, unless the server has crashed.
+    pub(crate) async fn resume(&mut self, server: &Server, err: Error) -> Result<Answer, Error> {
+        let err = self.diagnose(server, err).await;
+        let Some(from) = self.delivered else {
+            return Err(err);
+        };
+        let broken = matches!(err.category(), Category::Cut | Category::Truncated);
+        if self.remote || !broken || self.resumes == MAX_RESUMES {
+            return Err(err);
+        }
+        self.resumes += 1;
+        let deadline = call::timer(self.job.ticket.deadline, self.runner.clock.now());
+        let (id, headers) = (self.job.ticket.id, self.job.headers.clone());
+        let engine = &self.runner.engine;
+        match engine.resume(server, id, from, headers, deadline).await {
+            Ok(answer) => {
+                self.runner.counters.retry(RetryReason::Resume);
+                Ok(answer)
+            }
+            // The first failure says what happened to the request.
+            Err(_) => Err(err),
+        }
+    }
+
+    async fn diagnose(&self, server: &Server, err: Error) -> Error {
+        if self.remote {
+            return err;
+        }
+        self.runner.engine.diagnose(server, err).await
+    }
+
     /// Tells the router of a failed attempt, after its cause was diagnosed.
     pub(crate) async fn fail(&mut self, server: &Server, err: Error) {
-        let err = self.runner.engine.diagnose(server, err).await;
-        tracing::debug!(request = %self.job.ticket.id, "attempt failed: {err}");
+        let err = self.diagnose(server, err).await;
         let backend = server.id.clone();
         match err.category() {
-            engine::Category::Crashed => self.runner.dispatcher.feed(Event::Crashed {
+            Category::Crashed => self.runner.dispatcher.feed(Event::Crashed {
                 backend,
                 incarnation: err.incarnation().unwrap_or_default(),
             }),
-            engine::Category::Leaving => self.runner.dispatcher.feed(Event::Liveness {
+            Category::Leaving => self.runner.dispatcher.feed(Event::Liveness {
                 backend,
                 liveness: Liveness::Leaving,
             }),
             _ => {}
         }
         if err.may_have_run() {
-            self.ran = Some(err.code());
+            let late = err.category() == Category::Timeout;
+            self.ran = Some(if self.remote && !late {
+                Code::ForwardFailed
+            } else {
+                err.code()
+            });
+            if !self.job.ticket.idempotent {
+                let id = self.job.ticket.id;
+                tracing::warn!(request = %id, "outcome unknown: {err}");
+            }
         }
         self.report(err.retry_reason(), err.may_have_run());
     }
 
-    fn fail_before_dispatch(&mut self) {
-        self.report(RetryReason::Unreachable, false);
-    }
-
-    fn fail_remotely(&mut self) {
-        self.report(RetryReason::Refused, false);
-    }
-
     fn report(&mut self, reason: RetryReason, may_have_run: bool) {
         self.failed = true;
         self.flight.failed(Failure {
@@ -302,30 +281,17 @@
         let late = self.job.ticket.deadline.is_past(self.runner.clock.now());
         let ok = ok && !late;
         self.flight.finished(tokens, ok);
-        if ok {
+        // The entry host that the caller reached counts a forwarded request.
+        if ok && !self.job.ticket.forwarded {
             self.runner.counters.in_time();
         }
     }
 }
 
-enum Target {
-    Backend(Server),
-    EntryHost(Server),
-}
-
-/// Tells whether another entry host refused the request as not run and worth a resend.
-fn is_refused_remotely(answer: &Answer) -> bool {
-    let Some(code) = answer.headers().get(CODE) else {
-        return false;
-    };
-    let code: Option<u16> = code.to_str().ok().and_then(|v| v.parse().ok());
-    Code::ALL
-        .iter()
-        .find(|c| Some(c.number()) == code)
-        .is_some_and(|c| c.ran() == Ran::No && c.may_resend())
-}
-
-fn timer(deadline: Deadline, now: Instant) -> TokioInstant {
-    let remaining: Duration = deadline.remaining(now).into();
-    TokioInstant::now() + remaining.min(MAX_TIMER)
+/// Tells whether another entry host refused the request as not run.
+///
+/// The verdict on a crashing request is final; any other refusal may not hold here.
+fn is_refused(answer: &Answer) -> bool {
+    refusal::code(answer.headers())
+        .is_some_and(|code| code.ran() == Ran::No && code != Code::CrashingRequest)
 }
--- a/crates/gate/src/auth.rs
+++ b/crates/gate/src/auth.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use config::{Caller, Deployment, TokenHash};
-use salvo::http::{HeaderMap, HeaderValue, header::AUTHORIZATION, header::HeaderName};
+use salvo::http::{HeaderMap, header::AUTHORIZATION, header::HeaderName};
 use subtle::{Choice, ConstantTimeEq};
 use types::{CallerId, Code, ServiceName};
 
@@ -55,6 +55,11 @@
     (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
 }
 
+/// Tells whether another entry host sent the request.
+pub(crate) fn is_forwarded(headers: &HeaderMap, host: &Secret) -> bool {
+    headers.contains_key(HOP) && host.is_sent(headers)
+}
+
 /// Proves the sender of a request to the caller API.
 ///
 /// A hop header counts only with the token of an entry host.
@@ -63,11 +68,8 @@
     deployment: &Deployment,
     host: &Secret,
 ) -> Result<Sender, Refusal> {
-    let hop = headers.get(HOP).map(HeaderValue::as_bytes);
-    if let Some(hop) = hop
-        && host.is_sent(headers)
-    {
-        if hop != b"1" {
+    if is_forwarded(headers, host) {
+        if headers.get(HOP).is_some_and(|hop| hop != "1") {
             return Err(Code::HopLimit.into());
         }
         return forwarded(headers, deployment);
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -24,7 +24,7 @@
     expiry::Expiry,
     job::{Job, digest},
     peers::Peers,
-    refusal::Refusal,
+    refusal::{self, Refusal},
     reply::{Body, Reply},
 };
 
@@ -240,16 +240,24 @@
         Err(refusal) => Err(refusal),
     };
     let outcome = match &reply {
-        Ok(reply) => Outcome::Finished(kept(reply)),
-        Err(refusal) => match refusal.ran {
-            Ran::No => Outcome::NotRun(refusal.code),
-            Ran::Yes => Outcome::Finished(None),
-            Ran::Unknown => Outcome::Unknown(refusal.code),
+        // Another entry host's refusal or failure passes through as a response with a code.
+        Ok(reply) => match refusal::code(&reply.headers) {
+            Some(code) => failed(code, code.ran()),
+            None => Outcome::Finished(kept(reply)),
         },
+        Err(refusal) => failed(refusal.code, refusal.ran),
     };
     Dispatched { outcome, reply }
 }
 
+fn failed(code: Code, ran: Ran) -> Outcome {
+    match ran {
+        Ran::No => Outcome::NotRun(code),
+        Ran::Yes => Outcome::Finished(None),
+        Ran::Unknown => Outcome::Unknown(code),
+    }
+}
+
 /// Reads a response to its end, which decides the outcome.
 async fn collect(mut reply: Reply) -> Result<Reply, Refusal> {
     let Body::Stream(body) = &mut reply.body else {
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -22,6 +22,12 @@
     fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>);
 }
 
+impl Step for route::Router {
+    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
+        Self::step(self, now, ev, out);
+    }
+}
+
 /// Decision of the router on a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Decision {
@@ -87,7 +93,12 @@
                 .in_force
                 .write()
                 .unwrap_or_else(PoisonError::into_inner);
-            *held = Some(Arc::clone(in_force));
+            if held
+                .as_ref()
+                .is_none_or(|old| old.version < in_force.version)
+            {
+                *held = Some(Arc::clone(in_force));
+            }
         }
         let mut out = Vec::new();
         lock(&self.0.router).step(self.0.clock.now(), ev, &mut out);
@@ -145,22 +156,27 @@
     }
 
     /// Hands a request to the router.
+    ///
+    /// A second request with the id of one in flight is refused, because decisions are told by id.
     pub(crate) fn arrive(&self, ticket: Ticket) -> Flight<R, N> {
         let id = ticket.id;
         let (tx, rx) = unbounded_channel();
         let mut flights = lock(&self.0.flights);
-        match flights.binary_search_by_key(&id, |(id, _)| *id) {
-            Ok(at) => flights[at].1 = tx,
-            Err(at) => flights.insert(at, (id, tx)),
+        let free = flights.binary_search_by_key(&id, |(id, _)| *id);
+        if let Err(at) = free {
+            flights.insert(at, (id, tx));
         }
         drop(flights);
         let flight = Flight {
             dispatcher: self.clone(),
             id,
             rx,
-            open: true,
+            listed: free.is_err(),
+            open: free.is_err(),
         };
-        self.feed(Event::Arrive(ticket));
+        if flight.listed {
+            self.feed(Event::Arrive(ticket));
+        }
         flight
     }
 
@@ -242,6 +258,8 @@
     dispatcher: Dispatcher<R, N>,
     id: RequestId,
     rx: UnboundedReceiver<Decision>,
+    listed: bool,
+    /// Whether the router still knows the request.
     open: bool,
 }
 
@@ -276,6 +294,9 @@
 
 impl<R: Step, N: Peers> Drop for Flight<R, N> {
     fn drop(&mut self) {
+        if !self.listed {
+            return;
+        }
         let mut flights = lock(&self.dispatcher.0.flights);
         if let Ok(at) = flights.binary_search_by_key(&self.id, |(id, _)| *id) {
             flights.remove(at);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -61,6 +61,7 @@
 
 mod attempt;
 mod auth;
+mod call;
 mod claims;
 mod count;
 mod dispatcher;
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use salvo::http::{
-    HeaderValue, StatusCode,
+    HeaderMap, HeaderValue, StatusCode,
     header::{CONTENT_TYPE, HeaderName, RETRY_AFTER},
 };
 use serde_json::json;
@@ -12,6 +12,12 @@
 
 pub(crate) const CODE: HeaderName = HeaderName::from_static("x-celerytally-code");
 
+/// Returns the result code that a response carries.
+pub(crate) fn code(headers: &HeaderMap) -> Option<Code> {
+    let number: u16 = headers.get(CODE)?.to_str().ok()?.parse().ok()?;
+    Code::ALL.iter().copied().find(|c| c.number() == number)
+}
+
 /// Time after which a resend is suggested when nothing better is known.
 const DEFAULT_RETRY_AFTER: Micros = Micros::from_secs(1);
 
@@ -21,6 +27,11 @@
 /// Last number of that group.
 const LAST_SUSPECT_CODE: u16 = 699;
 
+/// Tells whether a code is about requests that crash backend servers.
+pub(crate) fn is_suspect(code: Code) -> bool {
+    (FIRST_SUSPECT_CODE..=LAST_SUSPECT_CODE).contains(&code.number())
+}
+
 /// Refusal or failure of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -48,9 +59,8 @@
     /// A code that says "not run" is replaced by that of the attempt. The codes of crashing requests
     /// stay, because callers need them, but no longer say "not run".
     pub(crate) fn decided(code: Code, may_have_run: Option<Code>, after: Option<Micros>) -> Self {
-        let suspect = (FIRST_SUSPECT_CODE..=LAST_SUSPECT_CODE).contains(&code.number());
         match may_have_run {
-            Some(attempt) if code.ran() == Ran::No && !suspect => Self::from(attempt),
+            Some(attempt) if code.ran() == Ran::No && !is_suspect(code) => Self::from(attempt),
             Some(_) if code.ran() == Ran::No => Self {
                 ran: Ran::Unknown,
                 retry_after: after,
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -17,7 +17,7 @@
     dispatcher::Step,
     job::Job,
     peers::Peers,
-    refusal::Refusal,
+    refusal::{CODE, Refusal},
     reply::{Body, Reply},
 };
 
@@ -57,6 +57,9 @@
             if attempts.job.stream && answer.is_event_stream() && answer.status().is_success() {
                 return relay(attempts, server, answer).await;
             }
+            if attempts.passes_through(&answer) {
+                return Ok(pass_through(attempts, server, Bytes::new(), answer));
+            }
             match answer.read(MAX_BUFFERED).await {
                 Ok(Ok(whole)) => return attempts.whole(whole),
                 Ok(Err((head, answer))) => return Ok(pass_through(attempts, server, head, answer)),
@@ -67,14 +70,22 @@
 }
 
 impl<R: Step, N: Peers> Attempts<R, N> {
+    /// Tells whether a response is passed on as it arrives: a large one, or the event stream of a
+    /// plain service.
+    fn passes_through(&self, answer: &Answer) -> bool {
+        let plain = self.job.protocol == Protocol::Plain;
+        let length = answer.content_length().unwrap_or(0);
+        let empty = self.job.method == Method::HEAD;
+        !empty && ((plain && answer.is_event_stream()) || length > MAX_BUFFERED as u64)
+    }
+
     fn whole(&mut self, whole: Whole) -> Result<Reply, Refusal> {
         let model = self.job.protocol == Protocol::Model;
         let failed = whole.status.is_server_error();
         let tokens = if model { tokens(&whole.body) } else { 0 };
         self.flight.first_byte();
         self.finish(tokens, !failed);
-        let by_host = whole.headers.contains_key(crate::refusal::CODE);
-        if model && failed && !by_host {
+        if model && failed && !self.remote {
             return Err(Code::BackendError.into());
         }
         let mut headers = whole.headers;
@@ -88,9 +99,12 @@
         for name in HOP_HEADERS {
             headers.remove(name);
         }
+        if !self.remote {
+            headers.remove(CODE);
+        }
         let mut reply = Reply::new(status, body);
         reply.headers = headers;
-        if let Some(timing) = self.timing.header() {
+        if let Some(timing) = self.timing() {
             reply.headers.append("server-timing", timing);
         }
         reply
@@ -183,9 +197,15 @@
     }
 
     async fn reopen(&mut self, err: engine::Error) -> Result<(), Refusal> {
-        self.attempts.fail(&self.server, err).await;
-        let (server, answer) = self.attempts.open().await?;
-        self.server = server;
+        let answer = match self.attempts.resume(&self.server, err).await {
+            Ok(answer) => answer,
+            Err(e) => {
+                self.attempts.fail(&self.server, e).await;
+                let (server, answer) = self.attempts.open().await?;
+                self.server = server;
+                answer
+            }
+        };
         self.events = answer.events();
         Ok(())
     }
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -217,14 +217,21 @@
         }
     }
 
-    async fn answer(&self, req: &mut Request, id: RequestId) -> Result<Reply, Refusal> {
+    async fn answer(
+        &self,
+        req: &mut Request,
+        id: RequestId,
+        forwarded: bool,
+    ) -> Result<Reply, Refusal> {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default();
         let readiness = self.readiness();
         if let Some(answer) = self.operator.answer(&path, req.headers(), query, readiness) {
             return answer;
         }
-        self.runner.counters.request();
+        if !forwarded {
+            self.runner.counters.request();
+        }
         if self.phase.load(Ordering::SeqCst) == CLOSED {
             return Err(Code::Draining.into());
         }
@@ -240,7 +247,7 @@
         path: &str,
         in_force: &InForce,
     ) -> Result<Reply, Refusal> {
-        let deployment = &in_force.deployment;
+        let (deployment, now) = (&in_force.deployment, self.runner.clock.now());
         limit::check_headers(req.headers(), &deployment.limits)?;
         let sender = auth::authenticate(req.headers(), deployment, &self.host_token)?;
         let asked = Path::parse(req.method(), path)?;
@@ -259,7 +266,6 @@
             headers: std::mem::take(req.headers_mut()),
             body,
         };
-        let now = self.runner.clock.now();
         let job = match asked {
             Path::Completions { prompt } => job::completions(arrival, prompt, deployment, now)?,
             Path::Service { name, rest } => job::plain(arrival, name, rest, deployment, now)?,
@@ -279,16 +285,14 @@
             _ => self.runner.run(job).await,
         }
     }
+}
 
-    /// Takes the id of a forwarded request from its entry host, and draws all others.
-    fn request_id(&self, req: &Request) -> RequestId {
-        let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
-        let forwarded = req.headers().contains_key(auth::HOP);
-        match sent.and_then(|id| id.parse().ok()) {
-            Some(id) if forwarded && self.host_token.is_sent(req.headers()) => id,
-            _ => RequestId::random(&mut rand::rng()),
-        }
-    }
+/// Takes the id of a forwarded request from its entry host, and draws all others.
+fn request_id(req: &Request, forwarded: bool) -> RequestId {
+    let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
+    sent.filter(|_| forwarded)
+        .and_then(|id| id.parse().ok())
+        .unwrap_or_else(|| RequestId::random(&mut rand::rng()))
 }
 
 /// Lists the models and adapters that a caller may use.
@@ -320,11 +324,15 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let gate = &self.0;
-        let id = gate.request_id(req);
-        let mut reply = gate.answer(req, id).await.unwrap_or_else(|refusal| {
-            gate.runner.counters.refusal(refusal.code);
-            refusal.into()
-        });
+        let forwarded = auth::is_forwarded(req.headers(), &gate.host_token);
+        let id = request_id(req, forwarded);
+        let mut reply = gate
+            .answer(req, id, forwarded)
+            .await
+            .unwrap_or_else(|refusal| {
+                gate.runner.counters.refusal(refusal.code);
+                refusal.into()
+            });
         if let Ok(id) = HeaderValue::try_from(id.to_string()) {
             reply.headers.insert(REQUEST_ID, id);
         }
