Treat a stream before its first event like any other request

Cause: a stream that broke before its first event kept the headers of the broken response, and a stream without event boundaries could fill the memory. Change: the run loop takes over until the first event; afterwards only the stream's own server can resume it; events are bounded at 4 MiB; tests for remote failures of claimed requests and for counters that exist at zero. Conclusion: no response is mixed from two servers.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -17,6 +17,9 @@
     sse::Blocks,
 };
 
+/// Largest event; a stream without event boundaries must not fill the memory.
+const MAX_EVENT: usize = 4 << 20;
+
 type Body = Pin<Box<dyn Stream<Item = reqwest::Result<Bytes>> + Send>>;
 
 /// Load that a response's headers carry.
@@ -225,7 +228,13 @@
                 return Ok(Some(ready));
             }
             match self.answer.chunk().await? {
-                Some(chunk) => self.blocks.push(&chunk),
+                Some(chunk) => {
+                    self.blocks.push(&chunk);
+                    if self.blocks.incomplete() > MAX_EVENT {
+                        let detail = "an event is too large";
+                        return Err(self.answer.error(Category::Truncated, detail));
+                    }
+                }
                 None => {
                     return match self.blocks.finish() {
                         Some(end) => Ok(end.map(|bytes| (bytes, 0))),
--- a/crates/engine/src/sse.rs
+++ b/crates/engine/src/sse.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns the bytes of the event that is not complete yet.
+    pub(crate) fn incomplete(&self) -> usize {
+        self.tail.len()
+    }
+
     pub(crate) fn is_error(&self) -> bool {
         self.error
     }
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// Waits for the router to end a request whose response has begun.
+    pub(crate) async fn end(&mut self) -> Refusal {
+        match self.decide().await {
+            Ok(_) => Code::StreamInterrupted.into(),
+            Err(refusal) => refusal,
+        }
+    }
+
     fn decision_limit(&self) -> TokioInstant {
         let now = self.runner.clock.now();
         let deadline = call::timer(self.job.ticket.deadline, now);
--- a/crates/gate/src/count.rs
+++ b/crates/gate/src/count.rs
@@ -25,7 +25,8 @@
 
 impl Counters {
     /// Registers every counter at zero, so that an alert can be set on one that never counted.
-    pub(crate) fn register() -> Self {
+    #[must_use]
+    pub fn register() -> Self {
         for code in Code::ALL {
             counter!(REFUSALS, "code" => code.label()).increment(0);
         }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -55,7 +55,14 @@
         loop {
             let (server, answer) = attempts.open().await?;
             if attempts.job.stream && answer.is_event_stream() && answer.status().is_success() {
-                return relay(attempts, server, answer).await;
+                let head = (answer.status(), answer.headers().clone());
+                let mut events = answer.events();
+                // Until the first event, a failure is an ordinary one that may be retried.
+                match events.next().await {
+                    Ok(first) => return Ok(Relay::begin(attempts, (server, events), head, first)),
+                    Err(e) => attempts.fail(&server, e).await,
+                }
+                continue;
             }
             if attempts.passes_through(&answer) {
                 return Ok(pass_through(attempts, server, Bytes::new(), answer));
@@ -118,7 +125,7 @@
         .unwrap_or(0)
 }
 
-/// Passes on an event stream, resuming it where the router allows.
+/// Passes on an event stream, resuming it where its server can.
 struct Relay<R: Step, N: Peers> {
     attempts: Attempts<R, N>,
     server: Server,
@@ -126,67 +133,53 @@
     closed: bool,
 }
 
-/// Waits for the first event, so that a failure before it is an ordinary refusal.
-async fn relay<R: Step, N: Peers>(
-    attempts: Attempts<R, N>,
-    server: Server,
-    answer: Answer,
-) -> Result<Reply, Refusal> {
-    let (status, headers) = (answer.status(), answer.headers().clone());
-    let mut relay = Relay {
-        attempts,
-        server,
-        events: answer.events(),
-        closed: false,
-    };
-    let first = relay.advance().await?;
-    let mut reply = relay
-        .attempts
-        .reply(status, headers, Body::Full(Bytes::new()));
-    // The length of a resumed stream is not known.
-    reply.headers.remove(header::CONTENT_LENGTH);
-    let rest = stream::unfold(relay, |mut relay| async move {
-        let part = relay.next().await?;
-        Some((part, relay))
-    });
-    let body = stream::iter(first).chain(rest).map(Ok);
-    reply.body = Body::Stream(body.boxed());
-    Ok(reply)
-}
-
 impl<R: Step, N: Peers> Relay<R, N> {
-    /// Returns the next events, or an event that says why there are no more.
-    async fn next(&mut self) -> Option<Bytes> {
-        match self.advance().await {
-            Ok(part) => part,
-            Err(refusal) => {
-                self.closed = true;
-                self.attempts.runner.counters.refusal(refusal.code);
-                Some(refusal.event())
-            }
+    /// Makes the response that begins with the first events.
+    fn begin(
+        mut attempts: Attempts<R, N>,
+        (server, events): (Server, Events),
+        (status, mut headers): (StatusCode, HeaderMap),
+        first: Option<(Bytes, u64)>,
+    ) -> Reply {
+        // The length of a resumed stream is not known.
+        headers.remove(header::CONTENT_LENGTH);
+        let reply = attempts.reply(status, headers, Body::Full(Bytes::new()));
+        attempts.flight.first_byte();
+        attempts.delivered = Some(first.as_ref().map_or(0, |(_, events)| *events));
+        let relay = Self {
+            attempts,
+            server,
+            events,
+            closed: false,
+        };
+        let rest = stream::unfold(relay, |mut relay| async move {
+            let part = relay.next().await?;
+            Some((part, relay))
+        });
+        let first = stream::iter(first.map(|(bytes, _)| bytes));
+        let body = first.chain(rest).map(Ok).boxed();
+        Reply {
+            body: Body::Stream(body),
+            ..reply
         }
     }
 
-    async fn advance(&mut self) -> Result<Option<Bytes>, Refusal> {
+    /// Returns the next events, or an event that says why there are no more.
+    async fn next(&mut self) -> Option<Bytes> {
         while !self.closed {
             match self.events.next().await {
                 Ok(Some((bytes, events))) => {
-                    self.pass(events);
-                    return Ok(Some(bytes));
+                    *self.attempts.delivered.get_or_insert(0) += events;
+                    return Some(bytes);
                 }
                 Ok(None) => self.close(),
-                Err(e) => self.reopen(e).await?,
+                Err(e) => match self.attempts.resume(&self.server, e).await {
+                    Ok(answer) => self.events = answer.events(),
+                    Err(e) => return Some(self.interrupt(e).await),
+                },
             }
         }
-        Ok(None)
-    }
-
-    fn pass(&mut self, events: u64) {
-        if self.attempts.delivered.is_none() {
-            self.attempts.flight.first_byte();
-        }
-        let delivered = self.attempts.delivered.get_or_insert(0);
-        *delivered += events;
+        None
     }
 
     fn close(&mut self) {
@@ -196,18 +189,12 @@
         self.attempts.finish(tokens, !self.events.is_error());
     }
 
-    async fn reopen(&mut self, err: engine::Error) -> Result<(), Refusal> {
-        let answer = match self.attempts.resume(&self.server, err).await {
-            Ok(answer) => answer,
-            Err(e) => {
-                self.attempts.fail(&self.server, e).await;
-                let (server, answer) = self.attempts.open().await?;
-                self.server = server;
-                answer
-            }
-        };
-        self.events = answer.events();
-        Ok(())
+    async fn interrupt(&mut self, err: engine::Error) -> Bytes {
+        self.closed = true;
+        self.attempts.fail(&self.server, err).await;
+        let refusal = self.attempts.end().await;
+        self.attempts.runner.counters.refusal(refusal.code);
+        refusal.event()
     }
 }
 
--- a/crates/gate/tests/forwarding.rs
+++ b/crates/gate/tests/forwarding.rs
@@ -103,3 +103,15 @@
     let ready = remote.anonymous(Method::GET, "/readyz").send().await;
     ready.unwrap_err();
 }
+
+/// Guards against a failure at the remote host that is stored as the answer of a claimed request.
+#[tokio::test]
+async fn a_remote_failure_leaves_the_outcome_unknown() {
+    let (backend, _remote, local) = pair([Act::Cut]).await;
+
+    let first = code(local.book(Some("k"), "{}")).await;
+    let resent = code(local.book(Some("k"), "{}")).await;
+
+    assert_eq!((first, resent), (502, 405));
+    assert_eq!(backend.seen().len(), 1);
+}
--- a/crates/gate/tests/refusals.rs
+++ b/crates/gate/tests/refusals.rs
@@ -3,10 +3,12 @@
 mod fixture;
 
 use fixture::{Backend, Host, TestPeers, chat, code};
+use gate::Counters;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use reqwest::{Method, RequestBuilder};
 use route::Event;
 use store::MemPlatform;
-use types::{Code, Ran};
+use types::{Code, Ran, RetryReason};
 
 async fn check(host: &Host, cases: Vec<(RequestBuilder, Code)>) {
     for (req, expected) in cases {
@@ -53,6 +55,8 @@
         (host.post("/services/sheets/x", ""), Code::UnknownPath),
         (host.get("/v2/anything"), Code::UnknownPath),
         (host.get(chat_path), Code::UnknownPath),
+        (host.get("/"), Code::UnknownPath),
+        (host.get("/%C3%A9//"), Code::UnknownPath),
         (
             host.post("/services/bookings/b", vec![b'x'; 65 << 10]),
             Code::BodyTooLarge,
@@ -216,3 +220,28 @@
 
     assert_eq!(host.script.count(|ev| matches!(ev, Event::Cancel(_))), 1);
 }
+
+/// Guards against an alert on a counter that does not exist before its first event.
+#[tokio::test]
+async fn every_counter_exists_at_zero() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+
+    let counters = metrics::with_local_recorder(&recorder, Counters::register);
+
+    assert_eq!(counters.refusals().count(), 0);
+    let text = handle.render();
+    for code in Code::ALL {
+        let line = format!("celerytally_refusals_total{{code=\"{}\"}} 0", code.label());
+        assert!(text.contains(&line), "{line}");
+    }
+    for reason in RetryReason::ALL {
+        let line = format!(
+            "celerytally_retries_total{{reason=\"{}\"}} 0",
+            reason.label()
+        );
+        assert!(text.contains(&line), "{line}");
+    }
+    assert!(text.contains("celerytally_requests_total 0"));
+    assert!(text.contains("celerytally_requests_in_time_total 0"));
+}
