Wire the entry host

Cause: the crates exist, but no process runs them together. Change: serve starts the exchange, the controller and the HTTP API, polls load reports, shares views and demand, and shuts down in order; HttpPlatform notes whether the platform answers.

--- a/crates/celerytally/src/lib.rs
+++ b/crates/celerytally/src/lib.rs
@@ -19,7 +19,12 @@
 
 pub mod cli;
 mod error;
+mod facts;
+mod links;
 mod operator;
+mod poll;
+mod serve;
+mod share;
 
 use std::process::ExitCode;
 
@@ -34,7 +39,7 @@
 /// The category of the error decides the exit code.
 pub async fn run(command: Command) -> Result<ExitCode> {
     match command {
-        Command::Serve { settings: _ } => Err(Error::usage("not wired yet")),
+        Command::Serve { settings } => serve::serve(&settings).await,
         Command::Check { file, json } => operator::check(&file, json),
         Command::Plan { file, access, json } => operator::plan(&file, &access, json).await,
         Command::Apply {
--- /dev/null
+++ b/crates/celerytally/src/links.rs
@@ -0,0 +1,229 @@
+//! Connections between the crates: what each asks of the others.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, OnceLock, PoisonError, RwLock},
+};
+
+use engine::{Client, Server};
+use orders::Answer;
+use peer::{Handle, MemberState};
+use route::{Fingerprint, SuspectMark};
+use store::HttpPlatform;
+use types::{
+    AdapterId, BackendId, Clock, DataCentreId, Epoch, HostId, Instant, LoadReport, Micros, ModelId,
+    Monotonic, Order,
+};
+
+/// The platform's list lags; a host that is absent for this long has left.
+const LIST_LAG: Micros = Micros::from_secs(120);
+
+/// Exchange with the other entry hosts.
+pub(crate) type Exchange = Handle<HttpPlatform, Monotonic, Served>;
+
+/// What peers may ask of this process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Served {
+    /// Set once the controller exists; the exchange starts earlier.
+    control: Arc<OnceLock<control::Handle>>,
+}
+
+impl Served {
+    pub(crate) fn set(&self, control: control::Handle) {
+        // The process starts one controller, so the cell is empty.
+        drop(self.control.set(control));
+    }
+}
+
+impl peer::Served for Served {
+    async fn want(&self, model: ModelId, adapter: Option<AdapterId>) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        let name = adapter.map_or_else(|| model.to_string(), |a| a.to_string());
+        // A full backlog drops the want; the next request repeats it.
+        drop(control.events.try_send(control::Event::Want { name }));
+    }
+
+    async fn yielded(&self, epoch: Epoch) -> bool {
+        self.control.get().is_some_and(|c| c.gave_up(epoch))
+    }
+}
+
+/// Addresses of the backend servers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Servers {
+    /// Sorted by id.
+    list: Arc<RwLock<Vec<Server>>>,
+}
+
+impl Servers {
+    pub(crate) fn set(&self, mut servers: Vec<Server>) {
+        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        *self.list.write().unwrap_or_else(PoisonError::into_inner) = servers;
+    }
+
+    pub(crate) fn find(&self, id: &BackendId) -> Option<Server> {
+        let list = self.list.read().unwrap_or_else(PoisonError::into_inner);
+        let at = list.binary_search_by(|s| s.id.cmp(id)).ok()?;
+        Some(list[at].clone())
+    }
+}
+
+/// Backend servers, as the controller needs them.
+#[derive(Clone, Debug)]
+pub(crate) struct Engines {
+    pub(crate) client: Client,
+    pub(crate) servers: Servers,
+}
+
+impl control::Engines for Engines {
+    async fn post(&self, backend: &BackendId, order: &Order) -> Answer {
+        let Some(server) = self.servers.find(backend) else {
+            return Answer::Lost;
+        };
+        match self.client.order(&server, order).await {
+            Ok(()) => Answer::Accepted,
+            Err(e) => match e.category() {
+                engine::Category::Fenced => Answer::Stale(order.fence.next()),
+                engine::Category::OutOfMemory => Answer::NoMemory,
+                _ => Answer::Lost,
+            },
+        }
+    }
+
+    async fn load(&self, backend: &BackendId) -> Option<LoadReport> {
+        let server = self.servers.find(backend)?;
+        self.client.load(&server).await.ok()
+    }
+}
+
+/// Other entry hosts, as the gate needs them.
+#[derive(Clone, Debug)]
+pub(crate) struct GatePeers {
+    pub(crate) exchange: Exchange,
+    pub(crate) host: HostId,
+}
+
+impl gate::Peers for GatePeers {
+    async fn share_suspects(&self, marks: Vec<SuspectMark>) {
+        let shared = self.exchange.share_suspects(marks).await;
+        if !shared.missed.is_empty() {
+            tracing::debug!(missed = ?shared.missed, "suspects not acknowledged");
+        }
+    }
+
+    async fn ask_slot(&self, fingerprint: Fingerprint, backend: BackendId) -> bool {
+        self.exchange.ask_slot(fingerprint, &backend).await
+    }
+
+    fn entry_host(&self, dc: &DataCentreId) -> Option<SocketAddr> {
+        let members = self.exchange.members().borrow().clone();
+        let usable: Vec<_> = members
+            .iter()
+            .filter(|m| m.dc == *dc && m.ready && m.state == MemberState::Alive)
+            .collect();
+        // Each host prefers another one there, so that forwarded requests spread.
+        let names: Vec<&str> = usable.iter().map(|m| m.id.as_str()).collect();
+        let first = types::rank(self.host.as_str(), &names).into_iter().next()?;
+        usable
+            .iter()
+            .find(|m| m.id.as_str() == first)
+            .map(|m| m.addr)
+    }
+
+    async fn want(&self, model: ModelId, adapter: Option<AdapterId>) {
+        self.exchange.want(model, adapter).await;
+    }
+}
+
+/// Other entry hosts, as the controller needs them.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlPeers {
+    pub(crate) exchange: Exchange,
+    pub(crate) clock: Monotonic,
+    pub(crate) elsewhere: Elsewhere,
+    /// Hosts that the list lacks and since when, sorted by host.
+    pub(crate) absent: Arc<Mutex<Vec<(HostId, Instant)>>>,
+}
+
+impl ControlPeers {
+    /// Returns the time for which the platform's list has lacked a host.
+    fn absent_for(&self, host: &HostId) -> Micros {
+        let now = self.clock.now();
+        let mut absent = self.absent.lock().unwrap_or_else(PoisonError::into_inner);
+        match absent.binary_search_by(|(id, _)| id.cmp(host)) {
+            Ok(at) => now.since(absent[at].1),
+            Err(at) => {
+                absent.insert(at, (host.clone(), now));
+                Micros::ZERO
+            }
+        }
+    }
+
+    fn forget_absence(&self, host: &HostId) {
+        let mut absent = self.absent.lock().unwrap_or_else(PoisonError::into_inner);
+        absent.retain(|(id, _)| id != host);
+    }
+}
+
+impl control::Peers for ControlPeers {
+    async fn gave_up(&self, host: &HostId, epoch: Epoch) -> bool {
+        self.exchange.yielded(host, epoch).await
+    }
+
+    fn is_gone(&self, host: &HostId) -> bool {
+        let inventory = self.exchange.inventory().borrow().clone();
+        // An empty list was never read.
+        if inventory.hosts.is_empty() || inventory.find(host.as_str()).is_some() {
+            self.forget_absence(host);
+            return false;
+        }
+        inventory.is_gone(host) || self.absent_for(host) >= LIST_LAG
+    }
+
+    fn ready_elsewhere(&self) -> Vec<ModelId> {
+        self.elsewhere.models()
+    }
+}
+
+/// Models that are resident in other data centres.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Elsewhere {
+    /// Sorted by data centre; each list is sorted.
+    lists: Arc<RwLock<Vec<(DataCentreId, Vec<ModelId>)>>>,
+}
+
+impl Elsewhere {
+    pub(crate) fn set(&self, dc: &DataCentreId, models: &[ModelId]) {
+        let mut lists = self.lists.write().unwrap_or_else(PoisonError::into_inner);
+        match lists.binary_search_by(|(id, _)| id.cmp(dc)) {
+            Ok(at) => lists[at].1 = models.to_vec(),
+            Err(at) => lists.insert(at, (dc.clone(), models.to_vec())),
+        }
+    }
+
+    /// Returns all models with a copy in another data centre, sorted.
+    pub(crate) fn models(&self) -> Vec<ModelId> {
+        let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
+        let mut models: Vec<ModelId> = lists.iter().flat_map(|(_, m)| m.clone()).collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    /// Returns the number of copies of a model, counted once per data centre.
+    pub(crate) fn copies(&self, model: &ModelId) -> u32 {
+        let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
+        let holds =
+            |(_, models): &&(DataCentreId, Vec<ModelId>)| models.binary_search(model).is_ok();
+        u32::try_from(lists.iter().filter(holds).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the data centres from which nothing is known to be resident.
+    pub(crate) fn silent(&self) -> Vec<DataCentreId> {
+        let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
+        let silent = lists.iter().filter(|(_, models)| models.is_empty());
+        silent.map(|(dc, _)| dc.clone()).collect()
+    }
+}
--- a/crates/celerytally/src/operator.rs
+++ b/crates/celerytally/src/operator.rs
@@ -2,8 +2,8 @@
 
 use std::{fmt::Write, fs, net::SocketAddr, path::Path, process::ExitCode, time::Duration};
 
-use control::LeaseObject;
 use config::{Deployment, HostSettings, Manifest};
+use control::LeaseObject;
 use place::Copy;
 use serde_json::{Value, json};
 use store::{HttpPlatform, Platform};
@@ -216,7 +216,9 @@
     let mut lines: Vec<String> = copies
         .iter()
         .map(|copy| {
-            let at = deployment.models.binary_search_by(|m| m.id.cmp(&copy.model));
+            let at = deployment
+                .models
+                .binary_search_by(|m| m.id.cmp(&copy.model));
             let version = at.map_or("?", |at| deployment.models[at].version.as_str());
             format!("{} {} {version}", copy.worker, copy.model)
         })
@@ -226,7 +228,9 @@
 }
 
 fn difference(of: &[String], without: &[String]) -> Vec<String> {
-    let added = of.iter().filter(|line| without.binary_search(line).is_err());
+    let added = of
+        .iter()
+        .filter(|line| without.binary_search(line).is_err());
     added.cloned().collect()
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,6 +1,12 @@
 //! The platform over HTTP.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::{StreamExt, stream};
@@ -34,6 +40,8 @@
     token: String,
     calls: Client,
     watches: Client,
+    /// Whether the last call got no answer or a server error.
+    away: Arc<AtomicBool>,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -92,9 +100,25 @@
             token: token.to_owned(),
             calls: builder().timeout(CALL_TIMEOUT).build().map_err(failed)?,
             watches: builder().read_timeout(WATCH_IDLE).build().map_err(failed)?,
+            away: Arc::default(),
         })
     }
 
+    /// Tells whether the platform left the last call without an answer.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed)
+    }
+
+    fn note<T>(&self, result: &Result<T>) {
+        let away = result
+            .as_ref()
+            .is_err_and(|e| matches!(e.category(), Category::Unavailable | Category::Unknown));
+        if self.away.swap(away, Ordering::Relaxed) != away {
+            tracing::info!(away, "platform availability changed");
+        }
+    }
+
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
         self.calls
             .request(method, format!("{}/{path}", self.base))
@@ -102,6 +126,12 @@
     }
 
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let result = self.try_read(path).await;
+        self.note(&result);
+        result
+    }
+
+    async fn try_read<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let answer = self
             .request(Method::GET, path)
             .send()
@@ -122,6 +152,12 @@
             Some(body) => req.json(body),
             None => req,
         };
+        let result = self.try_write(req, path).await;
+        self.note(&result);
+        result
+    }
+
+    async fn try_write(&self, req: RequestBuilder, path: &str) -> Result<Response> {
         let answer = req.send().await.map_err(|e| {
             // A refused connection is the only failure that proves that nothing was sent.
             let category = if e.is_connect() {
