--- /dev/null
+++ b/crates/claim/tests/existing_records.rs
@@ -0,0 +1,93 @@
+//! What an attempt answers to the record that it finds.
+//!
+//! Guards against a resend that runs again, and against a key that stays blocked after a request
+//! that was not run.
+
+use claim::{Action, Answer, Claim, Event, Outcome, Record, Reply, State};
+use types::{AttemptId, Code, Instant};
+
+fn record(state: State) -> Record {
+    Record {
+        attempt: AttemptId::new(1),
+        body: "body".to_owned(),
+        state,
+        owner: None,
+    }
+}
+
+fn begun(body: &str) -> Claim {
+    let mut claim = Claim::new(AttemptId::new(2), body.to_owned());
+    step(&mut claim, Event::Begin);
+    claim
+}
+
+fn step(claim: &mut Claim, ev: Event) -> Vec<Action> {
+    let mut out = Vec::new();
+    claim.step(Instant::ZERO, ev, &mut out);
+    out
+}
+
+fn refusal(code: Code) -> Vec<Action> {
+    vec![Action::Reply(Reply::Refuse(code)), Action::End]
+}
+
+#[test]
+fn a_finished_request_gives_its_stored_answer() {
+    let answer = Answer {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+    };
+    let found = record(State::Finished(Some(answer.clone())));
+    let out = step(&mut begun("body"), Event::Exists(found));
+    assert_eq!(out, [Action::Reply(Reply::Stored(answer)), Action::End]);
+}
+
+#[test]
+fn a_finished_request_without_an_answer_already_ran() {
+    let out = step(
+        &mut begun("body"),
+        Event::Exists(record(State::Finished(None))),
+    );
+    assert_eq!(out, refusal(Code::AlreadyRan));
+}
+
+#[test]
+fn a_dispatched_request_runs_only_if_its_process_is_alive() {
+    let running = step(
+        &mut begun("body"),
+        Event::Running(record(State::Dispatched)),
+    );
+    let dead = step(&mut begun("body"), Event::Exists(record(State::Dispatched)));
+    assert_eq!(running, refusal(Code::StillRunning));
+    assert_eq!(dead, refusal(Code::OutcomeUnknown));
+}
+
+#[test]
+fn another_body_is_refused() {
+    let out = step(&mut begun("other"), Event::Exists(record(State::Withdrawn)));
+    assert_eq!(out, refusal(Code::KeyReused));
+}
+
+#[test]
+fn a_request_that_was_not_run_frees_its_key() {
+    let mut first = begun("body");
+    step(&mut first, Event::Created);
+    let out = step(&mut first, Event::Done(Outcome::NotRun(Code::Unreachable)));
+    let Some(Action::Store(withdrawn)) = out.last() else {
+        panic!("the claim is not withdrawn: {out:?}");
+    };
+    let mut second = Claim::new(AttemptId::new(3), "body".to_owned());
+    step(&mut second, Event::Begin);
+    let out = step(&mut second, Event::Exists(withdrawn.clone()));
+    assert!(matches!(out.as_slice(), [Action::Store(r)] if r.state == State::Dispatched));
+    assert_eq!(step(&mut second, Event::Stored), [Action::Dispatch]);
+}
+
+#[test]
+fn a_platform_that_is_away_leaves_nothing_to_withdraw() {
+    assert_eq!(
+        step(&mut begun("body"), Event::Refused),
+        refusal(Code::ClaimStoreAway)
+    );
+}
--- a/crates/orders/src/event.rs
+++ b/crates/orders/src/event.rs
@@ -26,7 +26,7 @@
     Accepted,
     /// The engine has seen a higher fencing token.
     Stale(Epoch),
-    /// The engine has not enough memory; the order did not run.
+    /// The engine has not enough memory; this copy of the order did not run.
     NoMemory,
     /// No answer came; the order may have arrived.
     Lost,
--- a/crates/orders/src/ledger.rs
+++ b/crates/orders/src/ledger.rs
@@ -280,16 +280,9 @@
             return;
         }
         self.news_after = sample.before;
-        let restarted = self
-            .view
-            .as_ref()
-            .is_some_and(|view| view.incarnation != report.incarnation);
         for order in record.pending() {
             let final_word = self.is_final(order, &sample);
             if let Some(track) = self.tracks.iter_mut().find(|t| t.id == order.id) {
-                if restarted {
-                    track.restarted();
-                }
                 track.report(order, &sample, final_word);
             }
         }
--- a/crates/orders/src/track.rs
+++ b/crates/orders/src/track.rs
@@ -7,18 +7,19 @@
 /// Time after which an order that the engine does not list is sent again.
 const RESEND_AFTER: Micros = Micros::from_secs(1);
 
+/// Share of a report's age by which the clocks of the engine and of this host may disagree.
+const DRIFT_DIVISOR: u64 = 16;
+
 /// Progress of one pending order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Track {
     pub(crate) id: OrderId,
     /// A copy of the order is being sent.
     posting: bool,
-    /// When and how sending the last copy ended.
-    last: Option<(Instant, Answer)>,
+    /// Instant at which the last copy was answered or given up.
+    ended: Option<Instant>,
     /// Instant from which the order may be sent again; none while the engine works on it.
     due: Option<Instant>,
-    /// A copy had no answer.
-    ambiguous: bool,
     /// The order is over and no copy of it can arrive; it is removed by the next write.
     pub(crate) closable: bool,
 }
@@ -36,11 +37,13 @@
 impl<'a> Sample<'a> {
     pub(crate) fn new(report: &'a LoadReport, asked: Instant, received: Instant) -> Self {
         let age = report.age_ms.saturating_mul(1_000);
-        let back = |at: Instant| Instant::from_micros(at.as_micros().saturating_sub(age));
+        let drift = age / DRIFT_DIVISOR;
+        let back = |at: Instant, age: u64| Instant::from_micros(at.as_micros().saturating_sub(age));
         Self {
             report,
-            after: back(asked),
-            before: back(received),
+            // The engine gives its age in whole milliseconds, which drops up to one.
+            after: back(asked, age + drift + 1_000),
+            before: back(received, age - drift),
         }
     }
 }
@@ -50,9 +53,8 @@
         Self {
             id,
             posting: false,
-            last: None,
+            ended: None,
             due: Some(Instant::ZERO),
-            ambiguous: false,
             closable: false,
         }
     }
@@ -68,15 +70,9 @@
 
     pub(crate) fn end_post(&mut self, now: Instant, answer: Answer) {
         self.posting = false;
-        self.last = Some((now, answer));
+        self.ended = Some(now);
         // An accepted order is sent again only when a later report does not list it.
         self.due = (answer != Answer::Accepted).then(|| now + RESEND_AFTER);
-        self.ambiguous |= answer == Answer::Lost;
-    }
-
-    /// Forgets the copies sent to an earlier life of the engine; its connections are gone.
-    pub(crate) fn restarted(&mut self) {
-        self.ambiguous &= self.posting;
     }
 
     /// Takes the engine's word on the order.
@@ -85,14 +81,14 @@
     /// order is over when the sample was taken after the last copy was answered or given up,
     /// because a copy that arrives later has an id that the engine knows.
     pub(crate) fn report(&mut self, order: &Pending, sample: &Sample<'_>, final_word: bool) {
-        let covered = !self.posting && self.last.is_none_or(|(ended, _)| sample.after >= ended);
+        let covered = !self.posting && self.ended.is_none_or(|ended| sample.after >= ended);
         let status = sample.report.orders.iter().find(|o| o.id == order.id);
-        let refused = self.last.is_some_and(|(_, a)| a == Answer::NoMemory) && !self.ambiguous;
-        let over = match status.map(|s| s.state) {
-            Some(OrderState::Done | OrderState::Failed) => true,
-            Some(OrderState::Running) => false,
-            None => refused,
-        };
+        // An order that is not listed stays open even if the engine refused it: without the id, a
+        // copy that arrives late would run.
+        let over = matches!(
+            status.map(|s| s.state),
+            Some(OrderState::Done | OrderState::Failed)
+        );
         if status.is_some() {
             self.due = None;
         } else if covered && self.due.is_none() {
