--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -11,8 +11,8 @@
 use route::{Fingerprint, SuspectMark};
 use store::HttpPlatform;
 use types::{
-    AdapterId, BackendId, Clock, DataCentreId, Epoch, HostId, Instant, LoadReport, Micros, ModelId,
-    Monotonic, Order,
+    AdapterId, BackendId, Clock, DataCentreId, Epoch, HostId, Incarnation, Instant, LoadReport,
+    Micros, ModelId, Monotonic, Order,
 };
 
 /// The platform's list lags; a host that is absent for this long has left.
@@ -132,6 +132,12 @@
             .map(|m| m.addr)
     }
 
+    fn is_live(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        let members = self.exchange.members().borrow().clone();
+        let member = members.iter().find(|m| m.id == *host);
+        member.is_some_and(|m| m.incarnation == incarnation && m.state != MemberState::Gone)
+    }
+
     async fn want(&self, model: ModelId, adapter: Option<AdapterId>) {
         self.exchange.want(model, adapter).await;
     }
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -29,7 +29,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use tracing_subscriber::EnvFilter;
-use types::{BackendId, Bytes, Clock, DataCentreId, HostId, Monotonic};
+use types::{BackendId, Bytes, DataCentreId, HostId, Monotonic};
 
 use crate::{
     error::{Category, Error, Result},
@@ -202,6 +202,10 @@
         platform: platform.clone(),
         reporter: reporter.clone(),
         metrics,
+        owner: claim::Owner {
+            host: settings.host.clone(),
+            incarnation: exchange.incarnation(),
+        },
         engine: client.clone(),
         host_token: settings.peer_token.expose().to_owned(),
         operator_token: settings
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -188,6 +188,16 @@
         self.addr
     }
 
+    /// Returns the life of this process as its peers know it.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        let own = self
+            .current_members()
+            .into_iter()
+            .find(|m| m.id == self.host);
+        own.map(|m| m.incarnation).unwrap_or_default()
+    }
+
     /// Follows the configuration in force; versions only rise.
     #[must_use]
     pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
-use types::{ConfigVersion, DataCentreId, Epoch, HostId, Instant, Micros};
+use types::{ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Instant, Micros};
 
 use crate::{
     codec::{self, Reader},
@@ -56,6 +56,8 @@
     pub addr: SocketAddr,
     /// Address for other entry hosts.
     pub peer_addr: SocketAddr,
+    /// Life of its process, as it says itself.
+    pub incarnation: Incarnation,
     /// Whether it can be reached and takes work.
     pub state: MemberState,
     /// Whether it serves callers.
@@ -365,6 +367,7 @@
             dc: k.row.dc.clone(),
             addr: k.row.addr,
             peer_addr: k.row.peer_addr,
+            incarnation: k.row.incarnation,
             state: self.state(k, now),
             ready: k.row.state == OwnState::Ready,
             version: k.version,
