--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -47,9 +47,9 @@
         match answer.status() {
             s if s.is_success() => Ok(()),
             StatusCode::CONFLICT => {
-                let newest = decode::<Refusal>(server, answer).await.map(|r| r.fence);
-                let detail = newest.map_or_else(|e| e.to_string(), |f| format!("fence {f}"));
-                Err(Error::new(Category::Fenced, &server.id, detail))
+                let newest = decode::<Refusal>(server, answer).await.ok();
+                let fenced = Error::new(Category::Fenced, &server.id, &order.name);
+                Err(fenced.with_fence(newest.map(|r| r.fence)))
             }
             StatusCode::INSUFFICIENT_STORAGE => {
                 Err(Error::new(Category::OutOfMemory, &server.id, &order.name))
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use snafu::Snafu;
-use types::{BackendId, Code, Incarnation, RetryReason};
+use types::{BackendId, Code, Epoch, Incarnation, RetryReason};
 
 /// Result of a call to a backend server.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -52,6 +52,8 @@
     detail: String,
     /// Life of the server that ended, or in which the request ran.
     incarnation: Option<Incarnation>,
+    /// Newest fencing token that the server has seen.
+    fence: Option<Epoch>,
 }
 
 impl Category {
@@ -82,6 +84,7 @@
             backend: backend.to_string(),
             detail: detail.to_string(),
             incarnation: None,
+            fence: None,
         }))
     }
 
@@ -92,6 +95,7 @@
             backend: "client".to_owned(),
             detail: detail.to_string(),
             incarnation: None,
+            fence: None,
         }))
     }
 
@@ -100,6 +104,11 @@
         self
     }
 
+    pub(crate) fn with_fence(mut self, fence: Option<Epoch>) -> Self {
+        self.0.fence = fence;
+        self
+    }
+
     pub(crate) fn into_crash(mut self) -> Self {
         self.0.category = Category::Crashed;
         self.0.what = Category::Crashed.describe();
@@ -118,6 +127,12 @@
         self.0.incarnation
     }
 
+    /// Returns the newest fencing token that a server named when it refused an order.
+    #[must_use]
+    pub fn fence(&self) -> Option<Epoch> {
+        self.0.fence
+    }
+
     /// Tells whether the server may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -54,7 +54,6 @@
 //! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 //! let (served, ()) = tokio::join!(gate.serve(listener), gate.drain(Duration::from_millis(1)));
 //! served?;
-//! gate.settle().await;
 //! # Ok::<(), gate::Error>(())
 //! # }).unwrap();
 //! ```
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -81,6 +81,9 @@
 /// Claims are kept at least this long, whatever the file says.
 const MIN_RETENTION: Micros = Micros::from_secs(60);
 
+/// Bounds the wait for the platform at the end of a shutdown.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Time beyond the longest deadline after which a shutdown no longer waits for slow readers.
 const SHUTDOWN_MARGIN: Duration = Duration::from_secs(2);
 
@@ -142,13 +145,6 @@
         self.claims.pending()
     }
 
-    /// Waits until every claim's outcome is stored, which an absent platform delays.
-    ///
-    /// To be called, with a bound, after [`serve`](Self::serve) has returned.
-    pub async fn settle(&self) {
-        self.claims.settle().await;
-    }
-
     /// Deletes finished claims of hosts that are gone, and returns their number.
     ///
     /// To be called now and then by one host of the deployment. A claim is deleted once this host
@@ -169,6 +165,8 @@
 
     /// Serves callers on a listening socket until [`drain`](Self::drain) has ended.
     ///
+    /// Returns when the last request has ended and the outcomes of claims are stored.
+    ///
     /// # Errors
     /// `Io` when the socket fails.
     pub async fn serve(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
@@ -177,9 +175,12 @@
         let entry = Entry(Arc::clone(self));
         let router = Router::new().push(Router::with_path("{**path}").goal(entry));
         tokio::select! {
-            ended = server.try_serve(router) => Ok(ended?),
-            () = self.claims.expire() => Ok(()),
+            ended = server.try_serve(router) => ended?,
+            () = self.claims.expire() => {}
         }
+        // Outcomes that the platform does not take in time stay "dispatched" there.
+        drop(tokio::time::timeout(SETTLE_LIMIT, self.claims.settle()).await);
+        Ok(())
     }
 
     /// Shuts down: not ready, then no new connections, then the end of what is in flight.
