--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -193,11 +193,14 @@
     }
 }
 
+/// Models that are resident in a data centre, sorted.
+type Residents = (DataCentreId, Vec<ModelId>);
+
 /// Models that are resident in other data centres.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Elsewhere {
-    /// Sorted by data centre; each list is sorted.
-    lists: Arc<RwLock<Vec<(DataCentreId, Vec<ModelId>)>>>,
+    /// Sorted by data centre.
+    lists: Arc<RwLock<Vec<Residents>>>,
 }
 
 impl Elsewhere {
@@ -221,8 +224,7 @@
     /// Returns the number of copies of a model, counted once per data centre.
     pub(crate) fn copies(&self, model: &ModelId) -> u32 {
         let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
-        let holds =
-            |(_, models): &&(DataCentreId, Vec<ModelId>)| models.binary_search(model).is_ok();
+        let holds = |(_, models): &&Residents| models.binary_search(model).is_ok();
         u32::try_from(lists.iter().filter(holds).count()).unwrap_or(u32::MAX)
     }
 
--- a/crates/celerytally/src/operator.rs
+++ b/crates/celerytally/src/operator.rs
@@ -141,7 +141,7 @@
         let _ = write!(text, "\n{}: {shown}, epoch {epoch}", lease.name);
         controllers.push(json!({ "dc": lease.name, "holder": holder, "epoch": epoch }));
     }
-    let value = json!({ "manifest": manifest.map(summary), "controllers": controllers });
+    let value = json!({ "manifest": manifest.as_ref().map(summary), "controllers": controllers });
     print(json, &text, &value);
     Ok(ExitCode::SUCCESS)
 }
@@ -234,7 +234,7 @@
     added.cloned().collect()
 }
 
-fn summary(manifest: Manifest) -> Value {
+fn summary(manifest: &Manifest) -> Value {
     json!({
         "name": manifest.name,
         "version": manifest.version,
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -126,6 +126,7 @@
     let filter = EnvFilter::new(settings.log_level.to_string());
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(false)
         .with_writer(std::io::stderr);
     match settings.log_format {
         LogFormat::Json => logs.json().init(),
