Add the policy bench and an event for finished loads

The bench drives the real router and placement in virtual time beside nine baselines (three placements by three routings) on both reference deployments. The new event Resident lets a host use an adapter as soon as its load is done instead of at the next report.

--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,477 @@
+//! The real policies and simple baselines behind the same traits.
+
+use std::collections::BTreeMap;
+
+use config::Deployment;
+use place::{Copy, CopyState, Input, Move};
+use rand::{RngExt, SeedableRng, rngs::Xoshiro256PlusPlus};
+use route::{Action, Event, Router, Settings, Target, Ticket};
+use types::{BackendId, Code, DataCentreId, Instant, ModelId, RequestId, RetryReason};
+
+use crate::spec::{BASE_TOKENS, BATCH, HALF_BATCH, PROMPT_WEIGHT};
+
+/// Routing of one entry host.
+pub trait Routing {
+    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>);
+    /// Tokens a second and misses a second per model.
+    fn demand(&self, now: Instant) -> Vec<(f64, f64)>;
+    /// Load per backend server as shared with peers.
+    fn digest(&self, now: Instant) -> Vec<Event>;
+    fn retries(&self) -> u64;
+}
+
+/// Kind of routing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    Real,
+    RoundRobin,
+    Least,
+    TwoRandom,
+}
+
+/// Kind of placement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Place {
+    Real,
+    Static,
+    Lru,
+    Proportional,
+}
+
+impl Route {
+    pub const BASELINES: [Self; 3] = [Self::RoundRobin, Self::Least, Self::TwoRandom];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Real => "real",
+            Self::RoundRobin => "round robin",
+            Self::Least => "least in flight",
+            Self::TwoRandom => "two random",
+        }
+    }
+
+    /// Makes the routing of one host.
+    pub fn host(self, dc: DataCentreId, seed: u64) -> Box<dyn Routing> {
+        if self == Self::Real {
+            let cfg = Settings {
+                dc: Some(dc),
+                base_tokens_per_second: BASE_TOKENS,
+                half_batch: HALF_BATCH,
+                prompt_weight: PROMPT_WEIGHT,
+                ..Settings::default()
+            };
+            return Box::new(Router::new(cfg, seed));
+        }
+        Box::new(Simple::new(self, dc, seed))
+    }
+}
+
+impl Place {
+    pub const BASELINES: [Self; 3] = [Self::Static, Self::Lru, Self::Proportional];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Real => "real",
+            Self::Static => "static",
+            Self::Lru => "lru",
+            Self::Proportional => "proportional",
+        }
+    }
+
+    /// Decides the moves of a round; `wants` are the models that lacked a place.
+    pub fn plan(
+        self,
+        input: &Input,
+        wants: &[ModelId],
+        used: &dyn Fn(&Copy) -> Instant,
+    ) -> Vec<Move> {
+        if self == Self::Real {
+            return place::plan(input);
+        }
+        let mut still = input.clone();
+        for demand in &mut still.demand {
+            demand.tokens_per_second = 0.0;
+            demand.missed_per_second = 0.0;
+        }
+        let mut moves = place::plan(&still);
+        if !moves.is_empty() {
+            return moves;
+        }
+        match self {
+            Self::Lru => lru(input, wants, used, &mut moves),
+            Self::Proportional => proportional(input, &mut moves),
+            Self::Real | Self::Static => {}
+        }
+        moves
+    }
+}
+
+impl Routing for Router {
+    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
+        Router::step(self, now, ev, out);
+    }
+
+    fn demand(&self, now: Instant) -> Vec<(f64, f64)> {
+        let each = Router::demand(self, now);
+        each.map(|d| (d.tokens_per_second, d.missed_per_second))
+            .collect()
+    }
+
+    fn digest(&self, now: Instant) -> Vec<Event> {
+        let heard = self.backends(now).filter(|b| b.local && b.heard);
+        heard
+            .map(|b| Event::Digest {
+                backend: b.id.clone(),
+                load: b.load,
+                age: b.age,
+            })
+            .collect()
+    }
+
+    fn retries(&self) -> u64 {
+        self.counts().retried.iter().map(|r| r.1).sum()
+    }
+}
+
+/// Copies that serve or will serve, per model.
+fn copies(input: &Input) -> BTreeMap<&ModelId, Vec<usize>> {
+    let mut copies: BTreeMap<&ModelId, Vec<usize>> = BTreeMap::new();
+    for (w, worker) in input.workers.iter().enumerate().filter(|(_, w)| w.live) {
+        for held in worker
+            .held
+            .iter()
+            .filter(|h| h.state != CopyState::Unloading)
+        {
+            copies.entry(&held.model).or_default().push(w);
+        }
+    }
+    copies
+}
+
+/// Loads a model on the worker that can free memory by the fewest unloads, in the given order.
+fn load_with_evictions(
+    input: &Input,
+    m: usize,
+    order: &dyn Fn(&Copy) -> (u64, ModelId),
+    moves: &mut Vec<Move>,
+) {
+    let demand = &input.demand[m];
+    let copies = copies(input);
+    let holds = |w: usize| copies.get(&demand.model).is_some_and(|c| c.contains(&w));
+    let mut best: Option<(u64, usize, Vec<Move>)> = None;
+    for (w, worker) in input.workers.iter().enumerate() {
+        let ordered = moves.iter().any(|m| match m {
+            Move::Load { worker: w, .. } | Move::Unload { worker: w, .. } => *w == worker.id,
+        });
+        let busy = ordered || worker.held.iter().any(|h| h.state != CopyState::Ready);
+        if !worker.live || busy || holds(w) {
+            continue;
+        }
+        let used: types::Bytes = worker.held.iter().map(|h| h.bytes).sum();
+        let mut free = worker.memory.saturating_sub(used);
+        let mut held: Vec<_> = worker.held.iter().collect();
+        held.retain(|h| {
+            let floor = input.floor.iter().filter(|c| c.model == h.model).count();
+            copies.get(&h.model).is_some_and(|c| c.len() > floor.max(1))
+        });
+        let key = |h: &place::Held| {
+            let (worker, model) = (worker.id.clone(), h.model.clone());
+            order(&Copy { worker, model })
+        };
+        held.sort_by_key(|h| key(h));
+        let (mut victims, mut age) = (Vec::new(), 0);
+        for h in held {
+            if free >= demand.bytes {
+                break;
+            }
+            free += h.bytes;
+            age = key(h).0;
+            let (worker, model, version) = (worker.id.clone(), h.model.clone(), h.version.clone());
+            victims.push(Move::Unload {
+                worker,
+                model,
+                version,
+            });
+        }
+        if free >= demand.bytes && best.as_ref().is_none_or(|b| (age, w) < (b.0, b.1)) {
+            best = Some((age, w, victims));
+        }
+    }
+    let Some((_, w, victims)) = best else {
+        return;
+    };
+    if victims.is_empty() {
+        moves.push(Move::Load {
+            worker: input.workers[w].id.clone(),
+            model: demand.model.clone(),
+            version: demand.version.clone(),
+            bytes: demand.bytes,
+        });
+    }
+    moves.extend(victims);
+}
+
+/// Loads what was asked for without a place, and evicts the least recently used.
+fn lru(input: &Input, wants: &[ModelId], used: &dyn Fn(&Copy) -> Instant, moves: &mut Vec<Move>) {
+    for model in wants.iter().take(input.loads as usize) {
+        if let Ok(m) = input.demand.binary_search_by(|d| d.model.cmp(model)) {
+            let order = |c: &Copy| (used(c).as_micros(), c.model.clone());
+            load_with_evictions(input, m, &order, moves);
+        }
+    }
+}
+
+/// Brings the number of copies to the share of the demand.
+fn proportional(input: &Input, moves: &mut Vec<Move>) {
+    let total: f64 = input.demand.iter().map(|d| d.tokens_per_second).sum();
+    let copies = copies(input);
+    let places: f64 = copies.values().map(|c| c.len() as f64).sum::<f64>() + 3.0;
+    let missing = |m: usize| {
+        let d = &input.demand[m];
+        let wanted = places * d.tokens_per_second / total.max(1.0);
+        let workers = input.workers.len() as f64;
+        wanted.min(workers) - copies.get(&d.model).map_or(0.0, |c| c.len() as f64)
+    };
+    let mut order: Vec<usize> = (0..input.demand.len()).collect();
+    order.sort_by(|a, b| missing(*b).total_cmp(&missing(*a)));
+    for m in order.into_iter().take(input.loads as usize) {
+        if missing(m) >= 0.5 {
+            let rank = |c: &Copy| {
+                let at = input.demand.binary_search_by(|d| d.model.cmp(&c.model));
+                let surplus = at.map_or(0.0, |m| 1_000.0 + missing(m) * 10.0);
+                #[expect(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "the rank is small and positive"
+                )]
+                let rank = surplus.max(0.0) as u64;
+                (rank, c.model.clone())
+            };
+            load_with_evictions(input, m, &rank, moves);
+        }
+    }
+}
+
+/// Simple routing with a first-in, first-out queue.
+struct Simple {
+    kind: Route,
+    dc: DataCentreId,
+    rng: Xoshiro256PlusPlus,
+    deployment: Option<std::sync::Arc<Deployment>>,
+    /// Models, own requests in flight and whether it is live, per backend server.
+    backends: BTreeMap<BackendId, (Vec<String>, u32, bool)>,
+    remote: BTreeMap<DataCentreId, Vec<ModelId>>,
+    flights: BTreeMap<RequestId, (Ticket, Option<BackendId>, u8)>,
+    queue: Vec<RequestId>,
+    next: usize,
+    retries: u64,
+    demand: BTreeMap<ModelId, (f64, Instant)>,
+}
+
+impl Simple {
+    fn new(kind: Route, dc: DataCentreId, seed: u64) -> Self {
+        Self {
+            kind,
+            dc,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            deployment: None,
+            backends: BTreeMap::new(),
+            remote: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            queue: Vec::new(),
+            next: 0,
+            retries: 0,
+            demand: BTreeMap::new(),
+        }
+    }
+
+    fn holders(&self, model: &ModelId) -> Vec<BackendId> {
+        let holds = |b: &&(Vec<String>, u32, bool)| b.2 && b.0.iter().any(|m| m == model.as_str());
+        let each = self.backends.iter().filter(|(_, b)| holds(b));
+        each.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn pick(&mut self, holders: &[BackendId]) -> BackendId {
+        let own = |id: &BackendId| self.backends[id].1;
+        match self.kind {
+            Route::RoundRobin => {
+                self.next += 1;
+                holders[self.next % holders.len()].clone()
+            }
+            Route::TwoRandom => {
+                let a = &holders[self.rng.random_range(0..holders.len())];
+                let b = &holders[self.rng.random_range(0..holders.len())];
+                if own(b) < own(a) {
+                    b.clone()
+                } else {
+                    a.clone()
+                }
+            }
+            Route::Least | Route::Real => {
+                let least = holders.iter().min_by_key(|id| own(id));
+                least.expect("a holder").clone()
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, retry: Option<RetryReason>, out: &mut Vec<Action>) -> bool {
+        let Some((ticket, ..)) = self.flights.get(&id) else {
+            return true;
+        };
+        let Target::Model { model, .. } = ticket.target.clone() else {
+            return true;
+        };
+        let forwarded = ticket.forwarded;
+        let holders = self.holders(&model);
+        if holders.is_empty() {
+            let dcs: Vec<_> = self
+                .remote
+                .iter()
+                .filter(|(_, m)| m.contains(&model))
+                .collect();
+            if forwarded || dcs.is_empty() {
+                self.flights.remove(&id);
+                let (code, retry_after) = (Code::NotResident, None);
+                out.push(Action::Refuse {
+                    id,
+                    code,
+                    retry_after,
+                });
+            } else {
+                self.next += 1;
+                let dc = dcs[self.next % dcs.len()].0.clone();
+                out.push(Action::Forward { id, dc });
+            }
+            out.push(Action::Want {
+                model,
+                adapter: None,
+            });
+            return true;
+        }
+        let backend = self.pick(&holders);
+        if self.backends[&backend].1 >= BATCH {
+            out.push(Action::Want {
+                model,
+                adapter: None,
+            });
+            return false;
+        }
+        self.backends
+            .entry(backend.clone())
+            .and_modify(|b| b.1 += 1);
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.1 = Some(backend.clone());
+            flight.2 += 1;
+        }
+        self.retries += u64::from(retry.is_some());
+        out.push(Action::Dispatch { id, backend, retry });
+        true
+    }
+
+    fn end(&mut self, id: RequestId) -> Option<(Ticket, Option<BackendId>, u8)> {
+        self.queue.retain(|q| *q != id);
+        let flight = self.flights.remove(&id)?;
+        if let Some(b) = flight.1.as_ref().and_then(|b| self.backends.get_mut(b)) {
+            b.1 -= 1;
+        }
+        Some(flight)
+    }
+
+    fn drain(&mut self, out: &mut Vec<Action>) {
+        let mut at = 0;
+        while at < self.queue.len().min(16) {
+            let id = self.queue[at];
+            if self.send(id, None, out) {
+                self.queue.remove(at);
+            } else {
+                at += 1;
+            }
+        }
+    }
+}
+
+impl Routing for Simple {
+    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
+        match ev {
+            Event::Config(in_force) => {
+                for b in in_force
+                    .deployment
+                    .backends
+                    .iter()
+                    .filter(|b| b.dc == self.dc)
+                {
+                    self.backends
+                        .entry(b.id.clone())
+                        .or_insert((Vec::new(), 0, true));
+                }
+                self.deployment = Some(std::sync::Arc::clone(&in_force.deployment));
+            }
+            Event::Arrive(ticket) => {
+                let id = ticket.id;
+                if let Target::Model { model, .. } = &ticket.target {
+                    let entry = self.demand.entry(model.clone()).or_insert((0.0, now));
+                    let age = now.since(entry.1).as_secs_f64();
+                    let work = f64::from(ticket.output_tokens)
+                        + PROMPT_WEIGHT * f64::from(ticket.prompt_tokens);
+                    *entry = (entry.0 * (-age / 15.0).exp() + work / 15.0, now);
+                }
+                self.flights.insert(id, (ticket, None, 0));
+                if !self.send(id, None, out) {
+                    self.queue.push(id);
+                }
+            }
+            Event::Cancel(id) | Event::Finished { id, .. } => {
+                self.end(id);
+                self.drain(out);
+            }
+            Event::Failed { id, failure } => {
+                if let Some((ticket, _, tries)) = self.end(id) {
+                    let again = ticket.idempotent || !failure.may_have_run;
+                    if again && tries < 3 && !ticket.deadline.is_past(now) {
+                        self.flights.insert(id, (ticket, None, tries + 1));
+                        if !self.send(id, Some(failure.reason), out) {
+                            self.queue.push(id);
+                        }
+                    } else {
+                        let (code, retry_after) = (Code::RetriesExhausted, None);
+                        out.push(Action::Refuse {
+                            id,
+                            code,
+                            retry_after,
+                        });
+                    }
+                }
+            }
+            Event::Report { backend, report } => {
+                if let Some(b) = self.backends.get_mut(&backend) {
+                    b.0 = report.residents.iter().map(|r| r.name.clone()).collect();
+                }
+                self.drain(out);
+            }
+            Event::Crashed { backend, .. } => {
+                self.backends.entry(backend).and_modify(|b| b.2 = false);
+            }
+            Event::Remote { dc, models } => {
+                self.remote.insert(dc, models);
+            }
+            _ => {}
+        }
+    }
+
+    fn demand(&self, now: Instant) -> Vec<(f64, f64)> {
+        let models = self.deployment.iter().flat_map(|d| &d.models);
+        let rate = |m: &ModelId| {
+            let found = self.demand.get(m);
+            found.map_or(0.0, |d| d.0 * (-now.since(d.1).as_secs_f64() / 15.0).exp())
+        };
+        models.map(|m| (rate(&m.id), 0.0)).collect()
+    }
+
+    fn digest(&self, _now: Instant) -> Vec<Event> {
+        Vec::new()
+    }
+
+    fn retries(&self) -> u64 {
+        self.retries
+    }
+}
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -170,6 +170,15 @@
         /// Its report.
         report: Arc<LoadReport>,
     },
+    /// An order's outcome shows that a backend server holds a model or adapter.
+    Resident {
+        /// The backend server.
+        backend: BackendId,
+        /// Base model.
+        model: ModelId,
+        /// Adapter, if it is one that was loaded.
+        adapter: Option<AdapterId>,
+    },
     /// An answer's headers carried the load.
     Hint {
         /// The backend server.
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -1,6 +1,6 @@
 //! What is heard of backend servers: reports, hints, digests and liveness.
 
-use types::{BackendId, Instant, LoadReport, Micros};
+use types::{AdapterId, BackendId, Instant, LoadReport, Micros, ModelId};
 
 use crate::{
     backend::{LeavingBy, Resident},
@@ -98,6 +98,40 @@
         }
     }
 
+    /// Takes a finished load without waiting for the next report.
+    pub(crate) fn loaded(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        model: &ModelId,
+        adapter: Option<&AdapterId>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let Some(names) = &self.names else {
+            return;
+        };
+        let adapter = adapter.map(|a| names.adapter(a));
+        let model = names.model(model);
+        let b = &mut self.backends[backend as usize];
+        let (mut residents, mut adapters) = (b.residents.clone(), b.adapters.clone());
+        if let Some(adapter) = adapter {
+            if let Some(adapter) = adapter
+                && let Err(at) = adapters.binary_search(&adapter)
+            {
+                adapters.insert(at, adapter);
+            }
+        } else if let Some(model) = model
+            && let Err(at) = residents.binary_search_by_key(&model, |r| r.model)
+        {
+            residents.insert(at, Resident { model, pace: 1.0 });
+        }
+        self.set_residents(backend, residents, adapters);
+        self.pump(now, Scope::Backend(backend), out);
+    }
+
     pub(crate) fn hint(&mut self, now: Instant, id: &BackendId, total: u32, out: &mut Vec<Action>) {
         let Some(backend) = self.backend_index(id) else {
             return;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -101,6 +101,11 @@
             Event::Finished { id, tokens, ok } => self.finished(now, id, tokens, ok, out),
             Event::Failed { id, failure } => self.failed(now, id, failure, out),
             Event::Report { backend, report } => self.report(now, &backend, &report, out),
+            Event::Resident {
+                backend,
+                model,
+                adapter,
+            } => self.loaded(now, &backend, &model, adapter.as_ref(), out),
             Event::Hint {
                 backend,
                 in_flight,
