Try each data centre that holds the model before refusing

A request that one data centre refused as not run was refused to the caller although another one holds the model too; each attempt is still one hop from the origin.

--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -84,6 +84,7 @@
             as_suspect: false,
             withdrawn: false,
             stays: ticket.forwarded,
+            tried_dcs: Vec::new(),
             denials: 0,
             not_before: Deadline::at(Instant::ZERO),
             dispatched: now,
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -109,6 +109,9 @@
             for tried in &mut flight.tried {
                 *tried = backend_of(*tried).unwrap_or(GONE);
             }
+            for tried in &mut flight.tried_dcs {
+                *tried = keep(&map.dcs, *tried).unwrap_or(u16::MAX);
+            }
             match &mut flight.phase {
                 Phase::Running { backend, .. } | Phase::Asking { backend, .. } => {
                     *backend = backend_of(*backend).unwrap_or(GONE);
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -91,8 +91,12 @@
         };
         flight.may_have_run |= failure.may_have_run;
         flight.as_suspect = false;
-        let forwarded = matches!(flight.phase, Phase::Forwarded { .. });
-        flight.stays |= forwarded;
+        let forwarded = if let Phase::Forwarded { dc } = flight.phase {
+            flight.tried_dcs.push(dc);
+            true
+        } else {
+            false
+        };
         flight.tried.extend(backend);
         let repeatable = flight.ticket.idempotent || !flight.may_have_run || !at_most_once;
         if failure.answered {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -43,8 +43,10 @@
     pub as_suspect: bool,
     /// Whether a newer configuration lacks its service, model or adapter.
     pub withdrawn: bool,
-    /// Whether another data centre has failed the request.
+    /// Whether it was forwarded to this host, so that it can't be forwarded again.
     pub stays: bool,
+    /// Data centres that failed the request.
+    pub tried_dcs: Vec<u16>,
     /// Questions for a suspect slot that were denied.
     pub denials: u8,
     /// Instant before which no slot is asked for again.
--- a/crates/route/src/remote.rs
+++ b/crates/route/src/remote.rs
@@ -48,7 +48,8 @@
         }
         let (service, model) = (flight.service, flight.model);
         let mut able = self.able(service, model);
-        able.retain(|&(_, load)| load < below);
+        let tried = &flight.tried_dcs;
+        able.retain(|(dc, load)| *load < below && !tried.contains(dc));
         if able.is_empty() {
             return None;
         }
