Add replicas where requests are refused for want of a local copy

A data centre without a copy of a model never added one while another data centre had a ready copy, even when that one refused for lack of places. Refused requests now count as unserved demand.

--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -93,7 +93,8 @@
     let mut best: Option<(f64, Change)> = None;
     for change in candidates(round, &before, &surplus) {
         let gain = served_with(round, &change) - served;
-        let lost = round.spots[change.model].iter().all(|s| !s.live);
+        let lost = round.spots[change.model].iter().all(|s| !s.live)
+            && !round.ready_elsewhere(change.model);
         let worth = if lost {
             f64::MAX
         } else {
@@ -152,11 +153,18 @@
 /// Demand of a model that its copies do not serve in time.
 fn wanted(round: &Round<'_>, balance: &Balance, m: usize) -> f64 {
     let spots = &round.spots[m];
-    if spots.iter().all(|s| !s.live) {
-        let lost = round.demand(m).missed_per_second > 0.0 && !round.ready_elsewhere(m);
-        return if lost { f64::MAX } else { 0.0 };
+    if spots.iter().any(|s| s.live) {
+        return balance.unserved(round, m);
+    }
+    let demand = round.demand(m);
+    if demand.missed_per_second <= 0.0 {
+        0.0
+    } else if round.ready_elsewhere(m) {
+        // What the other data centres serve is their demand; the rest was refused here.
+        demand.tokens_per_second
+    } else {
+        f64::MAX
     }
-    balance.unserved(round, m)
 }
 
 fn on_workers(
