--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -71,7 +71,7 @@
             max_attempts: 3,
             conviction: Micros::from_secs(600),
             slot_timeout: Micros::from_secs(1),
-            demand_half_life: Micros::from_secs(15),
+            demand_half_life: Micros::from_secs(6),
             adapter_on_demand: false,
             early_refusal: true,
             report_correction: true,
