--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -16,6 +16,8 @@
 const WANT_AGAIN: Micros = Micros::from_secs(1);
 /// Load of another data centre below which requests are forwarded that find no place here.
 const FORWARD_BELOW: f64 = 0.8;
+/// Load of another data centre below which requests are forwarded that would have to wait here.
+const OVERFLOW_BELOW: f64 = 0.5;
 
 /// Result of offering a waiting request to the backend servers.
 enum Offer {
@@ -227,7 +229,14 @@
                 self.divert(now, rank, slot, Code::DeadlineUnreachable, out)
             }
             Choice::Full { .. } if suspect => Offer::Waits,
-            Choice::Full { .. } => Offer::Blocked,
+            Choice::Full { .. } => {
+                if let Some(dc) = self.forward_target(slot, OVERFLOW_BELOW) {
+                    self.unqueue(rank, slot);
+                    self.forward(now, slot, dc, out);
+                    return Offer::Left;
+                }
+                Offer::Blocked
+            }
             Choice::None(code) => self.without_server(now, rank, slot, code, out),
         }
     }
