Add weight-store slots and adapter batches

Cause: model loads at once are limited over all data centres, and adapters share a small pool. Change: orders::Slots takes, renews and gives back slot objects like leases; plan_adapters returns one batch with least-recently-used eviction; share divides a limit among data centres.

--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -25,13 +25,17 @@
 //! # Ok::<(), types::Error>(())
 //! ```
 
+mod adapters;
 mod copies;
 mod event;
 mod ledger;
 mod record;
+mod slots;
 mod track;
 
+pub use adapters::{Adapter, AdapterMove, plan_adapters, share};
 pub use copies::{Copy, CopyState};
 pub use event::{Action, Answer, Event, Limits, Want};
 pub use ledger::{Checks, Ledger};
 pub use record::{Pending, Record, Sender};
+pub use slots::{SlotAction, SlotEvent, SlotRecord, Slots};
