--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -4,20 +4,35 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Output, Stdio},
+    time::Duration,
 };
 
 use serde_json::{Map, Value, json};
-use tokio::process::Command;
+use tokio::{
+    process::Command,
+    sync::{Semaphore, SemaphorePermit},
+};
 
 use super::{
+    deployment::small,
     entry::EntryHost,
     process::program,
     stage::{PLATFORM_TOKEN, Stage, StandIn},
 };
+use crate::backend::RunLine;
 
 /// Token with which entry hosts know each other.
 const PEER_TOKEN: &str = "peer-token";
 
+/// Token with which operators read reports.
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
+
+/// Lease of the tests; short, so that a takeover takes a few seconds.
+const LEASE: &str = "3 s";
+
+/// Exchange period of the tests; short, so that news spreads in less than a second.
+const EXCHANGE: &str = "200 ms";
+
 /// Target of a link whose process has no address yet; nothing listens there.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
@@ -69,9 +84,37 @@
     /// Link from each entry host to the platform.
     pub platform_links: Vec<SocketAddr>,
     seen: Vec<Seen>,
+    _turn: SemaphorePermit<'static>,
 }
 
+/// Clusters of one test program at a time; more would mostly measure the machine.
+static TURNS: Semaphore = Semaphore::const_new(2);
+
+/// Bounds the time until a deployment is served as intended.
+const SERVED_LIMIT: Duration = Duration::from_mins(1);
+
 impl Cluster {
+    /// Starts the small deployment with three entry hosts and waits until it is served.
+    pub async fn small() -> Self {
+        let cluster = Self::start(Layout::small()).await;
+        cluster.serve(&small()).await;
+        cluster
+    }
+
+    /// Applies a file and waits until every host says that the intended state holds.
+    pub async fn serve(&self, text: &str) {
+        self.apply(text).await;
+        self.wait_ready().await;
+        self.wait_ok().await;
+    }
+
+    /// Waits until every host says that the intended state holds.
+    pub async fn wait_ok(&self) {
+        for host in &self.hosts {
+            host.wait_report(SERVED_LIMIT, "OK").await;
+        }
+    }
+
     /// Starts everything, without a configuration.
     pub async fn start(layout: Layout) -> Self {
         let mut cluster = Self::without_hosts(layout).await;
@@ -82,7 +125,14 @@
     }
 
     /// Starts everything but the entry hosts.
+    ///
+    /// # Panics
+    /// When a process does not start.
     pub async fn without_hosts(layout: Layout) -> Self {
+        let turn = TURNS
+            .acquire()
+            .await
+            .expect("the semaphore is never closed");
         let stage = Stage::new().await;
         let platform = stage.platform().await;
         let mut cluster = Self {
@@ -94,6 +144,7 @@
             backend_links: Vec::new(),
             platform_links: Vec::new(),
             seen: Vec::new(),
+            _turn: turn,
         };
         for backend in cluster.layout.backends.clone() {
             cluster.start_backend(&backend).await;
@@ -150,12 +201,21 @@
         let seeds = self.seen.iter().filter(seen_here);
         let seeds: Vec<String> = seeds.map(|seen| format!("\"{}\"", seen.peer)).collect();
         let platform = self.platform_links[host];
+        let seeds = seeds.join(", ");
         let text = format!(
-            "name = \"{name}\"\ndc = \"{dc}\"\nhttp = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\n\
-             platform = \"http://{platform}/{dc}\"\nseeds = [{}]\n\
-             platform_token = \"{PLATFORM_TOKEN}\"\npeer_token = \"{PEER_TOKEN}\"\n",
-            seeds.join(", ")
+            r#"host = "{name}"
+data_centre = "{dc}"
+listen = {{ http = "127.0.0.1:0", peers = "127.0.0.1:0" }}
+platform = {{ url = "http://{platform}/{dc}", token_file = "platform.token" }}
+peers = {{ seeds = [{seeds}], token_file = "peer.token" }}
+operators = {{ token_file = "operator.token" }}
+log = {{ format = "text", level = "info" }}
+tuning = {{ lease_duration = "{LEASE}", exchange_period = "{EXCHANGE}" }}
+"#
         );
+        self.write("platform.token", PLATFORM_TOKEN);
+        self.write("peer.token", PEER_TOKEN);
+        self.write("operator.token", OPERATOR_TOKEN);
         let path = self.stage.dir().join(format!("{name}.toml"));
         std::fs::write(&path, text).expect("the settings can be written");
         path
@@ -222,11 +282,39 @@
         command.output().await.expect("the program runs")
     }
 
+    /// Returns the backend server of a name.
+    ///
+    /// # Panics
+    /// When there is none.
+    #[must_use]
+    pub fn backend(&self, name: &str) -> usize {
+        let found = self.layout.backends.iter().position(|b| b.name == name);
+        found.expect("a backend server of this name")
+    }
+
+    /// Returns the runs that started on any backend server and whose text contains a part.
+    #[must_use]
+    pub fn started(&self, part: &str) -> Vec<RunLine> {
+        self.backends.iter().flat_map(|b| b.started(part)).collect()
+    }
+
+    /// Asserts that no engine was ever asked for more memory than it has.
+    ///
+    /// # Panics
+    /// When one was.
+    pub async fn assert_memory(&self) {
+        for (backend, server) in self.layout.backends.iter().zip(&self.backends) {
+            if backend.engine.is_some() {
+                let counts = &server.state().await["counts"];
+                assert_eq!(counts["overcommits"], 0, "{}: {counts}", backend.name);
+            }
+        }
+    }
+
     /// Writes a deployment file and returns its path.
     ///
     /// # Panics
     /// When the file can't be written.
-    #[must_use]
     pub fn write(&self, name: &str, text: &str) -> String {
         let path = self.stage.dir().join(name);
         std::fs::write(&path, text).expect("the file can be written");
