--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -451,6 +451,7 @@
         if m.bytes > largest {
             let message = format_args!("{} exceeds the largest worker's {largest}", m.bytes);
             faults.at(s, "bytes", message);
+            continue;
         }
         let sum = wanted.entry(&m.service).or_default();
         let fitted = *sum <= total;
--- /dev/null
+++ b/crates/config/src/delta.rs
@@ -0,0 +1,112 @@
+//! Changes from one version of the configuration to another.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use types::ConfigVersion;
+
+use crate::{
+    deployment::InForce,
+    entry::{self, Entry},
+    error::{Error, Result},
+    version::{Base, Chunk, Manifest, Snapshot, empty_chunks, place},
+};
+
+/// Changes from one version to another.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Delta {
+    /// Version that it starts from; absent when it holds all entries.
+    pub from: Option<ConfigVersion>,
+    /// Manifest of the version that it leads to.
+    pub manifest: Manifest,
+    /// Entries that are new or changed.
+    pub changed: Vec<Entry>,
+    /// Keys of removed entries.
+    pub removed: Vec<String>,
+}
+
+impl Delta {
+    /// Makes the delta between two versions; without `from` it holds all entries of `to`.
+    #[must_use]
+    pub fn between(from: Option<&Base>, to: &Snapshot) -> Self {
+        let empty = Arc::new(Chunk::default());
+        let mut changed = Vec::new();
+        let mut removed = Vec::new();
+        for (i, new) in to.chunks.iter().enumerate() {
+            let old = from.and_then(|f| f.chunks.get(i)).unwrap_or(&empty);
+            if Arc::ptr_eq(old, new) {
+                continue;
+            }
+            let differs = |e: &&Entry| !old.entries.contains(e);
+            changed.extend(new.entries.iter().filter(differs).cloned());
+            let keys = old.entries.iter().map(Entry::key);
+            removed.extend(keys.filter(|key| new.entries.iter().all(|e| e.key() != *key)));
+        }
+        Self {
+            from: from.map(|f| f.version),
+            manifest: Manifest::clone(&to.manifest),
+            changed,
+            removed,
+        }
+    }
+
+    /// Applies the delta and verifies the result against the manifest's hashes.
+    ///
+    /// # Errors
+    /// `Garbage` when `base` is not the version it starts from or a hash differs.
+    pub fn apply(&self, base: Option<&Snapshot>) -> Result<Snapshot> {
+        let Some(from) = self.from else {
+            let chunks = self.patch(empty_chunks());
+            return Snapshot::new(self.manifest.clone(), chunks);
+        };
+        let Some(base) = base.filter(|base| base.in_force.version == from) else {
+            let message = format_args!("the delta starts at version {from}");
+            return Err(Error::garbage(message));
+        };
+        let chunks = self.patch(base.chunks.clone());
+        self.verify(base, &chunks)?;
+        let mut deployment = base.in_force.deployment.as_ref().clone();
+        for key in &self.removed {
+            entry::remove(&mut deployment, key);
+        }
+        for entry in &self.changed {
+            entry::set(&mut deployment, entry.clone());
+        }
+        let in_force = InForce {
+            version: self.manifest.version,
+            deployment: Arc::new(deployment),
+        };
+        Ok(Snapshot {
+            in_force: Arc::new(in_force),
+            manifest: Arc::new(self.manifest.clone()),
+            chunks,
+        })
+    }
+
+    fn patch(&self, mut chunks: Vec<Arc<Chunk>>) -> Vec<Arc<Chunk>> {
+        for key in &self.removed {
+            Arc::make_mut(&mut chunks[place(key)]).remove(key);
+        }
+        for entry in &self.changed {
+            Arc::make_mut(&mut chunks[place(&entry.key())]).set(entry.clone());
+        }
+        chunks
+    }
+
+    /// Compares the hashes; those of untouched chunks were verified with the base.
+    fn verify(&self, base: &Snapshot, chunks: &[Arc<Chunk>]) -> Result<()> {
+        let named = &self.manifest.chunks;
+        let fits = |i: usize| {
+            let untouched = Arc::ptr_eq(&chunks[i], &base.chunks[i]);
+            let known = untouched.then(|| base.manifest.chunks[i]);
+            named[i] == known.unwrap_or_else(|| chunks[i].hash())
+        };
+        if named.len() == chunks.len() && (0..chunks.len()).all(fits) {
+            return Ok(());
+        }
+        Err(Error::garbage(format_args!(
+            "the delta does not lead to version {}",
+            self.manifest.version
+        )))
+    }
+}
--- a/crates/config/src/entry.rs
+++ b/crates/config/src/entry.rs
@@ -41,19 +41,34 @@
 }
 
 impl Entry {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Deployment(_) => "deployment",
+            Self::DataCentre(_) => "dc",
+            Self::Service(_) => "service",
+            Self::Model(_) => "model",
+            Self::Adapter(_) => "adapter",
+            Self::Backend(_) => "backend",
+            Self::Caller(_) => "caller",
+        }
+    }
+
+    fn name(&self) -> &str {
+        match self {
+            Self::Deployment(_) => "",
+            Self::DataCentre(e) => e.name(),
+            Self::Service(e) => e.name(),
+            Self::Model(e) => e.name(),
+            Self::Adapter(e) => e.name(),
+            Self::Backend(e) => e.name(),
+            Self::Caller(e) => e.name(),
+        }
+    }
+
     /// Returns the key, which is unique in a deployment and never changes.
     #[must_use]
     pub fn key(&self) -> String {
-        let (kind, name) = match self {
-            Self::Deployment(_) => ("deployment", ""),
-            Self::DataCentre(e) => ("dc", e.id.as_str()),
-            Self::Service(e) => ("service", e.name.as_str()),
-            Self::Model(e) => ("model", e.id.as_str()),
-            Self::Adapter(e) => ("adapter", e.id.as_str()),
-            Self::Backend(e) => ("backend", e.id.as_str()),
-            Self::Caller(e) => ("caller", e.id.as_str()),
-        };
-        format!("{kind}/{name}")
+        format!("{}/{}", self.kind(), self.name())
     }
 }
 
@@ -95,11 +110,81 @@
     if headers != 1 {
         return Err(Error::garbage("the chunks do not hold one deployment"));
     }
-    d.data_centres.sort_by(|a, b| a.id.cmp(&b.id));
-    d.services.sort_by(|a, b| a.name.cmp(&b.name));
-    d.models.sort_by(|a, b| a.id.cmp(&b.id));
-    d.adapters.sort_by(|a, b| a.id.cmp(&b.id));
-    d.backends.sort_by(|a, b| a.id.cmp(&b.id));
-    d.callers.sort_by(|a, b| a.id.cmp(&b.id));
+    sort(&mut d.data_centres);
+    sort(&mut d.services);
+    sort(&mut d.models);
+    sort(&mut d.adapters);
+    sort(&mut d.backends);
+    sort(&mut d.callers);
     Ok(d)
 }
+
+/// Replaces or adds an entry.
+pub(crate) fn set(d: &mut Deployment, entry: Entry) {
+    match entry {
+        Entry::Deployment(h) => (d.name, d.objective, d.limits) = (h.name, h.objective, h.limits),
+        Entry::DataCentre(e) => put(&mut d.data_centres, e),
+        Entry::Service(e) => put(&mut d.services, e),
+        Entry::Model(e) => put(&mut d.models, e),
+        Entry::Adapter(e) => put(&mut d.adapters, e),
+        Entry::Backend(e) => put(&mut d.backends, e),
+        Entry::Caller(e) => put(&mut d.callers, e),
+    }
+}
+
+/// Removes the entry with a key.
+pub(crate) fn remove(d: &mut Deployment, key: &str) {
+    let Some((kind, name)) = key.split_once('/') else {
+        return;
+    };
+    match kind {
+        "dc" => take(&mut d.data_centres, name),
+        "service" => take(&mut d.services, name),
+        "model" => take(&mut d.models, name),
+        "adapter" => take(&mut d.adapters, name),
+        "backend" => take(&mut d.backends, name),
+        "caller" => take(&mut d.callers, name),
+        _ => {}
+    }
+}
+
+/// Entry of a list that is sorted by name.
+trait Named {
+    fn name(&self) -> &str;
+}
+
+macro_rules! named {
+    ($($entry:ident $field:ident,)*) => {$(
+        impl Named for $entry {
+            fn name(&self) -> &str {
+                self.$field.as_str()
+            }
+        }
+    )*};
+}
+
+named! {
+    DataCentre id,
+    Service name,
+    Model id,
+    Adapter id,
+    BackendServer id,
+    Caller id,
+}
+
+fn sort<T: Named>(list: &mut [T]) {
+    list.sort_by(|a, b| a.name().cmp(b.name()));
+}
+
+fn put<T: Named>(list: &mut Vec<T>, new: T) {
+    match list.binary_search_by(|e| e.name().cmp(new.name())) {
+        Ok(at) => list[at] = new,
+        Err(at) => list.insert(at, new),
+    }
+}
+
+fn take<T: Named>(list: &mut Vec<T>, name: &str) {
+    if let Ok(at) = list.binary_search_by(|e| e.name().cmp(name)) {
+        list.remove(at);
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod apply;
 mod check;
+mod delta;
 mod deployment;
 mod document;
 mod entry;
@@ -32,6 +33,7 @@
 mod version;
 
 pub use apply::{Applied, apply, load, load_from, load_manifest};
+pub use delta::Delta;
 pub use deployment::{
     Adapter, BackendServer, Caller, DataCentre, Deployment, InForce, Limits, Model, Objective,
     Priority, Service, ServiceKind, TokenHash,
@@ -41,4 +43,4 @@
 pub use error::{Category, Error, Fault, Result};
 pub use secret::Secret;
 pub use settings::{HostSettings, LogFormat, LogLevel, Tuning};
-pub use version::{Chunk, ChunkHash, Delta, Manifest, Past, Retired, Snapshot};
+pub use version::{Base, Chunk, ChunkHash, Manifest, Past, Retired, Snapshot};
--- a/crates/config/src/version.rs
+++ b/crates/config/src/version.rs
@@ -86,7 +86,7 @@
         ChunkHash(*blake3::hash(&bytes).as_bytes())
     }
 
-    fn set(&mut self, entry: Entry) {
+    pub(crate) fn set(&mut self, entry: Entry) {
         let key = entry.key();
         match self.entries.binary_search_by(|e| e.key().cmp(&key)) {
             Ok(at) => self.entries[at] = entry,
@@ -94,7 +94,7 @@
         }
     }
 
-    fn remove(&mut self, key: &str) {
+    pub(crate) fn remove(&mut self, key: &str) {
         self.entries.retain(|e| e.key() != key);
     }
 }
@@ -176,6 +176,15 @@
     }
 }
 
+/// Chunks of a version, from which a delta starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Base {
+    /// Version.
+    pub version: ConfigVersion,
+    /// Chunks, in the order of their numbers.
+    pub chunks: Vec<Arc<Chunk>>,
+}
+
 /// Manifest with all its chunks, verified against each other.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Snapshot {
@@ -194,7 +203,7 @@
     /// `Garbage` when a chunk does not have the hash that the manifest names.
     pub fn new(manifest: Manifest, chunks: Vec<Arc<Chunk>>) -> Result<Self> {
         let hashes = chunks.iter().map(|c| c.hash());
-        if !hashes.eq(manifest.chunks.iter().copied()) {
+        if chunks.len() != CHUNKS || !hashes.eq(manifest.chunks.iter().copied()) {
             return Err(Error::garbage(format_args!(
                 "the chunks of version {} differ from its manifest",
                 manifest.version
@@ -211,6 +220,15 @@
         })
     }
 
+    /// Returns what a delta from this version needs, which is little beyond what versions share.
+    #[must_use]
+    pub fn base(&self) -> Base {
+        Base {
+            version: self.in_force.version,
+            chunks: self.chunks.clone(),
+        }
+    }
+
     /// Makes the snapshot of the version that follows `previous`.
     #[must_use]
     pub fn next(
@@ -259,7 +277,7 @@
     retired
 }
 
-fn place(key: &str) -> usize {
+pub(crate) fn place(key: &str) -> usize {
     let hash = blake3::hash(key.as_bytes());
     usize::from(hash.as_bytes()[0]) % CHUNKS
 }
@@ -272,77 +290,7 @@
     chunks.into_iter().map(Arc::new).collect()
 }
 
-fn empty_chunks() -> Vec<Arc<Chunk>> {
+pub(crate) fn empty_chunks() -> Vec<Arc<Chunk>> {
     let empty = Arc::new(Chunk::default());
     vec![empty; CHUNKS]
 }
-
-/// Changes from one version to another.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct Delta {
-    /// Version that it starts from; absent when it holds all entries.
-    pub from: Option<ConfigVersion>,
-    /// Manifest of the version that it leads to.
-    pub manifest: Manifest,
-    /// Entries that are new or changed.
-    pub changed: Vec<Entry>,
-    /// Keys of removed entries.
-    pub removed: Vec<String>,
-}
-
-impl Delta {
-    /// Makes the delta between two versions; without `from` it holds all entries of `to`.
-    #[must_use]
-    pub fn between(from: Option<&Snapshot>, to: &Snapshot) -> Self {
-        let empty = Arc::new(Chunk::default());
-        let mut changed = Vec::new();
-        let mut removed = Vec::new();
-        for (i, new) in to.chunks.iter().enumerate() {
-            let old = from.and_then(|f| f.chunks.get(i)).unwrap_or(&empty);
-            if Arc::ptr_eq(old, new) {
-                continue;
-            }
-            changed.extend(
-                new.entries
-                    .iter()
-                    .filter(|e| !old.entries.contains(e))
-                    .cloned(),
-            );
-            let gone = old.entries.iter().map(Entry::key);
-            removed.extend(gone.filter(|key| new.entries.iter().all(|e| e.key() != *key)));
-        }
-        Self {
-            from: from.map(|f| f.in_force.version),
-            manifest: Manifest::clone(&to.manifest),
-            changed,
-            removed,
-        }
-    }
-
-    /// Applies the delta and verifies the result against the manifest's hashes.
-    ///
-    /// # Errors
-    /// `Garbage` when `base` is not the version it starts from or a hash differs.
-    pub fn apply(&self, base: Option<&Snapshot>) -> Result<Snapshot> {
-        let base = match (self.from, base) {
-            (None, _) => None,
-            (Some(from), Some(base)) if base.in_force.version == from => Some(base),
-            (Some(from), _) => {
-                return Err(Error::garbage(format_args!(
-                    "the delta starts at version {from}"
-                )));
-            }
-        };
-        let mut chunks = match base {
-            Some(base) => base.chunks.clone(),
-            None => empty_chunks(),
-        };
-        for key in &self.removed {
-            Arc::make_mut(&mut chunks[place(key)]).remove(key);
-        }
-        for entry in &self.changed {
-            Arc::make_mut(&mut chunks[place(&entry.key())]).set(entry.clone());
-        }
-        Snapshot::new(self.manifest.clone(), chunks)
-    }
-}
--- /dev/null
+++ b/crates/config/tests/applying.rs
@@ -0,0 +1,178 @@
+//! Applying to the platform: races, lost answers, outages.
+
+use config::{Category, Chunk, Deployment, Manifest};
+use store::{Fault, MemPlatform, Platform};
+use types::ConfigVersion;
+
+fn deployment(queue: u32) -> Deployment {
+    let mut d = Deployment {
+        name: "d".to_owned(),
+        ..Deployment::default()
+    };
+    d.limits.queue = queue;
+    d
+}
+
+async fn in_force(platform: &MemPlatform) -> Option<(u64, u32)> {
+    let loaded = config::load(platform).await.unwrap()?;
+    let version = loaded.in_force.version.get();
+    Some((version, loaded.in_force.deployment.limits.queue))
+}
+
+/// Number of platform calls of a first apply: read, chunks, manifest.
+async fn calls_of_first_apply() -> u64 {
+    let platform = MemPlatform::new();
+    config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap();
+    let (reads, writes, _) = platform.calls();
+    reads + writes
+}
+
+/// Guards against an apply that is not in force, or whose version does not rise.
+#[tokio::test]
+async fn applies_follow_each_other() {
+    let platform = MemPlatform::new();
+    assert_eq!(in_force(&platform).await, None);
+    for n in 1..=12 {
+        let applied = config::apply(&platform, &deployment(n), "ana", None)
+            .await
+            .unwrap();
+        assert_eq!(applied.version, ConfigVersion::new(n.into()));
+        assert_eq!(in_force(&platform).await, Some((n.into(), n)));
+    }
+    // Chunks of versions that no host can need any more are deleted.
+    let chunks = platform.list::<Chunk>().await.unwrap().items.len();
+    assert!(chunks <= 8, "{chunks} chunks are kept");
+}
+
+/// Guards against two operators who overwrite each other unseen.
+#[tokio::test]
+async fn a_race_names_the_winner_and_leaves_its_file_in_force() {
+    let platform = MemPlatform::new();
+    config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap();
+    let seen = Some(ConfigVersion::new(1));
+    let (two, three) = (deployment(2), deployment(3));
+    let (first, second) = tokio::join!(
+        config::apply(&platform, &two, "ben", seen),
+        config::apply(&platform, &three, "cleo", seen),
+    );
+    let (won, lost, author, queue) = match (first, second) {
+        (Ok(won), Err(lost)) => (won, lost, "ben", 2),
+        (Err(lost), Ok(won)) => (won, lost, "cleo", 3),
+        both => panic!("exactly one wins: {both:?}"),
+    };
+    assert_eq!(won.version, ConfigVersion::new(2));
+    assert_eq!(lost.category(), Category::Conflict);
+    assert_eq!(lost.winner(), Some((ConfigVersion::new(2), author)));
+    assert_eq!(in_force(&platform).await, Some((2, queue)));
+}
+
+/// Guards against an apply on top of a version that the operator has not seen.
+#[tokio::test]
+async fn if_version_refuses_what_was_not_seen() {
+    let platform = MemPlatform::new();
+    config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap();
+    config::apply(&platform, &deployment(2), "ben", None)
+        .await
+        .unwrap();
+    let stale = Some(ConfigVersion::new(1));
+    let err = config::apply(&platform, &deployment(3), "cleo", stale)
+        .await
+        .unwrap_err();
+    assert_eq!(err.winner(), Some((ConfigVersion::new(2), "ben")));
+    assert_eq!(in_force(&platform).await, Some((2, 2)));
+}
+
+/// Guards against a fault at any call that leaves a half applied file or a wrong statement.
+#[tokio::test]
+async fn a_fault_at_any_call_is_resolved_or_told() {
+    for fault in [Fault::AnswerLost, Fault::Unavailable] {
+        for at in 0..calls_of_first_apply().await {
+            let platform = MemPlatform::new();
+            let passes = std::iter::repeat_n(None, usize::try_from(at).unwrap());
+            platform.push_faults(passes.chain([Some(fault)]));
+            let outcome = config::apply(&platform, &deployment(1), "ana", None).await;
+            platform.push_faults([]);
+            let found = in_force(&platform).await;
+            match outcome {
+                Ok(applied) => assert_eq!(found, Some((applied.version.get(), 1)), "{at}"),
+                Err(e) => {
+                    assert_eq!(e.category(), Category::Away, "{fault:?} at {at}: {e}");
+                    assert!(e.to_string().contains("nothing of this file is in force"));
+                    assert_eq!(found, None, "{fault:?} at {at}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a refusal that claims more than is known.
+#[tokio::test]
+async fn a_lost_answer_that_can_not_be_read_back_is_unknown() {
+    let platform = MemPlatform::new();
+    let before_manifest = calls_of_first_apply().await - 1;
+    let passes = std::iter::repeat_n(None, usize::try_from(before_manifest).unwrap());
+    let faults = [Some(Fault::AnswerLost), Some(Fault::Unavailable)];
+    platform.push_faults(passes.chain(faults));
+    let err = config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap_err();
+    assert_eq!(err.category(), Category::Unknown);
+    assert_eq!(in_force(&platform).await, Some((1, 1)));
+}
+
+/// Guards against a read-back that misses an apply because others followed it.
+#[tokio::test]
+async fn the_manifest_remembers_earlier_applies() {
+    let platform = MemPlatform::new();
+    config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap();
+    let first = platform
+        .get::<Manifest>(Manifest::CURRENT)
+        .await
+        .unwrap()
+        .unwrap()
+        .value;
+    config::apply(&platform, &deployment(2), "ben", None)
+        .await
+        .unwrap();
+    config::apply(&platform, &deployment(3), "cleo", None)
+        .await
+        .unwrap();
+    let newest = platform
+        .get::<Manifest>(Manifest::CURRENT)
+        .await
+        .unwrap()
+        .unwrap()
+        .value;
+    assert_eq!(
+        newest.version_of(first.apply_id),
+        Some(ConfigVersion::new(1))
+    );
+}
+
+/// Guards against chunks that were altered on the platform.
+#[tokio::test]
+async fn an_altered_chunk_is_not_taken() {
+    let platform = MemPlatform::new();
+    config::apply(&platform, &deployment(1), "ana", None)
+        .await
+        .unwrap();
+    let chunks = platform.list::<Chunk>().await.unwrap().items;
+    let full = chunks
+        .into_iter()
+        .find(|c| !c.value.entries.is_empty())
+        .unwrap();
+    platform
+        .update(&full.name, &Chunk::default(), &full.revision)
+        .await
+        .unwrap();
+    let err = config::load(&platform).await.unwrap_err();
+    assert_eq!(err.category(), Category::Garbage);
+}
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use config::{Delta, Snapshot};
+use config::{Base, Delta, Snapshot};
 use types::ConfigVersion;
 
 /// Versions that are remembered, so that a peer which lags behind gets changes only.
@@ -11,15 +11,16 @@
 /// Configuration in force and those before it.
 #[derive(Debug, Default)]
 pub(crate) struct Versions {
-    /// Newest first.
-    known: VecDeque<Arc<Snapshot>>,
+    current: Option<Arc<Snapshot>>,
+    /// Chunks of earlier versions, newest first; versions share the chunks that did not change.
+    past: VecDeque<Base>,
     /// Set when a delta did not fit, so that the next one holds all entries.
     resync: bool,
 }
 
 impl Versions {
     pub(crate) fn current(&self) -> Option<&Arc<Snapshot>> {
-        self.known.front()
+        self.current.as_ref()
     }
 
     /// Returns the version in force, zero if none.
@@ -40,8 +41,10 @@
         if new.in_force.version <= self.version() {
             return false;
         }
-        self.known.push_front(new);
-        self.known.truncate(PAST_VERSIONS);
+        if let Some(old) = self.current.replace(new) {
+            self.past.push_front(old.base());
+            self.past.truncate(PAST_VERSIONS);
+        }
         self.resync = false;
         true
     }
@@ -66,7 +69,7 @@
         if from.is_some_and(|from| from >= newest.in_force.version) {
             return None;
         }
-        let base = self.known.iter().find(|s| Some(s.in_force.version) == from);
-        Some(Delta::between(base.map(Arc::as_ref), newest))
+        let base = self.past.iter().find(|b| Some(b.version) == from);
+        Some(Delta::between(base, newest))
     }
 }
