Reach each entry host through one pair of links

Cause: entry hosts tell each other one advertised address, so a view of the host list for each data centre can not separate them.

Change: entry hosts listen on ports that are known before they start and advertise links; partitions use one host in each data centre. A link looks whether its target keeps a probe open before it lets its client see the end.

Conclusion: a crash behind a link is refused from the first moment on.

--- a/crates/celerytally/tests/platform_client.rs
+++ b/crates/celerytally/tests/platform_client.rs
@@ -19,7 +19,7 @@
     let stage = Stage::new().await;
     let platform = stage.platform().await;
     let link = stage.link(platform.addr()).await;
-    let client = HttpPlatform::new(&format!("http://{link}/view"), "platform-token").unwrap();
+    let client = HttpPlatform::new(&format!("http://{link}"), "platform-token").unwrap();
     (stage, platform, client)
 }
 
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -1,13 +1,13 @@
 //! A deployment on loopback: platform, backend servers, proxy links and entry hosts.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Output, Stdio},
     time::Duration,
 };
 
-use serde_json::{Map, Value, json};
+use serde_json::{Value, json};
 use tokio::{
     process::Command,
     sync::{Semaphore, SemaphorePermit},
@@ -33,9 +33,6 @@
 /// Exchange period of the tests; short, so that news spreads in less than a second.
 const EXCHANGE: &str = "200 ms";
 
-/// Target of a link whose process has no address yet; nothing listens there.
-const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
-
 /// Backend server of a layout.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -58,13 +55,17 @@
     pub token: String,
 }
 
-/// Links to one entry host as one data centre sees it.
-#[derive(Clone, Debug)]
-struct Seen {
-    host: usize,
-    from: String,
-    http: SocketAddr,
-    peer: SocketAddr,
+/// Ports of an entry host and the links through which others reach it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostLinks {
+    listen_http: SocketAddr,
+    listen_peers: SocketAddr,
+    /// Link to the caller port.
+    pub http: SocketAddr,
+    /// Link to the peer port.
+    pub peer: SocketAddr,
+    /// Link from the host to the platform.
+    pub platform: SocketAddr,
 }
 
 /// Running deployment.
@@ -81,9 +82,8 @@
     layout: Layout,
     /// Link of each backend server.
     pub backend_links: Vec<SocketAddr>,
-    /// Link from each entry host to the platform.
-    pub platform_links: Vec<SocketAddr>,
-    seen: Vec<Seen>,
+    /// Links of each entry host.
+    pub links: Vec<HostLinks>,
     _turn: SemaphorePermit<'static>,
 }
 
@@ -142,8 +142,7 @@
             stage,
             layout,
             backend_links: Vec::new(),
-            platform_links: Vec::new(),
-            seen: Vec::new(),
+            links: Vec::new(),
             _turn: turn,
         };
         for backend in cluster.layout.backends.clone() {
@@ -172,46 +171,37 @@
         self.platform.set_host(name, &spec).await;
     }
 
-    fn dcs(&self) -> Vec<String> {
-        let mut dcs: Vec<_> = self.layout.hosts.iter().map(|(_, dc)| dc.clone()).collect();
-        dcs.sort_unstable();
-        dcs.dedup();
-        dcs
-    }
-
     async fn link_hosts(&mut self) {
-        for host in 0..self.layout.hosts.len() {
-            let link = self.stage.link(self.platform.addr()).await;
-            self.platform_links.push(link);
-            for from in self.dcs() {
-                let seen = Seen {
-                    host,
-                    from,
-                    http: self.stage.link(NOWHERE).await,
-                    peer: self.stage.link(NOWHERE).await,
-                };
-                self.seen.push(seen);
-            }
+        for _ in 0..self.layout.hosts.len() {
+            let (listen_http, listen_peers) = (free_port(), free_port());
+            self.links.push(HostLinks {
+                listen_http,
+                listen_peers,
+                http: self.stage.link(listen_http).await,
+                peer: self.stage.link(listen_peers).await,
+                platform: self.stage.link(self.platform.addr()).await,
+            });
         }
     }
 
     fn settings(&self, host: usize) -> PathBuf {
         let (name, dc) = &self.layout.hosts[host];
-        let seen_here = |seen: &&Seen| seen.from == *dc && seen.host != host;
-        let seeds = self.seen.iter().filter(seen_here);
-        let seeds: Vec<String> = seeds.map(|seen| format!("\"{}\"", seen.peer)).collect();
-        let platform = self.platform_links[host];
+        let others = self.links.iter().enumerate().filter(|(i, _)| *i != host);
+        let seeds: Vec<String> = others.map(|(_, l)| format!("\"{}\"", l.peer)).collect();
+        let links = self.links[host];
         let seeds = seeds.join(", ");
         let text = format!(
             r#"host = "{name}"
 data_centre = "{dc}"
-listen = {{ http = "127.0.0.1:0", peers = "127.0.0.1:0" }}
-platform = {{ url = "http://{platform}/{dc}", token_file = "platform.token" }}
+listen = {{ http = "{}", peers = "{}" }}
+advertise = {{ http = "{}", peers = "{}" }}
+platform = {{ url = "http://{}", token_file = "platform.token" }}
 peers = {{ seeds = [{seeds}], token_file = "peer.token" }}
 operators = {{ token_file = "operator.token" }}
 log = {{ format = "text", level = "info" }}
 tuning = {{ lease_duration = "{LEASE}", exchange_period = "{EXCHANGE}" }}
-"#
+"#,
+            links.listen_http, links.listen_peers, links.http, links.peer, links.platform
         );
         self.write("platform.token", PLATFORM_TOKEN);
         self.write("peer.token", PEER_TOKEN);
@@ -227,10 +217,6 @@
         let settings = self.settings(host);
         let dir = self.stage.dir();
         let entry = EntryHost::start(dir, &name, &dc, &settings, &self.layout.token).await;
-        for seen in self.seen.iter().filter(|seen| seen.host == host) {
-            self.stage.set_target(seen.http, entry.http).await;
-            self.stage.set_target(seen.peer, entry.peer).await;
-        }
         match self.hosts.iter_mut().find(|known| known.name == name) {
             Some(known) => *known = entry,
             None => self.hosts.push(entry),
@@ -241,33 +227,24 @@
     /// Lists an entry host as live or leaving.
     pub async fn list_host(&self, host: usize, state: &str) {
         let (name, dc) = &self.layout.hosts[host];
-        let mut spec = json!({"role": "entry", "dc": dc, "state": state});
-        let mut views = Map::new();
-        for seen in self.seen.iter().filter(|seen| seen.host == host) {
-            let addrs = json!({"addr": seen.http, "peer_addr": seen.peer});
-            views.insert(seen.from.clone(), addrs);
-        }
-        spec["addr"] = views[dc]["addr"].clone();
-        spec["peer_addr"] = views[dc]["peer_addr"].clone();
-        spec["views"] = Value::Object(views);
+        let links = self.links[host];
+        let spec = json!({"role": "entry", "dc": dc, "state": state, "addr": links.http,
+            "peer_addr": links.peer});
         self.platform.set_host(name, &spec).await;
     }
 
-    /// Cuts a data centre off from all others and from the platform, or heals it.
-    pub async fn partition(&self, dc: &str, mode: &str) {
+    /// Sets the mode of all links to the entry hosts, and of one host's link to the platform.
+    ///
+    /// With one entry host in each data centre, this separates the data centre of the host from
+    /// the others and from the platform.
+    pub async fn partition(&self, host: usize, mode: &str) {
         let knobs = json!({"mode": mode});
-        for seen in &self.seen {
-            let to_dc = self.layout.hosts[seen.host].1 == dc;
-            if to_dc != (seen.from == dc) {
-                self.stage.set_link(seen.http, &knobs).await;
-                self.stage.set_link(seen.peer, &knobs).await;
-            }
-        }
-        for (link, (_, host_dc)) in self.platform_links.iter().zip(&self.layout.hosts) {
-            if host_dc == dc {
-                self.stage.set_link(*link, &knobs).await;
-            }
+        for links in &self.links {
+            self.stage.set_link(links.http, &knobs).await;
+            self.stage.set_link(links.peer, &knobs).await;
         }
+        let platform = self.links[host].platform;
+        self.stage.set_link(platform, &knobs).await;
     }
 
     /// Runs a command of the program with the settings of the first entry host.
@@ -355,3 +332,9 @@
 
 /// Lines of each host's log that a failed test prints.
 const LOG_LINES: usize = 25;
+
+/// Returns an address that the kernel chose, for a process that others must know before it starts.
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("the address of the listener")
+}
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-pub use cluster::{Backend, Cluster, Layout};
+pub use cluster::{Backend, Cluster, HostLinks, Layout};
 pub use deployment::{CALLER_TOKEN, small};
 pub use entry::{EntryHost, Reply};
 pub use process::Process;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -113,24 +113,15 @@
         let segments: Vec<&str> = path.split('/').filter(|s| !s.is_empty()).collect();
         match segments.as_slice() {
             ["admin", rest @ ..] => self.admin(&call, rest),
-            // A leading segment selects the view of one data centre on the host list.
-            [view, base @ .., kind] if base == BASE => {
-                self.api(&call, Some(view), kind, None).await
-            }
-            [view, a, b, c, kind, name] if [*a, *b, *c] == BASE => {
-                self.api(&call, Some(view), kind, Some(name)).await
-            }
-            [base @ .., kind] if base == BASE => self.api(&call, None, kind, None).await,
-            [base @ .., kind, name] if base == BASE => {
-                self.api(&call, None, kind, Some(name)).await
-            }
+            [base @ .., kind] if base == BASE => self.api(&call, kind, None).await,
+            [base @ .., kind, name] if base == BASE => self.api(&call, kind, Some(name)).await,
             _ => Answer::error(404, "no such path"),
         }
     }
 }
 
 impl Platform {
-    async fn api(&self, call: &Call, view: Option<&str>, kind: &str, name: Option<&str>) -> Answer {
+    async fn api(&self, call: &Call, kind: &str, name: Option<&str>) -> Answer {
         let delay = lock(&self.state).knobs.delay_ms;
         sleep(Duration::from_millis(delay)).await;
         let effect = lock(&self.state).effect(call, kind);
@@ -144,9 +135,9 @@
             return Answer::error(401, "unknown bearer token");
         }
         if call.query("watch") == Some("1") {
-            return self.watch(call, view, kind);
+            return self.watch(call, kind);
         }
-        let answer = self.object(call, view, kind, name);
+        let answer = self.object(call, kind, name);
         if effect == Some(Effect::LoseAnswer) {
             lock(&self.state).counts.lost_answers += 1;
             return Answer::cut();
@@ -154,7 +145,7 @@
         answer
     }
 
-    fn object(&self, call: &Call, view: Option<&str>, kind: &str, name: Option<&str>) -> Answer {
+    fn object(&self, call: &Call, kind: &str, name: Option<&str>) -> Answer {
         let mut state = lock(&self.state);
         let wrote = call.method != "GET";
         if wrote {
@@ -168,8 +159,7 @@
         }
         drop(state);
         match result {
-            Ok(mut value) => {
-                seen_from(&mut value, view);
+            Ok(value) => {
                 if wrote {
                     self.changed.send_replace(());
                 }
@@ -180,7 +170,7 @@
         }
     }
 
-    fn watch(&self, call: &Call, view: Option<&str>, kind: &str) -> Answer {
+    fn watch(&self, call: &Call, kind: &str) -> Answer {
         let from = call.query("resourceVersion").and_then(|v| v.parse().ok());
         let mut state = lock(&self.state);
         state.counts.watches += 1;
@@ -195,7 +185,6 @@
             until: Instant::now() + Duration::from_secs(seconds.unwrap_or(WATCH_SECONDS)),
             changed: self.changed.subscribe(),
             kind: kind.to_owned(),
-            view: view.map(ToOwned::to_owned),
             from,
             open,
         };
@@ -282,28 +271,6 @@
     }
 }
 
-/// Gives the hosts of an object, event or listing the addresses that hold from one data centre.
-///
-/// The `views` field of a host is `{view: {"addr", "peer_addr"}}`; callers never see it.
-fn seen_from(value: &mut Value, view: Option<&str>) {
-    if let Some(items) = value.get_mut("items").and_then(Value::as_array_mut) {
-        for item in items {
-            seen_from(item, view);
-        }
-    }
-    if let Some(object) = value.get_mut("object") {
-        seen_from(object, view);
-    }
-    let Some(spec) = value.get_mut("spec").and_then(Value::as_object_mut) else {
-        return;
-    };
-    let Some(views) = spec.remove("views") else {
-        return;
-    };
-    let other = view.and_then(|view| views.get(view)?.as_object().cloned());
-    spec.extend(other.into_iter().flatten());
-}
-
 /// Counts a watch as open until it is dropped.
 struct OpenWatch(Arc<Mutex<State>>);
 
@@ -324,7 +291,6 @@
     open: OpenWatch,
     changed: watch::Receiver<()>,
     kind: String,
-    view: Option<String>,
     from: u64,
     until: Instant,
 }
@@ -341,11 +307,7 @@
             };
             self.from = upto;
             if !changes.is_empty() {
-                let lines = changes.into_iter().map(|change| {
-                    let mut line = change.line;
-                    seen_from(&mut line, self.view.as_deref());
-                    format!("{line}\n")
-                });
+                let lines = changes.iter().map(|change| format!("{}\n", change.line));
                 return Some(lines.collect());
             }
             tokio::select! {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -13,7 +13,7 @@
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::http::{self, Answer, Call, Service};
@@ -180,6 +180,18 @@
         *self.target.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Looks whether the target still accepts; when it refuses, the link has stopped listening.
+    ///
+    /// The kernel closes the connections of a process that ends before its listener, so a
+    /// connection may be accepted and reset at once.
+    async fn probe(&self) {
+        while let Some(mut stream) = self.connect().await {
+            if timeout(PROBE, stream.read(&mut [0])).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Connects to the target; when it refuses, returns after the link has stopped listening.
     async fn connect(&self) -> Option<TcpStream> {
         match TcpStream::connect(self.target()).await {
@@ -221,7 +233,7 @@
         let mut near_tx = near_tx;
         pump(far_rx, &mut near_tx, link.knobs.subscribe(), Mode::DropDown).await;
         // The client must not see the end before the link refuses, if the process ended.
-        drop(link.connect().await);
+        link.probe().await;
         drop(near_tx.shutdown().await);
     };
     tokio::select! {
