Test that a gap in the cache events is told

Cause: the gap detection of prefix-cache events had no test. Change: the test server sends events with a missing sequence number. Conclusion: hints of a worker can be dropped after a gap.

--- a/crates/engine/tests/backend/mod.rs
+++ b/crates/engine/tests/backend/mod.rs
@@ -129,6 +129,14 @@
             res.body = ResBody::Once(report.into());
             return;
         }
+        if req.uri().path() == "/events" {
+            let event = |seq| {
+                let event = json!({"seq": seq, "op": "stored", "model": "m", "prefix": "1f"});
+                Ok::<_, io::Error>(format!("data: {event}\n\n"))
+            };
+            res.body = ResBody::stream(stream::iter([7, 8, 10].map(event)));
+            return;
+        }
         let path = req.uri().path_and_query().unwrap().to_string();
         let body = req.payload().await.cloned().unwrap_or_default();
         let (headers, peer) = (req.headers().clone(), req.remote_addr().to_string());
--- a/crates/engine/tests/streams.rs
+++ b/crates/engine/tests/streams.rs
@@ -3,7 +3,7 @@
 mod backend;
 
 use backend::{Act, Backend};
-use engine::{Call, Category, Client, Error, Server};
+use engine::{CacheEvent, CacheNews, Call, Category, Client, Error, Server, prefix_key};
 use reqwest::header::HeaderMap;
 use types::RequestId;
 
@@ -72,3 +72,25 @@
     assert!(backend.seen()[1].path.ends_with("/resume?from=2"));
     assert_eq!(unknown.category(), Category::Refused);
 }
+
+/// Guards against prefix-cache hints that are kept although events in between were lost.
+#[tokio::test]
+async fn a_gap_in_the_cache_events_is_told() {
+    let backend = Backend::start([]).await;
+    let client = Client::new().unwrap();
+    let mut events = client.cache_events(&backend.server("w1")).await.unwrap();
+
+    let mut news = Vec::new();
+    let end = loop {
+        match events.next().await {
+            Ok(item) => news.push(item),
+            Err(e) => break e,
+        }
+    };
+
+    let stored = news[0];
+    assert!(matches!(stored, CacheNews::Event(CacheEvent::Stored(_))));
+    assert_eq!(news, [stored, stored, CacheNews::Gap, stored]);
+    assert_eq!(end.category(), Category::Truncated);
+    assert_ne!(prefix_key("m", "text"), prefix_key("other", "text"));
+}
