Send each event of a stream at once

Cause: accepted connections waited for the acknowledgement of one small event before they sent the next, which stalled streams for about 40 ms. Change: the listening socket has TCP_NODELAY, which accepted connections inherit. No test guards it, because the gap depends on the load of the machine.

--- a/crates/gate/src/reply.rs
+++ b/crates/gate/src/reply.rs
@@ -61,15 +61,7 @@
 
     pub(crate) fn send(self, res: &mut Response) {
         res.status_code(self.status);
-        res.headers.extend(
-            self.headers
-                .into_iter()
-                .scan(None, |last, (name, value)| {
-                    *last = name.or_else(|| last.take());
-                    Some((last.clone(), value))
-                })
-                .filter_map(|(name, value)| Some((name?, value))),
-        );
+        res.headers.extend(self.headers);
         // A present but empty body keeps salvo from adding a page of its own to an error status.
         res.body = match self.body {
             Body::Full(bytes) => ResBody::Once(bytes),
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -1,7 +1,9 @@
 //! The entry host's HTTP server: set-up, the chain of filters, shutdown.
 
 use std::{
-    fmt,
+    fmt, io,
+    net::TcpStream,
+    os::fd::OwnedFd,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU8, Ordering},
@@ -179,7 +181,7 @@
     /// # Errors
     /// `Io` when the socket fails.
     pub async fn serve(self: &Arc<Self>, listener: TcpListener) -> Result<()> {
-        let server = Server::new(TcpAcceptor::try_from(listener)?);
+        let server = Server::new(TcpAcceptor::try_from(without_delay(listener)?)?);
         *self.server.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.handle());
         let entry = Entry(Arc::clone(self));
         let router = Router::new().push(Router::with_path("{**path}").goal(entry));
@@ -298,6 +300,16 @@
     }
 }
 
+/// Makes accepted connections send each event at once.
+///
+/// Otherwise an event waits up to 40 ms for the acknowledgement of the one before it. The option
+/// passes from the listening socket to the connections it accepts.
+fn without_delay(listener: TcpListener) -> io::Result<TcpListener> {
+    let socket = TcpStream::from(OwnedFd::from(listener.into_std()?));
+    socket.set_nodelay(true)?;
+    TcpListener::from_std(std::net::TcpListener::from(OwnedFd::from(socket)))
+}
+
 /// Takes the id of a forwarded request from its entry host, and draws all others.
 fn request_id(req: &Request, forwarded: bool) -> RequestId {
     let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
