Poll every backend server of the data centre, not only the assigned ones

Cause: digests carry load but not residents, so a host knew nothing of the workers that two other hosts polled; with three hosts in a data centre its report said that 8 models of the Nour example were below their floor, and it could not route to their copies. Change: each host also polls up to four other backend servers a second in turn. The log shows the own crates only, since libraries log each broken connection.

--- a/crates/celerytally/src/poll.rs
+++ b/crates/celerytally/src/poll.rs
@@ -4,7 +4,7 @@
 
 use control::Event as ControlEvent;
 use engine::Server;
-use peer::MemberState;
+use peer::{Member, MemberState};
 use route::{Event, Liveness};
 use tokio::{
     task::JoinSet,
@@ -20,6 +20,12 @@
 /// Hosts that poll each backend server; the second covers a first that is frozen.
 const POLLERS: usize = 2;
 
+/// Polls a second of the backend servers that fall to other hosts.
+///
+/// Digests carry their load but not their residents, which change rarely: 108 workers are seen
+/// anew every 27 s, and a few within a second.
+const EXTRA_POLLS: usize = 4;
+
 /// Reports that must fail in a row before a server that accepts connections counts as dead.
 const MISSES: u32 = 3;
 
@@ -50,12 +56,13 @@
 /// Polls the backend servers that fall to this host until the task is aborted.
 pub(crate) async fn run(host: Arc<Host>) {
     let mut misses = Misses::default();
+    let mut next = 0;
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let mut polls = JoinSet::new();
-        for server in assigned(&host) {
+        for server in due(&host, &mut next) {
             polls.spawn(poll(Arc::clone(&host), server));
         }
         while let Some(result) = polls.join_next().await {
@@ -115,27 +122,37 @@
     }
 }
 
-/// Returns the backend servers of this data centre that this host polls.
-fn assigned(host: &Host) -> Vec<Server> {
+/// Returns the backend servers to poll now: those that fall to this host and a few others in turn.
+fn due(host: &Host, next: &mut usize) -> Vec<Server> {
     let Some(in_force) = host.gate.dispatcher().in_force() else {
         return Vec::new();
     };
     let members = host.exchange.members().borrow().clone();
-    let alive: Vec<HostId> = members
+    let alive = |m: &&Member| m.dc == host.dc && m.state == MemberState::Alive;
+    let names: Vec<&str> = members
         .iter()
-        .filter(|m| m.dc == host.dc && m.state == MemberState::Alive)
-        .map(|m| m.id.clone())
+        .filter(alive)
+        .map(|m| m.id.as_str())
         .collect();
-    let names: Vec<&str> = alive.iter().map(HostId::as_str).collect();
     let local = in_force.deployment.backends.iter();
-    local
-        .filter(|b| b.dc == host.dc)
-        .filter(|b| {
-            let ranked = types::rank(b.id.as_str(), &names);
-            let first = ranked.into_iter().take(POLLERS);
-            // A host that does not see itself among the members polls everything.
-            names.is_empty() || first.into_iter().any(|name| name == host.id.as_str())
-        })
-        .filter_map(|b| host.servers.find(&b.id))
+    let local = local.filter(|b| b.dc == host.dc).map(|b| &b.id);
+    let (mut due, others): (Vec<&BackendId>, Vec<&BackendId>) =
+        local.partition(|id| falls_to(&host.id, id, &names));
+    for _ in 0..EXTRA_POLLS.min(others.len()) {
+        due.push(others[*next % others.len()]);
+        *next = next.wrapping_add(1);
+    }
+    due.into_iter()
+        .filter_map(|id| host.servers.find(id))
         .collect()
 }
+
+fn falls_to(host: &HostId, backend: &BackendId, alive: &[&str]) -> bool {
+    let ranked = types::rank(backend.as_str(), alive);
+    // A host that does not see itself among the members polls everything.
+    alive.is_empty()
+        || ranked
+            .into_iter()
+            .take(POLLERS)
+            .any(|name| name == host.as_str())
+}
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -53,6 +53,9 @@
 /// Tokens a second that a worker of speed one generates at full load, until it is measured.
 const BASE_TOKENS_PER_SECOND: f64 = 400.0;
 
+/// Crates whose log level the settings choose.
+const OWN_CRATES: [&str; 6] = ["celerytally", "control", "engine", "gate", "peer", "store"];
+
 /// HTTP API of this process.
 pub(crate) type HostGate = Gate<Router, GatePeers, HttpPlatform, Reporter>;
 
@@ -123,7 +126,10 @@
 }
 
 fn start_logs(settings: &HostSettings) {
-    let filter = EnvFilter::new(settings.log_level.to_string());
+    let level = settings.log_level;
+    // Libraries log each broken connection, which the counters already show.
+    let targets = OWN_CRATES.map(|name| format!("{name}={level}")).join(",");
+    let filter = EnvFilter::new(format!("error,{targets}"));
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(false)
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -307,9 +307,3 @@
         }
     }
 }
-
-impl Step for route::Router {
-    fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
-        Self::step(self, now, ev, out);
-    }
-}
