--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::{StreamExt, stream};
+use metrics::counter;
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -21,6 +22,12 @@
 
 const BASE_PATH: &str = "/apis/celerytally.dev/v1";
 
+/// Counter of calls to the platform by method.
+const CALLS: &str = "celerytally_platform_calls_total";
+
+/// Counter of bytes read from the platform, without headers.
+const BYTES: &str = "celerytally_platform_read_bytes_total";
+
 /// Bounds a call, so that a frozen platform counts as unavailable.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -120,6 +127,7 @@
     }
 
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        counter!(CALLS, "method" => method.to_string()).increment(1);
         self.calls
             .request(method, format!("{}/{path}", self.base))
             .bearer_auth(&self.token)
@@ -189,6 +197,7 @@
         .bytes()
         .await
         .map_err(|e| Error::new(Category::Unavailable, subject, e))?;
+    counter!(BYTES).increment(body.len() as u64);
     serde_json::from_slice(&body).map_err(|e| Error::new(Category::Garbage, subject, e))
 }
 
@@ -257,6 +266,7 @@
             T::PLURAL,
             from.as_str()
         );
+        counter!(CALLS, "method" => "WATCH").increment(1);
         let req = self
             .watches
             .get(format!("{}/{path}", self.base))
@@ -288,7 +298,10 @@
                     return Some((change, (body, buf, subject)));
                 }
                 match body.next().await? {
-                    Ok(chunk) => buf.extend_from_slice(&chunk),
+                    Ok(chunk) => {
+                        counter!(BYTES).increment(chunk.len() as u64);
+                        buf.extend_from_slice(&chunk);
+                    }
                     Err(e) => {
                         let err = Error::new(Category::Unavailable, &subject, e);
                         return Some((Err(err), (stream::empty().boxed(), buf, subject)));
