Load a missing adapter where the model is instead of forwarding

A request whose adapter was not loaded went to another data centre although the model is resident here and an adapter loads in milliseconds. The controller is now asked for a model only when the request is refused.

--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -281,32 +281,41 @@
         code: Code,
         out: &mut Vec<Action>,
     ) -> Offer {
+        if code == Code::NotResident && self.lacks_only_adapter(now, slot) {
+            self.want(now, slot, true, out);
+            return Offer::Waits;
+        }
         if let Some(dc) = self.forward_target(slot, f64::INFINITY) {
             self.unqueue(rank, slot);
             self.forward(now, slot, dc, out);
             return Offer::Left;
         }
-        if code == Code::NotResident && self.want(now, slot, out) {
-            return Offer::Waits;
+        if code == Code::NotResident {
+            self.want(now, slot, false, out);
         }
         self.count_demand(now, slot, true);
         self.give_up(rank, slot, code, out)
     }
 
-    /// Asks the controller for what is missing.
-    ///
-    /// Returns whether the request should wait for it: adapters load within milliseconds, models
-    /// do not.
-    fn want(&mut self, now: Instant, slot: u32, out: &mut Vec<Action>) -> bool {
+    /// Tells whether a request should wait for its adapter, which loads within milliseconds.
+    fn lacks_only_adapter(&self, now: Instant, slot: u32) -> bool {
         let Some(flight) = self.flights.get(slot) else {
             return false;
         };
+        let live = |b: &u32| self.backends[*b as usize].takes_work(now);
+        let holders = flight.model.map(|m| &self.holders[usize::from(m)]);
+        flight.adapter.is_some() && holders.is_some_and(|h| h.iter().any(live))
+    }
+
+    /// Asks the controller for what is missing.
+    fn want(&mut self, now: Instant, slot: u32, adapter: bool, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.get(slot) else {
+            return;
+        };
         let Some(model) = flight.model else {
-            return false;
+            return;
         };
-        let live = |b: &u32| self.backends[*b as usize].takes_work(now);
-        let held = self.holders[usize::from(model)].iter().any(live);
-        let adapter = flight.adapter.filter(|_| held);
+        let adapter = flight.adapter.filter(|_| adapter);
         let asked = |w: &&(u16, Option<u16>, Deadline)| w.0 == model && w.1 == adapter;
         if self
             .wanted
@@ -324,7 +333,6 @@
                 });
             }
         }
-        adapter.is_some()
     }
 
     /// Sends a request to a backend server.
