Offer a request again to data centres that refused it, with doubling pauses

A request without a local copy was refused as soon as each data centre with the model had refused it once, although its deadline left seconds.

--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -16,6 +16,8 @@
 const WANT_AGAIN: Micros = Micros::from_secs(1);
 /// Load of another data centre below which requests are forwarded that find no place here.
 const FORWARD_BELOW: f64 = 0.8;
+/// First pause before a request is offered again to data centres that refused it.
+const FORWARD_AGAIN: Micros = Micros::from_millis(200);
 /// Load of another data centre below which requests are forwarded that would have to wait here.
 const OVERFLOW_BELOW: f64 = 0.5;
 
@@ -86,6 +88,7 @@
             as_suspect: false,
             withdrawn: false,
             stays: ticket.forwarded,
+            rounds: 0,
             tried_dcs: Vec::new(),
             denials: 0,
             not_before: Deadline::at(Instant::ZERO),
@@ -230,7 +233,7 @@
             }
             Choice::Full { .. } if suspect => Offer::Waits,
             Choice::Full { .. } => {
-                if let Some(dc) = self.forward_target(slot, OVERFLOW_BELOW) {
+                if let Some(dc) = self.forward_target(now, slot, OVERFLOW_BELOW) {
                     self.unqueue(rank, slot);
                     self.forward(now, slot, dc, out);
                     return Offer::Left;
@@ -263,7 +266,7 @@
         code: Code,
         out: &mut Vec<Action>,
     ) -> Offer {
-        if let Some(dc) = self.forward_target(slot, FORWARD_BELOW) {
+        if let Some(dc) = self.forward_target(now, slot, FORWARD_BELOW) {
             self.unqueue(rank, slot);
             self.forward(now, slot, dc, out);
             return Offer::Left;
@@ -285,18 +288,42 @@
             self.want(now, slot, true, out);
             return Offer::Waits;
         }
-        if let Some(dc) = self.forward_target(slot, f64::INFINITY) {
+        if let Some(dc) = self.forward_target(now, slot, f64::INFINITY) {
             self.unqueue(rank, slot);
             self.forward(now, slot, dc, out);
             return Offer::Left;
         }
         if code == Code::NotResident {
+            if self.tries_again(now, slot) {
+                return Offer::Waits;
+            }
             self.want(now, slot, false, out);
         }
         self.count_demand(now, slot, true);
         self.give_up(rank, slot, code, out)
     }
 
+    /// Lets a request wait that all data centres with its model have refused for lack of places.
+    ///
+    /// The pauses double, so an overload sees few repeated requests.
+    fn tries_again(&mut self, now: Instant, slot: u32) -> bool {
+        let Some(flight) = self.flights.get_mut(slot) else {
+            return false;
+        };
+        if !flight.not_before.is_past(now) {
+            return true;
+        }
+        let pause = Micros::new(FORWARD_AGAIN.get() << flight.rounds);
+        let late = flight.ticket.deadline.remaining(now) <= pause;
+        if flight.tried_dcs.is_empty() || flight.may_have_run || late {
+            return false;
+        }
+        flight.rounds += 1;
+        flight.tried_dcs.clear();
+        flight.not_before = Deadline::after(now, pause);
+        true
+    }
+
     /// Tells whether a request should wait for its adapter, which loads within milliseconds.
     fn lacks_only_adapter(&self, now: Instant, slot: u32) -> bool {
         let Some(flight) = self.flights.get(slot) else {
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -111,10 +111,11 @@
         }
         let in_time = !flight.ticket.deadline.is_past(now) && flight.attempts < max_attempts;
         let free = !failure.may_have_run
-            && matches!(
-                failure.reason,
-                RetryReason::Leaving | RetryReason::NotResident
-            );
+            && (forwarded
+                || matches!(
+                    failure.reason,
+                    RetryReason::Leaving | RetryReason::NotResident
+                ));
         if !in_time || !(free || self.covered()) {
             let code = self
                 .flights
@@ -130,8 +131,8 @@
 
     /// Takes a retry from the budget.
     ///
-    /// A refusal by a leaving server or for a missing model costs the server nothing and is not
-    /// charged; the number of attempts still bounds it.
+    /// A refusal by a leaving server, for a missing model or by another data centre costs no server
+    /// any work and is not charged; the number of attempts and the deadline bound it.
     fn covered(&mut self) -> bool {
         if !self.cfg.retry_budget || self.budget.take() {
             return true;
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -45,6 +45,8 @@
     pub withdrawn: bool,
     /// Whether it was forwarded to this host, so that it can't be forwarded again.
     pub stays: bool,
+    /// Times that all data centres with the model refused it.
+    pub rounds: u8,
     /// Data centres that failed the request.
     pub tried_dcs: Vec<u16>,
     /// Questions for a suspect slot that were denied.
--- a/crates/route/src/remote.rs
+++ b/crates/route/src/remote.rs
@@ -41,9 +41,13 @@
     /// Chooses a data centre that can serve a request and whose load is below a bound.
     ///
     /// Of two random ones the less loaded is taken; its load is known from digests, which lag.
-    pub(crate) fn forward_target(&mut self, slot: u32, below: f64) -> Option<u16> {
+    pub(crate) fn forward_target(&mut self, now: Instant, slot: u32, below: f64) -> Option<u16> {
         let flight = self.flights.get(slot)?;
-        if !self.cfg.forwarding || flight.stays || flight.may_have_run {
+        if !self.cfg.forwarding
+            || flight.stays
+            || flight.may_have_run
+            || !flight.not_before.is_past(now)
+        {
             return None;
         }
         let (service, model) = (flight.service, flight.model);
