Charge a move as fifty seconds of work of the slowest worker

Tried and reverted: not counting a forwarded request that is refused as demand where it was refused.

--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -15,7 +15,7 @@
 /// Seconds for which a replica is expected to be useful.
 const LIFE_SECONDS: f64 = 300.0;
 /// Worth of one avoided move, as seconds of full work of the slowest worker.
-const MOVE_SECONDS: f64 = 40.0;
+const MOVE_SECONDS: f64 = 50.0;
 /// Models that are examined for each load, those with the most unserved demand.
 const MODELS: usize = 6;
 /// Workers that are examined for each model.
