--- /dev/null
+++ b/crates/config/src/entry.rs
@@ -0,0 +1,190 @@
+//! Entries of a deployment, the unit of change.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    deployment::{
+        Adapter, BackendServer, Caller, DataCentre, Deployment, Limits, Model, Objective, Service,
+    },
+    error::{Error, Result},
+};
+
+/// Entry of a deployment, the unit of change.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Entry {
+    /// What there is once in a deployment.
+    Deployment(Header),
+    /// Data centre.
+    DataCentre(DataCentre),
+    /// Service.
+    Service(Service),
+    /// Model.
+    Model(Model),
+    /// Adapter.
+    Adapter(Adapter),
+    /// Backend server.
+    Backend(BackendServer),
+    /// Caller.
+    Caller(Caller),
+}
+
+/// What there is once in a deployment.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Header {
+    /// Name of the deployment.
+    pub name: String,
+    /// Weights of the measures.
+    pub objective: Objective,
+    /// Limits of the whole deployment.
+    pub limits: Limits,
+}
+
+impl Entry {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Deployment(_) => "deployment",
+            Self::DataCentre(_) => "dc",
+            Self::Service(_) => "service",
+            Self::Model(_) => "model",
+            Self::Adapter(_) => "adapter",
+            Self::Backend(_) => "backend",
+            Self::Caller(_) => "caller",
+        }
+    }
+
+    fn name(&self) -> &str {
+        match self {
+            Self::Deployment(_) => "",
+            Self::DataCentre(e) => e.name(),
+            Self::Service(e) => e.name(),
+            Self::Model(e) => e.name(),
+            Self::Adapter(e) => e.name(),
+            Self::Backend(e) => e.name(),
+            Self::Caller(e) => e.name(),
+        }
+    }
+
+    /// Returns the key, which is unique in a deployment and never changes.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("{}/{}", self.kind(), self.name())
+    }
+}
+
+/// Takes a deployment apart.
+pub(crate) fn split(d: &Deployment) -> Vec<Entry> {
+    let header = Entry::Deployment(Header {
+        name: d.name.clone(),
+        objective: d.objective,
+        limits: d.limits,
+    });
+    std::iter::once(header)
+        .chain(d.data_centres.iter().cloned().map(Entry::DataCentre))
+        .chain(d.services.iter().cloned().map(Entry::Service))
+        .chain(d.models.iter().cloned().map(Entry::Model))
+        .chain(d.adapters.iter().cloned().map(Entry::Adapter))
+        .chain(d.backends.iter().cloned().map(Entry::Backend))
+        .chain(d.callers.iter().cloned().map(Entry::Caller))
+        .collect()
+}
+
+/// Puts a deployment together; the entries may come in any order.
+pub(crate) fn join<'a>(entries: impl IntoIterator<Item = &'a Entry>) -> Result<Deployment> {
+    let mut d = Deployment::default();
+    let mut headers = 0;
+    for entry in entries {
+        match entry.clone() {
+            Entry::Deployment(h) => {
+                headers += 1;
+                (d.name, d.objective, d.limits) = (h.name, h.objective, h.limits);
+            }
+            Entry::DataCentre(e) => d.data_centres.push(e),
+            Entry::Service(e) => d.services.push(e),
+            Entry::Model(e) => d.models.push(e),
+            Entry::Adapter(e) => d.adapters.push(e),
+            Entry::Backend(e) => d.backends.push(e),
+            Entry::Caller(e) => d.callers.push(e),
+        }
+    }
+    if headers != 1 {
+        return Err(Error::garbage("the chunks do not hold one deployment"));
+    }
+    sort(&mut d.data_centres);
+    sort(&mut d.services);
+    sort(&mut d.models);
+    sort(&mut d.adapters);
+    sort(&mut d.backends);
+    sort(&mut d.callers);
+    Ok(d)
+}
+
+/// Replaces or adds an entry.
+pub(crate) fn set(d: &mut Deployment, entry: Entry) {
+    match entry {
+        Entry::Deployment(h) => (d.name, d.objective, d.limits) = (h.name, h.objective, h.limits),
+        Entry::DataCentre(e) => put(&mut d.data_centres, e),
+        Entry::Service(e) => put(&mut d.services, e),
+        Entry::Model(e) => put(&mut d.models, e),
+        Entry::Adapter(e) => put(&mut d.adapters, e),
+        Entry::Backend(e) => put(&mut d.backends, e),
+        Entry::Caller(e) => put(&mut d.callers, e),
+    }
+}
+
+/// Removes the entry with a key.
+pub(crate) fn remove(d: &mut Deployment, key: &str) {
+    let Some((kind, name)) = key.split_once('/') else {
+        return;
+    };
+    match kind {
+        "dc" => take(&mut d.data_centres, name),
+        "service" => take(&mut d.services, name),
+        "model" => take(&mut d.models, name),
+        "adapter" => take(&mut d.adapters, name),
+        "backend" => take(&mut d.backends, name),
+        "caller" => take(&mut d.callers, name),
+        _ => {}
+    }
+}
+
+/// Entry of a list that is sorted by name.
+trait Named {
+    fn name(&self) -> &str;
+}
+
+macro_rules! named {
+    ($($entry:ident $field:ident,)*) => {$(
+        impl Named for $entry {
+            fn name(&self) -> &str {
+                self.$field.as_str()
+            }
+        }
+    )*};
+}
+
+named! {
+    DataCentre id,
+    Service name,
+    Model id,
+    Adapter id,
+    BackendServer id,
+    Caller id,
+}
+
+fn sort<T: Named>(list: &mut [T]) {
+    list.sort_by(|a, b| a.name().cmp(b.name()));
+}
+
+fn put<T: Named>(list: &mut Vec<T>, new: T) {
+    match list.binary_search_by(|e| e.name().cmp(new.name())) {
+        Ok(at) => list[at] = new,
+        Err(at) => list.insert(at, new),
+    }
+}
+
+fn take<T: Named>(list: &mut Vec<T>, name: &str) {
+    if let Ok(at) = list.binary_search_by(|e| e.name().cmp(name)) {
+        list.remove(at);
+    }
+}
