Connect slots and adapters to the controller and count its costs

Cause: model loads must wait for a weight-store slot, adapters need batches and eviction, and the cost of a takeover was not measured. Change: a round starts as many loads as slots are ready; adapters are planned a second apart and on wants, one record write a batch, within the data centre's share of the limit; the floor is computed once for each configuration. Counted tests on the platform in memory and a paused clock, with targets in tests/takeover.rs; faults of the platform in tests/platform_faults.rs. The explorer's world is split into files.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use orders::{Answer, Sender};
+use orders::{Answer, Sender, SlotAction, SlotEvent};
 use store::{Category, Kind, Platform, Revision};
 use tokio::{task::JoinSet, time::timeout};
 use types::{BackendId, Clock, Epoch, Instant, LoadReport, Order};
 
 use crate::{
     event::{Engines, Peers},
-    kinds::{LeaseObject, RecordObject},
+    kinds::{LeaseObject, RecordObject, SlotObject, slot_name, slot_number},
     yields::Sending,
 };
 
@@ -25,6 +25,10 @@
         backend: BackendId,
         ev: orders::Event<Revision>,
     },
+    Slot {
+        epoch: Epoch,
+        ev: SlotEvent<Revision>,
+    },
     Proof {
         epoch: Epoch,
         sender: Sender,
@@ -126,6 +130,36 @@
         });
     }
 
+    pub(crate) fn slot(&mut self, epoch: Epoch, action: SlotAction<Revision>) {
+        let platform = self.platform.clone();
+        self.tasks.spawn(async move {
+            let (slot, wrote) = match action {
+                SlotAction::List => {
+                    let ev = list_slots(&platform).await;
+                    return Done::Slot { epoch, ev };
+                }
+                SlotAction::Create(slot, record) => {
+                    let object = SlotObject(record);
+                    (
+                        slot,
+                        wrote(platform.create(&slot_name(slot), &object)).await,
+                    )
+                }
+                SlotAction::Update(slot, record, at) => {
+                    let (name, object) = (slot_name(slot), SlotObject(record));
+                    let call = platform.update(&name, &object, &at);
+                    (slot, wrote(call).await)
+                }
+            };
+            let ev = match wrote {
+                Wrote::Done(revision) => SlotEvent::Written(slot, revision),
+                Wrote::Refused => SlotEvent::Refused(slot),
+                Wrote::Unanswered => SlotEvent::Unanswered(slot),
+            };
+            Done::Slot { epoch, ev }
+        });
+    }
+
     /// Sends an order; `sending` is kept until no more of it can leave the process.
     pub(crate) fn post(&mut self, backend: BackendId, order: Order, sending: Sending) {
         let engines = self.engines.clone();
@@ -205,3 +239,14 @@
     let object = read.ok()?.ok()?;
     Some(object.map(|o| (o.value.into(), o.revision)))
 }
+
+async fn list_slots(platform: &impl Platform) -> SlotEvent<Revision> {
+    let Ok(Ok(listing)) = timeout(CALL_TIMEOUT, platform.list::<SlotObject>()).await else {
+        return SlotEvent::ListFailed;
+    };
+    let objects = listing.items.into_iter().filter_map(|object| {
+        let number = slot_number(&object.name)?;
+        Some((number, object.value.0, object.revision))
+    });
+    SlotEvent::Listed(objects.collect())
+}
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -5,7 +5,7 @@
 use config::InForce;
 use lease::{Checks, Lease, Params};
 use metrics::counter;
-use orders::Sender;
+use orders::{Sender, SlotEvent};
 use rand::{SeedableRng, rngs::StdRng};
 use store::{Platform, Revision};
 use tokio::{
@@ -20,15 +20,12 @@
 use crate::{
     calls::{Calls, Done},
     event::{Engines, Event, ModelDemand, Peers, Settings, Status},
-    term::{self, Surroundings, Term},
+    term::Term,
     yields::Yields,
 };
 
 const TICK: Duration = Duration::from_millis(250);
 
-/// Time between two placement rounds without a change.
-const ROUND: Micros = Micros::from_secs(1);
-
 /// Time between two load reports of a backend server with open orders.
 const BUSY_POLL: Micros = Micros::from_secs(1);
 
@@ -47,18 +44,24 @@
 /// Placement controller of one data centre on one host.
 #[derive(Debug)]
 pub struct Controller<P, C, E, N> {
-    calls: Calls<P, C, E, N>,
-    settings: Settings,
-    rng: StdRng,
-    lease: Lease<Revision>,
+    pub(crate) calls: Calls<P, C, E, N>,
+    pub(crate) settings: Settings,
+    pub(crate) rng: StdRng,
+    pub(crate) lease: Lease<Revision>,
     pub(crate) term: Option<Term>,
     yields: Yields,
     events: mpsc::Receiver<Event>,
-    status: watch::Sender<Status>,
-    config: Option<InForce>,
-    live: Vec<BackendId>,
-    demand: Vec<ModelDemand>,
-    next_round: Instant,
+    pub(crate) status: watch::Sender<Status>,
+    pub(crate) config: Option<InForce>,
+    pub(crate) live: Vec<BackendId>,
+    pub(crate) demand: Vec<ModelDemand>,
+    pub(crate) next_round: Instant,
+    /// Floor of the data centre under the configuration in force.
+    pub(crate) floor: Vec<place::Copy>,
+    /// Adapters that were asked for and when, sorted by name.
+    pub(crate) used: Vec<(String, Instant)>,
+    /// Wanted orders that are neither closed nor declined.
+    pub(crate) issued: Vec<(OrderId, OrderOp)>,
     /// End of the time in which a stopping process still answers.
     stop_by: Option<Instant>,
     /// Epoch of the last term if it ended with open orders.
@@ -120,6 +123,9 @@
             live: Vec::new(),
             demand: Vec::new(),
             next_round: Instant::ZERO,
+            floor: Vec::new(),
+            used: Vec::new(),
+            issued: Vec::new(),
             stop_by: None,
             owed: None,
         };
@@ -153,13 +159,14 @@
         error!(dc = %self.settings.dc, error = %e, "call of the controller failed; authority dropped");
         self.yields.end();
         self.term = None;
+        self.issued.clear();
         self.lease = candidate(&self.settings, &mut self.rng);
         if self.stop_by.is_some() {
             self.step_lease(lease::Event::HandOver);
         }
     }
 
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.calls.clock.now()
     }
 
@@ -180,6 +187,7 @@
     fn input(&mut self, ev: Event) {
         match ev {
             Event::Config(config) => {
+                self.floor = (self.settings.planner.floor)(&config.deployment, &self.settings.dc);
                 self.config = Some(config);
                 self.configure();
             }
@@ -192,7 +200,7 @@
                 self.live = backends;
                 self.lease.set_poll(poll(&self.settings, &hosts));
             }
-            Event::Want { .. } => {}
+            Event::Want { name } => self.wanted(name),
             Event::Demand(mut demand) => {
                 demand.sort_by(|a, b| a.model.cmp(&b.model));
                 self.demand = demand;
@@ -219,8 +227,9 @@
                 asked,
                 report,
             } => self.loaded(&backend, asked, report),
+            Done::Slot { epoch: e, ev } if epoch == Some(e) => self.step_slots(ev),
             // Results of an earlier term mean nothing to this one.
-            Done::Ledger { .. } | Done::Proof { .. } => {}
+            Done::Ledger { .. } | Done::Proof { .. } | Done::Slot { .. } => {}
         }
     }
 
@@ -248,6 +257,7 @@
         for at in 0..count {
             self.step_ledger(at, orders::Event::Tick);
         }
+        self.step_slots(SlotEvent::Tick);
         self.poll_loads();
         if self.now() >= self.next_round {
             self.round();
@@ -290,7 +300,8 @@
         info!(dc = %self.settings.dc, %epoch, "lease taken");
         counter!("celerytally_lease_terms_total").increment(1);
         let now = self.now();
-        self.term = Some(Term::new(self.settings.host.clone(), epoch, now));
+        let attempt = AttemptId::random(&mut self.rng);
+        self.term = Some(Term::new(&self.settings, epoch, attempt, now));
         self.owed = None;
         self.configure();
     }
@@ -300,6 +311,7 @@
         self.yields.end();
         if let Some(term) = self.term.take() {
             self.owed = (term.pending() > 0).then_some(epoch);
+            self.issued.clear();
         }
     }
 
@@ -308,20 +320,22 @@
         let (Some(term), Some(config)) = (&mut self.term, &self.config) else {
             return;
         };
+        let slots = config.deployment.limits.weight_store_slots;
         let changed = term.configure(&config.deployment, &self.settings.dc);
+        self.step_slots(SlotEvent::Limit(slots));
         for (at, limits) in changed {
             self.step_ledger(at, orders::Event::Limits(limits));
         }
         self.next_round = Instant::ZERO;
     }
 
-    fn step_worker(&mut self, backend: &BackendId, ev: orders::Event<Revision>) {
+    pub(crate) fn step_worker(&mut self, backend: &BackendId, ev: orders::Event<Revision>) {
         if let Some(at) = self.term.as_ref().and_then(|t| t.find(backend)) {
             self.step_ledger(at, ev);
         }
     }
 
-    fn step_ledger(&mut self, at: usize, ev: orders::Event<Revision>) {
+    pub(crate) fn step_ledger(&mut self, at: usize, ev: orders::Event<Revision>) {
         let now = self.now();
         let Some(term) = &mut self.term else { return };
         let Some(worker) = term.workers.get_mut(at) else {
@@ -345,8 +359,12 @@
             }
             Action::Prove(sender) => self.calls.prove(epoch, sender),
             Action::Superseded(newer) => self.step_lease(lease::Event::EpochSeen(newer)),
-            Action::Raised | Action::Closed(_) => self.next_round = Instant::ZERO,
-            Action::Declined(_) => counter!("celerytally_orders_declined_total").increment(1),
+            Action::Raised => self.next_round = Instant::ZERO,
+            Action::Closed(id) => self.closed(id),
+            Action::Declined(id) => {
+                self.issued.retain(|(issued, _)| *issued != id);
+                counter!("celerytally_orders_declined_total").increment(1);
+            }
             // Authority is checked last, so that as little time as possible passes before the call.
             _ if self.lease.authority(self.now()) != Some(epoch) => {
                 self.step_lease(lease::Event::Tick);
@@ -364,86 +382,6 @@
             call => self.calls.ledger(epoch, backend.clone(), call),
         }
     }
-
-    /// Runs a placement round and turns its moves into wanted orders.
-    fn round(&mut self) {
-        let now = self.now();
-        self.next_round = now + ROUND;
-        let Some(input) = self.plan_input(now) else {
-            return;
-        };
-        let below = term::below_floor(&input);
-        self.status.send_if_modified(|status| {
-            let changed = status.below_floor != below;
-            status.below_floor = below;
-            changed
-        });
-        for mv in (self.settings.planner.plan)(&input) {
-            let (backend, want) = term::want(mv, OrderId::random(&mut self.rng));
-            self.count(want.op);
-            self.step_worker(&backend, orders::Event::Want(want));
-        }
-    }
-
-    fn plan_input(&self, now: Instant) -> Option<place::Input> {
-        let (term, config) = (self.term.as_ref()?, self.config.as_ref()?);
-        if self.lease.authority(now) != Some(term.epoch) || !term.is_settled(now, &self.live) {
-            return None;
-        }
-        let slots = config.deployment.limits.weight_store_slots as usize;
-        let loads = slots.saturating_sub(term.loading());
-        Some(term.input(&Surroundings {
-            deployment: &config.deployment,
-            settings: &self.settings,
-            live: &self.live,
-            demand: &self.demand,
-            ready_elsewhere: self.calls.peers.ready_elsewhere(),
-            loads: u32::try_from(loads).unwrap_or(u32::MAX),
-        }))
-    }
-
-    fn count(&self, op: OrderOp) {
-        let name = match op {
-            OrderOp::Load => "load",
-            OrderOp::Unload => "unload",
-            OrderOp::LoadAdapter => "load_adapter",
-            OrderOp::UnloadAdapter => "unload_adapter",
-        };
-        counter!("celerytally_moves_total", "op" => name).increment(1);
-        self.status.send_modify(|status| match op {
-            OrderOp::Load => status.loads += 1,
-            OrderOp::Unload => status.unloads += 1,
-            OrderOp::LoadAdapter | OrderOp::UnloadAdapter => {}
-        });
-    }
-
-    fn publish(&self) {
-        let holder = self.lease.holder();
-        let authority = self.lease.authority(self.now()).is_some();
-        let term = self.term.as_ref().filter(|_| authority);
-        let unraised = term.map_or_else(Vec::new, |t| {
-            let open = t.workers.iter().filter(|w| !w.ledger.is_ready());
-            open.map(|w| w.id.clone()).collect()
-        });
-        self.status.send_if_modified(|status| {
-            let next = Status {
-                holder: holder.map(|(host, _)| host.clone()),
-                epoch: holder.map(|(_, epoch)| epoch),
-                authority,
-                below_floor: std::mem::take(&mut status.below_floor),
-                pending: term.map_or(0, Term::pending),
-                unraised,
-                loads: status.loads,
-                unloads: status.unloads,
-            };
-            let changed = (next.authority, next.epoch, next.pending)
-                != (status.authority, status.epoch, status.pending)
-                || next.unraised != status.unraised
-                || next.holder != status.holder;
-            *status = next;
-            changed
-        });
-    }
 }
 
 /// Makes a candidate with an id that no other process has.
--- a/crates/control/src/kinds.rs
+++ b/crates/control/src/kinds.rs
@@ -33,4 +33,18 @@
     LeaseObject(lease::Record) "leases";
     /// Record of a backend server; the object is named for the backend server.
     RecordObject(orders::Record) "records";
+    /// Weight-store slot; the object is named for its number.
+    SlotObject(orders::SlotRecord) "slots";
+}
+
+const SLOT_PREFIX: &str = "slot-";
+
+/// Returns the name of a slot object.
+pub(crate) fn slot_name(number: u32) -> String {
+    format!("{SLOT_PREFIX}{number}")
+}
+
+/// Returns the number in the name of a slot object.
+pub(crate) fn slot_number(name: &str) -> Option<u32> {
+    name.strip_prefix(SLOT_PREFIX)?.parse().ok()
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -52,9 +52,10 @@
 mod controller;
 mod event;
 mod kinds;
+mod round;
 mod term;
 mod yields;
 
 pub use controller::{Controller, Handle};
 pub use event::{Engines, Event, ModelDemand, Peers, Planner, Settings, Status};
-pub use kinds::{LeaseObject, RecordObject};
+pub use kinds::{LeaseObject, RecordObject, SlotObject};
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -1,11 +1,14 @@
 //! Ledgers of a term and the placement round over them.
 
+use std::time::Duration;
+
 use config::{BackendServer, Deployment, ServiceKind};
-use orders::{Copy, CopyState, Ledger, Limits, Want};
+use orders::{Copy, CopyState, Ledger, Limits, Slots, Want};
 use place::{Demand, Held, Input, Move, Worker};
 use store::Revision;
 use types::{
-    BackendId, Bytes, DataCentreId, Epoch, HostId, Instant, Micros, ModelId, OrderId, OrderOp,
+    AttemptId, BackendId, Bytes, DataCentreId, Epoch, HostId, Instant, Micros, ModelId, OrderId,
+    OrderOp,
 };
 
 use crate::event::{ModelDemand, Settings};
@@ -13,12 +16,18 @@
 /// Time after the start of a term in which records and reports are awaited before anything moves.
 const SETTLE: Micros = Micros::from_secs(5);
 
+/// Duration of a weight-store slot; a load takes seconds and must end within half of it.
+const SLOT: Micros = Micros::from_secs(120);
+
 /// Ledgers of the backend servers of a data centre for one term.
 #[derive(Debug)]
 pub(crate) struct Term {
     pub(crate) epoch: Epoch,
     host: HostId,
     started: Instant,
+    pub(crate) slots: Slots<Revision>,
+    /// Starts of model loads that still count against the rate of the weight store.
+    pub(crate) recent: Vec<Instant>,
     pub(crate) workers: Vec<Managed>,
 }
 
@@ -37,12 +46,24 @@
 pub(crate) struct Surroundings<'a> {
     pub(crate) deployment: &'a Deployment,
     pub(crate) settings: &'a Settings,
+    pub(crate) floor: &'a [place::Copy],
     pub(crate) live: &'a [BackendId],
     pub(crate) demand: &'a [ModelDemand],
     pub(crate) ready_elsewhere: Vec<ModelId>,
     pub(crate) loads: u32,
 }
 
+/// Returns the time for which a started load occupies a slot, so that the rate is kept.
+fn window(limits: &config::Limits) -> Micros {
+    let rate = limits.weight_store_rate.per_second();
+    if rate <= 0.0 {
+        return Micros::ZERO;
+    }
+    let secs = f64::from(limits.weight_store_slots) / rate;
+    let window = Duration::try_from_secs_f64(secs).unwrap_or_default();
+    Micros::new(u64::try_from(window.as_micros()).unwrap_or_default())
+}
+
 fn limits(b: &BackendServer) -> Limits {
     Limits {
         memory: b.memory,
@@ -67,11 +88,13 @@
 }
 
 impl Term {
-    pub(crate) fn new(host: HostId, epoch: Epoch, now: Instant) -> Self {
+    pub(crate) fn new(settings: &Settings, epoch: Epoch, attempt: AttemptId, now: Instant) -> Self {
         Self {
             epoch,
-            host,
+            host: settings.host.clone(),
             started: now,
+            slots: Slots::new(settings.dc.clone(), attempt, SLOT),
+            recent: Vec::new(),
             workers: Vec::new(),
         }
     }
@@ -112,14 +135,21 @@
         records.map(|r| r.pending().count()).sum()
     }
 
-    /// Returns the number of models that are being loaded.
-    pub(crate) fn loading(&self) -> usize {
+    /// Returns the number of models, or of adapters, that are being loaded.
+    pub(crate) fn loading(&self, adapters: bool) -> usize {
         let copies = self.workers.iter().flat_map(|w| w.ledger.copies());
         copies
-            .filter(|c| !c.adapter && c.state == CopyState::Loading)
+            .filter(|c| c.adapter == adapters && c.state == CopyState::Loading)
             .count()
     }
 
+    /// Returns the model loads that count against the weight store.
+    pub(crate) fn busy(&mut self, now: Instant, limits: &config::Limits) -> usize {
+        let window = window(limits);
+        self.recent.retain(|start| now.since(*start) < window);
+        self.loading(false).max(self.recent.len())
+    }
+
     /// Tells whether the state of the data centre is known well enough to change it.
     pub(crate) fn is_settled(&self, now: Instant, live: &[BackendId]) -> bool {
         let known = |w: &Managed| {
@@ -137,7 +167,7 @@
                 .filter_map(|b| Some(worker_of(&self.workers[self.find(&b.id)?], b, around.live)))
                 .collect(),
             demand: demand(around.deployment, around.demand),
-            floor: (around.settings.planner.floor)(around.deployment, dc),
+            floor: around.floor.to_vec(),
             ready_elsewhere: around.ready_elsewhere.clone(),
             base_tokens_per_second: around.settings.base_tokens_per_second,
             loads: around.loads,
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,271 @@
+//! Controllers over the platform in memory, engines and peers in memory, on a paused clock.
+#![allow(
+    dead_code,
+    clippy::allow_attributes,
+    reason = "each test file uses a part"
+)]
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use config::{
+    BackendServer, DataCentre, Deployment, InForce, Limits, Model, Objective, Priority, Service,
+    ServiceKind,
+};
+use control::{Controller, Engines, Event, Handle, Peers, Planner, Settings, Status};
+use orders::Answer;
+use store::MemPlatform;
+use tokio::{task::JoinHandle, time::timeout};
+use tokio_util::sync::CancellationToken;
+use types::{
+    BackendId, Bytes, ConfigVersion, Epoch, HostId, Incarnation, LoadReport, Micros, ModelId,
+    Monotonic, Order, OrderId, OrderOp, OrderState, OrderStatus, Rate, Resident,
+};
+
+/// Time that an engine takes for a load.
+const LOAD_TIME: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub residents: Vec<Resident>,
+    pub orders: Vec<OrderStatus>,
+    pub posts: Vec<(OrderId, Epoch)>,
+    pub most: Bytes,
+}
+
+/// Engines of all backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet(Arc<Mutex<Vec<(BackendId, Engine)>>>);
+
+impl Fleet {
+    pub fn lock(&self) -> MutexGuard<'_, Vec<(BackendId, Engine)>> {
+        self.0.lock().unwrap()
+    }
+
+    pub fn posts(&self) -> usize {
+        self.lock().iter().map(|(_, e)| e.posts.len()).sum()
+    }
+
+    fn with<T>(&self, id: &BackendId, f: impl FnOnce(&mut Engine) -> T) -> T {
+        let mut fleet = self.lock();
+        if !fleet.iter().any(|(known, _)| known == id) {
+            fleet.push((id.clone(), Engine::default()));
+        }
+        let (_, engine) = fleet.iter_mut().find(|(known, _)| known == id).unwrap();
+        f(engine)
+    }
+
+    async fn finish(self, id: BackendId, order: Order) {
+        tokio::time::sleep(LOAD_TIME).await;
+        self.with(&id, |engine| {
+            engine.residents.retain(|r| r.name != order.name);
+            if matches!(order.op, OrderOp::Load | OrderOp::LoadAdapter) {
+                engine.residents.push(Resident {
+                    name: order.name.clone(),
+                    version: order.version.clone(),
+                    bytes: order.bytes,
+                    adapter: order.op == OrderOp::LoadAdapter,
+                });
+            }
+            engine.most = engine
+                .most
+                .max(engine.residents.iter().map(|r| r.bytes).sum());
+            for status in engine.orders.iter_mut().filter(|o| o.id == order.id) {
+                status.state = OrderState::Done;
+            }
+        });
+    }
+}
+
+impl Engines for Fleet {
+    async fn post(&self, backend: &BackendId, order: &Order) -> Answer {
+        let new = self.with(backend, |engine| {
+            engine.posts.push((order.id, order.fence));
+            let new = !engine.orders.iter().any(|o| o.id == order.id);
+            if new {
+                engine.orders.push(OrderStatus {
+                    id: order.id,
+                    state: OrderState::Running,
+                });
+            }
+            new
+        });
+        if new {
+            tokio::spawn(self.clone().finish(backend.clone(), order.clone()));
+        }
+        Answer::Accepted
+    }
+
+    async fn load(&self, backend: &BackendId) -> Option<LoadReport> {
+        Some(self.with(backend, |engine| LoadReport {
+            incarnation: Incarnation::new(1),
+            leaving: false,
+            memory: Bytes::ZERO,
+            used: Bytes::ZERO,
+            in_flight: 0,
+            queued: 0,
+            tokens_per_second: 0.0,
+            residents: engine.residents.clone(),
+            orders: engine.orders.clone(),
+            age_ms: 0,
+            fence: Epoch::new(0),
+        }))
+    }
+}
+
+/// Peers that know which hosts the platform lists as gone.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    pub gone: Arc<Mutex<Vec<HostId>>>,
+}
+
+impl Peers for Known {
+    async fn gave_up(&self, _: &HostId, _: Epoch) -> bool {
+        false
+    }
+
+    fn is_gone(&self, host: &HostId) -> bool {
+        self.gone.lock().unwrap().contains(host)
+    }
+
+    fn ready_elsewhere(&self) -> Vec<ModelId> {
+        Vec::new()
+    }
+}
+
+/// Running controller.
+pub struct Running {
+    pub handle: Handle,
+    pub stop: CancellationToken,
+    pub task: JoinHandle<()>,
+}
+
+impl Running {
+    /// Waits for a status within a bound of virtual time.
+    pub async fn until(&mut self, what: &str, bound: Duration, f: impl Fn(&Status) -> bool) {
+        let wait = timeout(bound, self.handle.status.wait_for(f)).await;
+        assert!(wait.is_ok(), "{what} not reached in {bound:?}");
+    }
+
+    pub fn status(&self) -> Status {
+        self.handle.status.borrow().clone()
+    }
+}
+
+/// Data centre with workers, one model for each, and the parts that controllers share.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub platform: MemPlatform,
+    pub fleet: Fleet,
+    pub peers: Known,
+    pub clock: Monotonic,
+    pub deployment: Arc<Deployment>,
+}
+
+impl Site {
+    pub fn new(workers: usize) -> Self {
+        Self {
+            platform: MemPlatform::new(),
+            fleet: Fleet::default(),
+            peers: Known::default(),
+            clock: Monotonic::start(),
+            deployment: Arc::new(deployment(workers)),
+        }
+    }
+
+    /// Starts a controller that knows the configuration and the inventory.
+    pub async fn start(&self, host: &str) -> Running {
+        let settings = Settings {
+            host: host.parse().unwrap(),
+            dc: "a".parse().unwrap(),
+            lease: Settings::LEASE,
+            seed: host.bytes().map(u64::from).sum(),
+            base_tokens_per_second: 1_000.0,
+            planner: Planner {
+                plan: place::plan,
+                floor: |deployment, _| place::floor(deployment, Bytes::ZERO).unwrap_or_default(),
+            },
+        };
+        let (controller, handle) = Controller::new(
+            self.platform.clone(),
+            self.clock,
+            self.fleet.clone(),
+            self.peers.clone(),
+            settings,
+        );
+        let config = Event::Config(InForce {
+            version: ConfigVersion::new(1),
+            deployment: Arc::clone(&self.deployment),
+        });
+        let inventory = Event::Inventory {
+            backends: self
+                .deployment
+                .backends
+                .iter()
+                .map(|b| b.id.clone())
+                .collect(),
+            hosts: vec!["h1".parse().unwrap(), "h2".parse().unwrap()],
+        };
+        handle.events.send(config).await.unwrap();
+        handle.events.send(inventory).await.unwrap();
+        let stop = CancellationToken::new();
+        let task = tokio::spawn(controller.run(stop.clone()));
+        Running { handle, stop, task }
+    }
+}
+
+fn deployment(workers: usize) -> Deployment {
+    let service: types::ServiceName = "sheets".parse().unwrap();
+    Deployment {
+        name: "test".to_owned(),
+        objective: Objective {
+            attainment: 1.0,
+            moves: 1.0,
+        },
+        limits: Limits {
+            weight_store_slots: 2,
+            weight_store_rate: Rate::from_milli(1_400),
+            adapter_loads: 16,
+            ..Limits::default()
+        },
+        data_centres: vec![DataCentre {
+            id: "a".parse().unwrap(),
+            region: "r".parse().unwrap(),
+        }],
+        services: vec![Service {
+            name: service.clone(),
+            kind: ServiceKind::Model,
+            priority: Priority::new(1),
+            deadline: Micros::from_secs(10),
+            max_deadline: Micros::from_secs(60),
+            first_token: Micros::from_millis(490),
+            between_tokens: Micros::from_millis(26),
+            idempotent: true,
+        }],
+        models: (0..4)
+            .map(|i| Model {
+                id: format!("m{i:03}").parse().unwrap(),
+                version: "v1".parse().unwrap(),
+                service: service.clone(),
+                bytes: Bytes::new(10),
+                priority: Priority::new(1),
+            })
+            .collect(),
+        backends: (0..workers)
+            .map(|i| BackendServer {
+                id: format!("w{i:03}").parse().unwrap(),
+                dc: "a".parse().unwrap(),
+                service: service.clone(),
+                memory: Bytes::new(30),
+                adapter_pool: Bytes::new(5),
+                accelerators: 1,
+                speed: 1.0,
+                max_in_flight: 8,
+                fences: false,
+            })
+            .collect(),
+        ..Deployment::default()
+    }
+}
--- a/crates/orders/src/event.rs
+++ b/crates/orders/src/event.rs
@@ -47,8 +47,8 @@
     Refused,
     /// The write got no answer; it may have taken effect or may still take effect.
     Unanswered,
-    /// An order is wanted.
-    Want(Want),
+    /// Orders are wanted; they are recorded in one write.
+    Want(Vec<Want>),
     /// Sending an order ended; no more of this attempt will leave the process.
     Posted {
         /// Id of the order.
--- a/crates/orders/src/ledger.rs
+++ b/crates/orders/src/ledger.rs
@@ -146,7 +146,7 @@
             Event::Read(object) => self.read(now, object, out),
             Event::Written(revision) => self.written(now, revision, out),
             Event::ReadFailed | Event::Refused | Event::Unanswered => self.failed(now),
-            Event::Want(want) => self.want(now, want, out),
+            Event::Want(wants) => self.want(now, wants, out),
             Event::Posted { id, answer } => self.posted(now, id, answer, out),
             Event::Report { report, asked } => self.report(now, &report, asked),
             Event::Gone(sender) => self.proofs.push((sender, now)),
@@ -177,11 +177,8 @@
             // A record that was deleted is written again with everything that it held.
             None => {
                 self.state = State::Raising;
-                if let Some((record, _)) = self.stored.take() {
-                    self.write_new(record, out);
-                } else {
-                    self.write_new(Record::default(), out);
-                }
+                let lost = self.stored.take().map(|(record, _)| record);
+                self.write_new(lost.unwrap_or_default(), out);
             }
         }
     }
@@ -190,6 +187,8 @@
         let record = Record {
             epoch: self.sender.epoch,
             write: base.write + 1,
+            memory: self.limits.memory,
+            adapter_pool: self.limits.adapter_pool,
             ..base
         };
         self.call = Some(Call::Write(record.clone()));
@@ -237,16 +236,17 @@
         out.push(Action::Superseded(epoch));
     }
 
-    fn want(&mut self, now: Instant, want: Want, out: &mut Vec<Action<R>>) {
+    fn want(&mut self, now: Instant, wants: Vec<Want>, out: &mut Vec<Action<R>>) {
         if !self.checks.record_first {
-            let mut track = Track::new(want.id);
-            track.start_post();
-            track.end_post(now, Answer::Lost);
-            self.tracks.push(track);
-            let order = self.pending(&want).order(self.sender.epoch);
-            out.push(Action::Post(order));
+            for want in &wants {
+                let mut track = Track::new(want.id);
+                track.end_post(now, Answer::Lost);
+                self.tracks.push(track);
+                let order = self.pending(want).order(self.sender.epoch);
+                out.push(Action::Post(order));
+            }
         }
-        self.wants.push(want);
+        self.wants.extend(wants);
     }
 
     fn pending(&self, want: &Want) -> Pending {
@@ -350,7 +350,12 @@
             return;
         };
         let record = self.next_record(&stored, out);
-        if record != stored {
+        // A new life of the engine alone is not worth a write; the next one notes it.
+        let same = Record {
+            incarnation: stored.incarnation,
+            ..record.clone()
+        };
+        if same != stored {
             let record = Record {
                 write: stored.write + 1,
                 ..record
--- /dev/null
+++ b/crates/orders/tests/explore/host.rs
@@ -0,0 +1,81 @@
+//! Hosts of the explored world and what a schedule runs with.
+
+use lease::Lease;
+use orders::Ledger;
+use types::{AttemptId, Epoch, HostId, Micros, Order};
+
+const DURATION: Micros = Micros::from_secs(4);
+
+/// What a schedule runs with.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Setup {
+    pub seed: u64,
+    pub fences: bool,
+    pub lease: lease::Checks,
+    pub orders: orders::Checks,
+}
+
+/// Generator with a fixed sequence for each seed (`SplitMix64`).
+#[derive(Clone, Debug)]
+pub struct Rng(pub u64);
+
+impl Rng {
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.next() % n
+    }
+
+    pub fn one_in(&mut self, n: u64) -> bool {
+        self.below(n) == 0
+    }
+}
+
+pub struct Host {
+    pub id: HostId,
+    pub life: u64,
+    pub alive: bool,
+    pub died: u64,
+    pub resigned: bool,
+    pub frozen_until: u64,
+    pub rate: u64,
+    pub lease: Lease<u64>,
+    pub ledger: Option<Ledger<u64>>,
+    pub term: Option<Epoch>,
+    pub lease_call: u64,
+    pub record_call: u64,
+    /// Number and epoch of the orders that are being sent.
+    pub sending: Vec<(u64, Order)>,
+}
+
+pub fn host(i: usize, life: u64, rate: u64, setup: Setup) -> Host {
+    let id: HostId = format!("h{i}").parse().unwrap();
+    let attempt = u128::from(life) * 2 + u128::from(i == 1);
+    Host {
+        lease: Lease::new(lease::Params {
+            host: id.clone(),
+            attempt: AttemptId::new(attempt),
+            duration: DURATION,
+            poll: Micros::from_secs(1),
+            checks: setup.lease,
+        }),
+        id,
+        life,
+        alive: true,
+        died: 0,
+        resigned: false,
+        frozen_until: 0,
+        rate,
+        ledger: None,
+        term: None,
+        lease_call: 0,
+        record_call: 0,
+        sending: Vec::new(),
+    }
+}
--- a/crates/orders/tests/explore/main.rs
+++ b/crates/orders/tests/explore/main.rs
@@ -4,12 +4,16 @@
 //! counted while they are being unloaded. Each mechanism is also switched off to show that the
 //! exploration finds the fault that the mechanism prevents.
 
+mod check;
 mod engine;
+mod host;
+mod surroundings;
 mod world;
 
 use std::{thread, time::Instant};
 
-use world::{S, Setup, World};
+use host::Setup;
+use world::{S, World};
 
 /// Schedules of each exploration.
 const SCHEDULES: u64 = 60_000;
--- a/crates/orders/tests/explore/world.rs
+++ b/crates/orders/tests/explore/world.rs
@@ -1,55 +1,22 @@
 //! Two hosts, one engine and the platform on virtual time, driven by a seeded schedule.
 
-use lease::Lease;
-use orders::{Answer, Copy, CopyState, Ledger, Limits, Record, Sender, Want};
-use types::{
-    AttemptId, Bytes, Epoch, HostId, Instant, LoadReport, Micros, Order, OrderId, OrderOp,
-    VersionTag,
-};
+use orders::{Answer, CopyState, Ledger, Limits, Record, Sender, Want};
+use types::{Bytes, Epoch, Instant, LoadReport, Order, OrderId, OrderOp, VersionTag};
 
-use crate::engine::Engine;
+use crate::{
+    engine::Engine,
+    host::{Host, Rng, Setup, host},
+};
 
 pub const MS: u64 = 1_000;
 pub const S: u64 = 1_000_000;
 
-const DURATION: Micros = Micros::from_secs(4);
-const MEMORY: Bytes = Bytes::new(10);
+pub const MEMORY: Bytes = Bytes::new(10);
 const MODELS: [(&str, u64); 4] = [("a", 5), ("b", 4), ("c", 3), ("d", 6)];
 const CALL_TIMEOUT: u64 = 2 * S;
 
-/// What a schedule runs with.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Setup {
-    pub seed: u64,
-    pub fences: bool,
-    pub lease: lease::Checks,
-    pub orders: orders::Checks,
-}
-
-/// Generator with a fixed sequence for each seed (`SplitMix64`).
 #[derive(Clone, Debug)]
-pub struct Rng(pub u64);
-
-impl Rng {
-    pub fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-
-    pub fn below(&mut self, n: u64) -> u64 {
-        self.next() % n
-    }
-
-    pub fn one_in(&mut self, n: u64) -> bool {
-        self.below(n) == 0
-    }
-}
-
-#[derive(Clone, Debug)]
-enum Ev {
+pub enum Ev {
     Tick,
     LeaseCall(u64, lease::Action<u64>),
     LeaseBack(u64, lease::Event<u64>),
@@ -66,40 +33,23 @@
     Fault,
 }
 
-struct Host {
-    id: HostId,
-    life: u64,
-    alive: bool,
-    died: u64,
-    resigned: bool,
-    frozen_until: u64,
-    rate: u64,
-    lease: Lease<u64>,
-    ledger: Option<Ledger<u64>>,
-    term: Option<Epoch>,
-    lease_call: u64,
-    record_call: u64,
-    /// Number and epoch of the orders that are being sent.
-    sending: Vec<(u64, Order)>,
-}
-
 pub struct World {
-    setup: Setup,
-    rng: Rng,
-    now: u64,
+    pub setup: Setup,
+    pub rng: Rng,
+    pub now: u64,
     /// Due time, host, life of the host's process, event.
-    queue: Vec<(u64, usize, u64, Ev)>,
-    lease: Option<(lease::Record, u64)>,
-    record: Option<(Record, u64)>,
+    pub queue: Vec<(u64, usize, u64, Ev)>,
+    pub lease: Option<(lease::Record, u64)>,
+    pub record: Option<(Record, u64)>,
     /// Write of the previous revision number.
-    revision: u64,
-    platform_down_until: u64,
-    engine: Engine,
-    hosts: Vec<Host>,
-    numbers: u64,
-    became: Epoch,
-    acting: Epoch,
-    faults_until: u64,
+    pub revision: u64,
+    pub platform_down_until: u64,
+    pub engine: Engine,
+    pub hosts: Vec<Host>,
+    pub numbers: u64,
+    pub became: Epoch,
+    pub acting: Epoch,
+    pub faults_until: u64,
     pub violation: Option<String>,
     pub terms: u64,
     pub closed: u64,
@@ -156,21 +106,21 @@
         }
     }
 
-    fn push(&mut self, delay: u64, h: usize, ev: Ev) {
+    pub(crate) fn push(&mut self, delay: u64, h: usize, ev: Ev) {
         let life = self.hosts[h].life;
         self.queue.push((self.now + delay, h, life, ev));
     }
 
-    fn number(&mut self) -> u64 {
+    pub(crate) fn number(&mut self) -> u64 {
         self.numbers += 1;
         self.numbers
     }
 
-    fn faulty(&self) -> bool {
+    pub(crate) fn faulty(&self) -> bool {
         self.now < self.faults_until
     }
 
-    fn delay(&mut self) -> u64 {
+    pub(crate) fn delay(&mut self) -> u64 {
         let most = match self.rng.below(24) {
             0 if self.faulty() => 8 * S,
             1 | 2 if self.faulty() => S,
@@ -179,15 +129,15 @@
         self.rng.below(most) + 1
     }
 
-    fn lost(&mut self) -> bool {
+    pub(crate) fn lost(&mut self) -> bool {
         self.faulty() && self.rng.one_in(16)
     }
 
-    fn local(&self, h: usize) -> Instant {
+    pub(crate) fn local(&self, h: usize) -> Instant {
         Instant::from_micros(self.now * self.hosts[h].rate / 1_000)
     }
 
-    fn handle(&mut self, h: usize, life: u64, ev: Ev) {
+    pub(crate) fn handle(&mut self, h: usize, life: u64, ev: Ev) {
         let host = &self.hosts[h];
         let in_process = !matches!(
             ev,
@@ -238,7 +188,7 @@
         }
     }
 
-    fn tick(&mut self, h: usize) {
+    pub(crate) fn tick(&mut self, h: usize) {
         self.push(500 * MS, h, Ev::Tick);
         self.step_lease(h, lease::Event::Tick);
         self.step_ledger(h, orders::Event::Tick);
@@ -253,7 +203,7 @@
         }
     }
 
-    fn ask_report(&mut self, h: usize) {
+    pub(crate) fn ask_report(&mut self, h: usize) {
         let asked = self.local(h).as_micros();
         let lag = if self.rng.one_in(2) { 1_500 * MS } else { 0 };
         let report = self.engine.report(self.now, lag);
@@ -263,7 +213,7 @@
         }
     }
 
-    fn want(&mut self, h: usize) {
+    pub(crate) fn want(&mut self, h: usize) {
         let Some(ledger) = &self.hosts[h].ledger else {
             return;
         };
@@ -282,10 +232,10 @@
             version: version(),
             bytes: Bytes::new(bytes),
         };
-        self.step_ledger(h, orders::Event::Want(want));
+        self.step_ledger(h, orders::Event::Want(vec![want]));
     }
 
-    fn step_lease(&mut self, h: usize, ev: lease::Event<u64>) {
+    pub(crate) fn step_lease(&mut self, h: usize, ev: lease::Event<u64>) {
         let now = self.local(h);
         let mut out = Vec::new();
         self.hosts[h].lease.step(now, ev, &mut out);
@@ -302,7 +252,7 @@
         }
     }
 
-    fn became(&mut self, h: usize, epoch: Epoch) {
+    pub(crate) fn became(&mut self, h: usize, epoch: Epoch) {
         if epoch <= self.became {
             self.violation = Some(format!("epoch {epoch} began after {}", self.became));
         }
@@ -320,7 +270,7 @@
         self.step_ledger(h, orders::Event::Tick);
     }
 
-    fn call_lease(&mut self, h: usize, action: lease::Action<u64>) {
+    pub(crate) fn call_lease(&mut self, h: usize, action: lease::Action<u64>) {
         let call = self.number();
         self.hosts[h].lease_call = call;
         let failed = match action {
@@ -333,7 +283,7 @@
     }
 
     /// Sends a message that may be late, lost or duplicated.
-    fn send(&mut self, h: usize, ev: Ev) {
+    pub(crate) fn send(&mut self, h: usize, ev: Ev) {
         let delay = self.delay();
         if self.lost() {
             return;
@@ -346,47 +296,20 @@
     }
 
     /// Freezes a host between a check and the call that the check allowed.
-    fn maybe_freeze(&mut self, h: usize) {
+    pub(crate) fn maybe_freeze(&mut self, h: usize) {
         if self.faulty() && self.rng.one_in(40) {
             self.hosts[h].frozen_until = self.now + self.rng.below(12 * S);
         }
     }
 
-    fn answer(&mut self, h: usize, life: u64, ev: Ev) {
+    pub(crate) fn answer(&mut self, h: usize, life: u64, ev: Ev) {
         let delay = self.delay();
         if !self.lost() {
             self.queue.push((self.now + delay, h, life, ev));
         }
     }
 
-    fn lease_call(&mut self, h: usize, life: u64, call: u64, action: lease::Action<u64>) {
-        if self.now < self.platform_down_until {
-            return;
-        }
-        let at = self.lease.as_ref().map(|(_, revision)| *revision);
-        let ev = match action {
-            lease::Action::Create(record) if at.is_none() => self.commit_lease(record),
-            lease::Action::Update(record, on) if at == Some(on) => self.commit_lease(record),
-            lease::Action::Read => lease::Event::Read(self.lease.clone()),
-            _ => lease::Event::Refused,
-        };
-        self.answer(h, life, Ev::LeaseBack(call, ev));
-    }
-
-    fn commit_lease(&mut self, record: lease::Record) -> lease::Event<u64> {
-        if self
-            .lease
-            .as_ref()
-            .is_some_and(|(old, _)| record.epoch < old.epoch)
-        {
-            self.violation = Some("the epoch of the lease fell".to_owned());
-        }
-        self.revision += 1;
-        self.lease = Some((record, self.revision));
-        lease::Event::Written(self.revision)
-    }
-
-    fn step_ledger(&mut self, h: usize, ev: orders::Event<u64>) {
+    pub(crate) fn step_ledger(&mut self, h: usize, ev: orders::Event<u64>) {
         let now = self.local(h);
         let Some(epoch) = self.hosts[h].term else {
             return;
@@ -401,7 +324,7 @@
         }
     }
 
-    fn perform(&mut self, h: usize, epoch: Epoch, action: orders::Action<u64>) {
+    pub(crate) fn perform(&mut self, h: usize, epoch: Epoch, action: orders::Action<u64>) {
         use orders::Action;
         match action {
             Action::Prove(sender) => self.prove(h, epoch, sender),
@@ -423,7 +346,7 @@
         }
     }
 
-    fn call_record(&mut self, h: usize, action: orders::Action<u64>) {
+    pub(crate) fn call_record(&mut self, h: usize, action: orders::Action<u64>) {
         let call = self.number();
         self.hosts[h].record_call = call;
         let failed = match action {
@@ -435,33 +358,7 @@
         self.send(h, Ev::RecordCall(call, action));
     }
 
-    fn record_call(&mut self, h: usize, life: u64, call: u64, action: orders::Action<u64>) {
-        if self.now < self.platform_down_until {
-            return;
-        }
-        let at = self.record.as_ref().map(|(_, revision)| *revision);
-        let ev = match action {
-            orders::Action::Create(record) if at.is_none() => self.commit_record(record),
-            orders::Action::Update(record, on) if at == Some(on) => self.commit_record(record),
-            orders::Action::Read => orders::Event::Read(self.record.clone()),
-            _ => orders::Event::Refused,
-        };
-        self.answer(h, life, Ev::RecordBack(call, ev));
-    }
-
-    fn commit_record(&mut self, record: Record) -> orders::Event<u64> {
-        if record.epoch < self.acting {
-            self.violation = Some(format!(
-                "epoch {} wrote the record while epoch {} acted",
-                record.epoch, self.acting
-            ));
-        }
-        self.revision += 1;
-        self.record = Some((record, self.revision));
-        orders::Event::Written(self.revision)
-    }
-
-    fn prove(&mut self, h: usize, epoch: Epoch, sender: Sender) {
+    pub(crate) fn prove(&mut self, h: usize, epoch: Epoch, sender: Sender) {
         let other = &self.hosts[usize::from(sender.host != self.hosts[0].id)];
         // The platform's list learns of a dead host five seconds later.
         let listed = other.alive || self.now < other.died + 5 * S;
@@ -474,7 +371,7 @@
         }
     }
 
-    fn leave(&mut self, h: usize, post: u64, order: Order) {
+    pub(crate) fn leave(&mut self, h: usize, post: u64, order: Order) {
         let incarnation = self.engine.incarnation;
         self.push(
             CALL_TIMEOUT,
@@ -484,20 +381,7 @@
         self.send(h, Ev::Arrive(post, order, incarnation));
     }
 
-    fn arrive(&mut self, h: usize, life: u64, post: u64, order: &Order, incarnation: u64) {
-        if incarnation != self.engine.incarnation {
-            return;
-        }
-        let refuse = self.faulty() && self.rng.one_in(12);
-        let (answer, runs) = self.engine.arrive(order, refuse);
-        if runs {
-            let takes = self.rng.below(3 * S);
-            self.push(takes, h, Ev::Finish(incarnation, order.id));
-        }
-        self.answer(h, life, Ev::Posted(post, order.clone(), answer));
-    }
-
-    fn posted(&mut self, h: usize, post: u64, order: &Order, answer: Answer) {
+    pub(crate) fn posted(&mut self, h: usize, post: u64, order: &Order, answer: Answer) {
         let sending = &mut self.hosts[h].sending;
         let Some(at) = sending.iter().position(|(p, _)| *p == post) else {
             return;
@@ -513,149 +397,8 @@
             );
         }
     }
-
-    fn fault(&mut self) {
-        if !self.faulty() {
-            for h in 0..2 {
-                self.revive(h);
-                self.hosts[h].frozen_until = self.hosts[h].frozen_until.min(self.now + S);
-            }
-            return self.push(S, 0, Ev::Fault);
-        }
-        let h = usize::try_from(self.rng.below(2)).unwrap();
-        let span = self.rng.below(10 * S);
-        match self.rng.below(8) {
-            0 | 1 => self.hosts[h].frozen_until = self.now + span,
-            2 => {
-                self.hosts[h].alive = false;
-                self.hosts[h].died = self.now;
-                self.hosts[h].sending.clear();
-            }
-            3 | 4 => self.revive(h),
-            5 => self.platform_down_until = self.now + span,
-            6 => self.engine.restart(),
-            _ => self.hand_over(h),
-        }
-        let pause = self.rng.below(4 * S);
-        self.push(pause, 0, Ev::Fault);
-    }
-
-    /// Hands over the lease; the process is restarted later.
-    fn hand_over(&mut self, h: usize) {
-        if self.hosts[h].alive && self.now >= self.hosts[h].frozen_until {
-            self.hosts[h].resigned = true;
-            self.step_lease(h, lease::Event::HandOver);
-        }
-    }
-
-    fn revive(&mut self, h: usize) {
-        let old = &self.hosts[h];
-        if old.alive && (!old.resigned || !old.sending.is_empty()) {
-            return;
-        }
-        self.hosts[h] = host(h, old.life + 1, old.rate, self.setup);
-        self.push(0, h, Ev::Tick);
-    }
-
-    fn check(&mut self) {
-        let reserved = self
-            .record
-            .as_ref()
-            .map_or(Bytes::ZERO, |(r, _)| r.reserved());
-        let used = self.engine.used();
-        let holders = (0..2).filter(|h| {
-            let host = &self.hosts[*h];
-            host.alive && host.lease.authority(self.local(*h)).is_some()
-        });
-        let found = if used > MEMORY {
-            format!("{used} in use, {MEMORY} present")
-        } else if used > reserved {
-            format!("{used} in use, {reserved} reserved")
-        } else if reserved > MEMORY {
-            format!("{reserved} reserved, {MEMORY} present")
-        } else if holders.count() > 1 {
-            "two hosts have authority".to_owned()
-        } else if let Some(name) = self.counted_in_error() {
-            format!("copy of {name} counted while its unload is open")
-        } else {
-            return;
-        };
-        let at = self.now;
-        self.violation.get_or_insert(format!("{found} at {at} us"));
-    }
-
-    /// Finds a copy that a holder counts although an unload of it can still take effect.
-    fn counted_in_error(&self) -> Option<String> {
-        let open = |name: &str| {
-            let leaving = self.hosts.iter().flat_map(|h| &h.sending).map(|(_, o)| o);
-            let queued = self.queue.iter().filter_map(|(_, _, _, ev)| match ev {
-                Ev::Arrive(_, order, life) if *life == self.engine.incarnation => Some(order),
-                _ => None,
-            });
-            let mut all = leaving.chain(queued).chain(&self.engine.running);
-            all.any(|o| {
-                let running = self.engine.running.iter().any(|r| r.id == o.id);
-                let new = !self.engine.knows(o.id) && !self.engine.refuses(o);
-                o.op == OrderOp::Unload && o.name == name && (running || new)
-            })
-        };
-        let (record, _) = self.record.as_ref()?;
-        for host in &self.hosts {
-            if host.term != Some(record.epoch) || !host.alive {
-                continue;
-            }
-            let copies: Vec<Copy> = host.ledger.as_ref()?.copies();
-            let mut ready = copies.iter().filter(|c| c.state == CopyState::Ready);
-            if let Some(copy) = ready.find(|c| open(&c.name)) {
-                return Some(copy.name.clone());
-            }
-        }
-        None
-    }
-
-    /// Checks that orders are closed once nothing fails any more.
-    fn check_progress(&mut self) {
-        let holder = (0..2).find(|h| self.hosts[*h].lease.authority(self.local(*h)).is_some());
-        let foreign = self.record.as_ref().is_some_and(|(record, _)| {
-            let epoch = record.epoch;
-            record
-                .pending()
-                .any(|p| p.senders.iter().any(|s| s.epoch != epoch))
-        });
-        if holder.is_none() {
-            self.violation = Some("nobody holds the lease after the faults".to_owned());
-        } else if foreign {
-            self.violation = Some("a former holder's order stays open".to_owned());
-        }
-    }
 }
 
 fn version() -> VersionTag {
     "v1".parse().unwrap()
 }
-
-fn host(i: usize, life: u64, rate: u64, setup: Setup) -> Host {
-    let id: HostId = format!("h{i}").parse().unwrap();
-    let attempt = u128::from(life) * 2 + u128::from(i == 1);
-    Host {
-        lease: Lease::new(lease::Params {
-            host: id.clone(),
-            attempt: AttemptId::new(attempt),
-            duration: DURATION,
-            poll: Micros::from_secs(1),
-            checks: setup.lease,
-        }),
-        id,
-        life,
-        alive: true,
-        died: 0,
-        resigned: false,
-        frozen_until: 0,
-        rate,
-        ledger: None,
-        term: None,
-        lease_call: 0,
-        record_call: 0,
-        sending: Vec::new(),
-    }
-}
