Rest workers after failed loads and keep found faults as regression tests

Cause: a load without effect was planned again at every round, and the faults that the explorations found had no tests of their own. Change: a worker whose load had no effect gets no load for 10 s; no round runs before the inventory is known; newly live workers report at once. Conclusion: the two faults are pinned.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -61,13 +61,22 @@
     /// Adapters that were asked for and when, sorted by name.
     pub(crate) used: Vec<(String, Instant)>,
     /// Wanted orders that are neither closed nor declined.
-    pub(crate) issued: Vec<(OrderId, OrderOp)>,
+    pub(crate) issued: Vec<Issued>,
     /// End of the time in which a stopping process still answers.
     stop_by: Option<Instant>,
     /// Epoch of the last term if it ended with open orders.
     owed: Option<Epoch>,
 }
 
+/// Order that this process wanted.
+#[derive(Debug)]
+pub(crate) struct Issued {
+    pub(crate) id: OrderId,
+    pub(crate) op: OrderOp,
+    pub(crate) backend: BackendId,
+    pub(crate) name: String,
+}
+
 /// Access to a running controller.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -197,6 +206,7 @@
                 asked,
             } => self.step_worker(&backend, orders::Event::Report { report, asked }),
             Event::Inventory { backends, hosts } => {
+                self.look_at_new(&backends);
                 self.live = backends;
                 self.lease.set_poll(poll(&self.settings, &hosts));
             }
@@ -264,6 +274,16 @@
         }
     }
 
+    /// Asks for the reports of backend servers that were not live before.
+    fn look_at_new(&mut self, live: &[BackendId]) {
+        let Some(term) = &mut self.term else { return };
+        let was = &self.live;
+        let new = |id: &BackendId| live.binary_search(id).is_ok() && was.binary_search(id).is_err();
+        for worker in term.workers.iter_mut().filter(|w| new(&w.id)) {
+            worker.next_load = Instant::ZERO;
+        }
+    }
+
     fn poll_loads(&mut self) {
         let now = self.now();
         let Some(term) = &mut self.term else { return };
@@ -362,7 +382,7 @@
             Action::Raised => self.next_round = Instant::ZERO,
             Action::Closed(id) => self.closed(id),
             Action::Declined(id) => {
-                self.issued.retain(|(issued, _)| *issued != id);
+                self.issued.retain(|issued| issued.id != id);
                 counter!("celerytally_orders_declined_total").increment(1);
             }
             // Authority is checked last, so that as little time as possible passes before the call.
--- a/crates/control/src/round.rs
+++ b/crates/control/src/round.rs
@@ -5,10 +5,10 @@
 use orders::{Adapter, Copy, CopyState, SlotEvent, Want, plan_adapters, share};
 use place::{Input, Move};
 use store::{Platform, Revision};
-use types::{Clock, Instant, Micros, OrderId, OrderOp, score};
+use types::{BackendId, Clock, Instant, Micros, OrderId, OrderOp, score};
 
 use crate::{
-    controller::Controller,
+    controller::{Controller, Issued},
     event::{Engines, Peers, Status},
     term::{self, Managed, Surroundings, Term},
 };
@@ -16,6 +16,13 @@
 /// Time between two placement rounds without a change.
 const ROUND: Micros = Micros::from_secs(1);
 
+/// Time without further loads on a worker after a load that had no effect.
+const REST: Micros = Micros::from_secs(10);
+
+fn is_load(mv: &Move) -> bool {
+    matches!(mv, Move::Load { .. })
+}
+
 impl<P: Platform, C: Clock, E: Engines, N: Peers> Controller<P, C, E, N> {
     /// Runs a placement round.
     pub(crate) fn round(&mut self) {
@@ -25,8 +32,13 @@
             return;
         };
         self.note_floor(term::below_floor(&input));
-        let moves = (self.settings.planner.plan)(&input);
-        let is_load = |mv: &Move| matches!(mv, Move::Load { .. });
+        let mut moves = (self.settings.planner.plan)(&input);
+        if let Some(term) = &self.term {
+            moves.retain(|mv| match mv {
+                Move::Load { worker, .. } => term.takes_loads(worker, now),
+                Move::Unload { .. } => true,
+            });
+        }
         let loads = moves.iter().filter(|mv| is_load(mv)).count();
         self.step_slots(SlotEvent::Need(busy + loads));
         let ready = self.term.as_ref().map_or(0, |t| t.slots.ready(now));
@@ -43,16 +55,27 @@
                 }
             }
             let (backend, want) = term::want(mv, OrderId::random(&mut self.rng));
-            self.issued.push((want.id, want.op));
-            self.step_worker(&backend, orders::Event::Want(vec![want]));
+            self.issue(&backend, vec![want]);
         }
         self.adapt();
     }
 
+    fn issue(&mut self, backend: &BackendId, wants: Vec<Want>) {
+        self.issued.extend(wants.iter().map(|w| Issued {
+            id: w.id,
+            op: w.op,
+            backend: backend.clone(),
+            name: w.name.clone(),
+        }));
+        self.step_worker(backend, orders::Event::Want(wants));
+    }
+
     /// Returns the input of a round and the loads that occupy the weight store.
     fn plan_input(&mut self, now: Instant) -> Option<(Input, usize)> {
         let (term, config) = (self.term.as_mut()?, self.config.as_ref()?);
-        if self.lease.authority(now) != Some(term.epoch) || !term.is_settled(now, &self.live) {
+        // Without an inventory every worker would look dead.
+        let known = !self.live.is_empty() && term.is_settled(now, &self.live);
+        if self.lease.authority(now) != Some(term.epoch) || !known {
             return None;
         }
         let limits = config.deployment.limits;
@@ -120,9 +143,9 @@
             let moves = plan_adapters(copies, pool, &wanted, loads);
             let started = moves.iter().filter(|m| m.op == OrderOp::LoadAdapter);
             loads = loads.saturating_sub(started.count());
-            batches.push((*at, moves));
+            batches.push((id.clone(), moves));
         }
-        for (at, moves) in batches.into_iter().filter(|(_, moves)| !moves.is_empty()) {
+        for (id, moves) in batches.into_iter().filter(|(_, moves)| !moves.is_empty()) {
             let wants: Vec<Want> = moves
                 .into_iter()
                 .map(|m| Want {
@@ -133,8 +156,7 @@
                     bytes: m.bytes,
                 })
                 .collect();
-            self.issued.extend(wants.iter().map(|w| (w.id, w.op)));
-            self.step_ledger(at, orders::Event::Want(wants));
+            self.issue(&id, wants);
         }
     }
 
@@ -154,24 +176,42 @@
     /// Counts a closed order of this process.
     pub(crate) fn closed(&mut self, id: OrderId) {
         self.next_round = Instant::ZERO;
-        let Some(at) = self.issued.iter().position(|(issued, _)| *issued == id) else {
+        let Some(at) = self.issued.iter().position(|issued| issued.id == id) else {
             return;
         };
-        let (_, op) = self.issued.swap_remove(at);
-        let name = match op {
+        let order = self.issued.swap_remove(at);
+        if order.op == OrderOp::Load {
+            self.rest_after_failure(&order);
+        }
+        let name = match order.op {
             OrderOp::Load => "load",
             OrderOp::Unload => "unload",
             OrderOp::LoadAdapter => "load_adapter",
             OrderOp::UnloadAdapter => "unload_adapter",
         };
         counter!("celerytally_moves_total", "op" => name).increment(1);
-        self.status.send_modify(|status| match op {
+        self.status.send_modify(|status| match order.op {
             OrderOp::Load => status.loads += 1,
             OrderOp::Unload => status.unloads += 1,
             OrderOp::LoadAdapter | OrderOp::UnloadAdapter => {}
         });
     }
 
+    /// Gives a worker a rest after a load that had no effect, instead of loading at every round.
+    fn rest_after_failure(&mut self, order: &Issued) {
+        let until = self.now() + REST;
+        let Some(term) = &mut self.term else { return };
+        let Some(at) = term.find(&order.backend) else {
+            return;
+        };
+        let worker = &mut term.workers[at];
+        let copies = worker.ledger.copies();
+        if !copies.iter().any(|c| !c.adapter && c.name == order.name) {
+            counter!("celerytally_loads_failed_total").increment(1);
+            worker.rest_until = until;
+        }
+    }
+
     fn note_floor(&self, below: Vec<types::ModelId>) {
         self.status.send_if_modified(|status| {
             let changed = status.below_floor != below;
@@ -212,7 +252,7 @@
 }
 
 /// Returns the live workers whose state is known, by position, with their copies.
-fn sites(term: &Term, live: &[types::BackendId]) -> Vec<(usize, Vec<Copy>)> {
+fn sites(term: &Term, live: &[BackendId]) -> Vec<(usize, Vec<Copy>)> {
     let known = |w: &Managed| {
         w.ledger.is_ready() && w.ledger.is_reported() && live.binary_search(&w.id).is_ok()
     };
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -39,6 +39,8 @@
     /// A load report was asked for and is not there yet.
     pub(crate) asking: bool,
     pub(crate) next_load: Instant,
+    /// Instant until which no model is loaded here, because a load had no effect.
+    pub(crate) rest_until: Instant,
 }
 
 /// What a round knows besides the ledgers.
@@ -122,6 +124,7 @@
                         ledger: Ledger::new(self.host.clone(), self.epoch, limits(b)),
                         asking: false,
                         next_load: Instant::ZERO,
+                        rest_until: Instant::ZERO,
                     },
                 ),
             }
@@ -129,6 +132,12 @@
         changed
     }
 
+    /// Tells whether a worker may be given a model now.
+    pub(crate) fn takes_loads(&self, id: &BackendId, now: Instant) -> bool {
+        let at = self.find(id);
+        at.is_some_and(|at| now >= self.workers[at].rest_until)
+    }
+
     /// Returns the number of recorded orders that are not closed.
     pub(crate) fn pending(&self) -> usize {
         let records = self.workers.iter().filter_map(|w| w.ledger.record());
--- /dev/null
+++ b/crates/orders/tests/regression/refused_order.rs
@@ -0,0 +1,65 @@
+//! An order refused with 507 was closed, and a late duplicate of it then overcommitted memory.
+
+use orders::{Action, Answer, Event, Ledger, Limits, Want};
+use types::{Bytes, Epoch, Incarnation, Instant, LoadReport, OrderId, OrderOp};
+
+fn report() -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation::new(1),
+        leaving: false,
+        memory: Bytes::ZERO,
+        used: Bytes::ZERO,
+        in_flight: 0,
+        queued: 0,
+        tokens_per_second: 0.0,
+        residents: Vec::new(),
+        orders: Vec::new(),
+        age_ms: 0,
+        fence: Epoch::new(0),
+    }
+}
+
+#[test]
+fn a_refused_order_that_the_engine_does_not_list_stays_reserved() {
+    let limits = Limits {
+        memory: Bytes::new(10),
+        adapter_pool: Bytes::ZERO,
+        fences: false,
+    };
+    let mut ledger: Ledger<u64> = Ledger::new("h1".parse().unwrap(), Epoch::new(1), limits);
+    let mut out = Vec::new();
+    let mut step = |secs: u64, ev| {
+        out.clear();
+        ledger.step(Instant::from_micros(secs * 1_000_000), ev, &mut out);
+        out.clone()
+    };
+    let heard = |secs: u64| Event::Report {
+        report: report(),
+        asked: Instant::from_micros(secs * 1_000_000),
+    };
+    let want = Want {
+        id: OrderId::new(1),
+        op: OrderOp::Load,
+        name: "m".to_owned(),
+        version: "v1".parse().unwrap(),
+        bytes: Bytes::new(6),
+    };
+    step(1, Event::Tick);
+    step(1, Event::Read(None));
+    step(1, Event::Written(1));
+    step(3, heard(2));
+    let write = step(3, Event::Want(vec![want]));
+    assert!(matches!(write.as_slice(), [Action::Update(r, 1)] if r.reserved() == Bytes::new(6)));
+    let post = step(3, Event::Written(2));
+    assert!(matches!(post.as_slice(), [Action::Post(_)]));
+
+    let (id, answer) = (OrderId::new(1), Answer::NoMemory);
+    step(4, Event::Posted { id, answer });
+    let after = step(6, heard(5));
+
+    assert!(
+        !after.iter().any(|a| matches!(a, Action::Update(..))),
+        "{after:?}"
+    );
+    assert_eq!(ledger.record().unwrap().reserved(), Bytes::new(6));
+}
--- /dev/null
+++ b/crates/orders/tests/regression/surplus_slot.rs
@@ -0,0 +1,60 @@
+//! The slot that was given back was the one that a load in flight counted on.
+
+use orders::{SlotAction, SlotEvent, Slots};
+use types::{AttemptId, Instant, Micros};
+
+const DURATION: u64 = 12_000_000;
+
+fn at(secs: u64) -> Instant {
+    Instant::from_micros(secs * 1_000_000)
+}
+
+/// Returns slots that hold the first since second 0 and the second since second 3.
+fn two_held() -> Slots<u64> {
+    let dc = "a".parse().unwrap();
+    let mut slots = Slots::new(dc, AttemptId::new(1), Micros::new(DURATION));
+    let mut out = Vec::new();
+    slots.step(at(0), SlotEvent::Limit(2), &mut out);
+    slots.step(at(0), SlotEvent::Need(1), &mut out);
+    slots.step(at(0), SlotEvent::Listed(Vec::new()), &mut out);
+    slots.step(at(0), SlotEvent::Written(0, 1), &mut out);
+    slots.step(at(3), SlotEvent::Need(2), &mut out);
+    slots.step(at(3), SlotEvent::Written(1, 2), &mut out);
+    assert_eq!(slots.ready(at(3)), 2);
+    slots
+}
+
+fn released(out: &[SlotAction<u64>]) -> Vec<u32> {
+    let releases = out.iter().filter_map(|action| match action {
+        SlotAction::Update(slot, record, _) if record.dc.is_none() => Some(*slot),
+        _ => None,
+    });
+    releases.collect()
+}
+
+#[test]
+fn the_slot_that_ends_first_is_given_back() {
+    let mut slots = two_held();
+    let mut out = Vec::new();
+    slots.step(at(3), SlotEvent::Need(1), &mut out);
+    assert_eq!(released(&out), [0]);
+}
+
+#[test]
+fn a_slot_is_kept_while_the_renewal_of_the_other_is_open() {
+    let mut slots = two_held();
+    let mut out = Vec::new();
+    // The renewal of the first slot is sent and has no answer yet.
+    slots.step(at(5), SlotEvent::Tick, &mut out);
+    slots.step(at(5), SlotEvent::Need(1), &mut out);
+    assert_eq!(released(&out), []);
+}
+
+#[test]
+fn slots_beyond_the_need_are_not_ready() {
+    let mut slots = two_held();
+    let mut out = Vec::new();
+    slots.step(at(5), SlotEvent::Tick, &mut out);
+    slots.step(at(5), SlotEvent::Need(1), &mut out);
+    assert_eq!(slots.ready(at(5)), 1);
+}
