--- a/crates/config/src/apply.rs
+++ b/crates/config/src/apply.rs
@@ -52,6 +52,7 @@
     let previous = seen.as_ref().map(|o| &o.value);
     let mut next = Snapshot::next(previous, deployment, author, apply_id);
     let due = take_due(&mut next);
+    let due = read_revisions(platform, due).await;
     let chunks_written = write_chunks(platform, &next, previous).await?;
     let revision = seen.as_ref().map(|o| &o.revision);
     write_manifest(platform, &next.manifest, revision).await?;
@@ -103,24 +104,37 @@
     new.sort_by_key(|(hash, _)| **hash);
     new.dedup_by_key(|(hash, _)| **hash);
     new.retain(|(hash, _)| !old.contains(hash));
-    let writes = new
-        .into_iter()
-        .map(|(hash, chunk)| write_chunk(platform, *hash, chunk));
+    let mut writes = Vec::with_capacity(new.len());
+    for (hash, chunk) in new {
+        writes.push(write_chunk(platform, *hash, chunk));
+    }
     stream::iter(writes)
         .buffer_unordered(PARALLEL_CALLS)
         .try_fold(0, async |n, written| Ok(n + usize::from(written)))
         .await
 }
 
-/// Writes a chunk; a chunk that exists has the same content, because its name is its hash.
+/// Writes a chunk; returns whether it was not there before.
+///
+/// A chunk that exists has the same content, because its name is its hash. It is written again all
+/// the same: another operator may be about to delete it at the revision that it had.
 async fn write_chunk<P: Platform>(platform: &P, hash: ChunkHash, chunk: &Chunk) -> Result<bool> {
     let name = hash.to_string();
     let mut last = None;
+    let mut exists = false;
     for _ in 0..ATTEMPTS {
-        match platform.create(&name, chunk).await {
-            Ok(_) => return Ok(true),
+        let written = if exists {
+            touch(platform, &name, chunk).await
+        } else {
+            platform.create(&name, chunk).await
+        };
+        match written {
+            Ok(_) => return Ok(!exists),
             Err(e) => match e.category() {
-                Category::Conflict => return Ok(false),
+                Category::Conflict | Category::NotFound => {
+                    exists = e.category() == Category::Conflict;
+                    last = Some(e);
+                }
                 Category::Unknown => last = Some(e),
                 // No manifest refers to the chunk yet, so nothing is in force.
                 _ => return Err(Error::away(e)),
@@ -130,6 +144,13 @@
     Err(Error::away(last.map(|e| e.to_string()).unwrap_or_default()))
 }
 
+async fn touch<P: Platform>(platform: &P, name: &str, chunk: &Chunk) -> store::Result<Revision> {
+    match platform.get::<Chunk>(name).await? {
+        Some(found) => platform.update(name, chunk, &found.revision).await,
+        None => Err(store::Error::new(Category::NotFound, name, "")),
+    }
+}
+
 /// Writes the manifest; a lost answer is resolved by looking for the apply id.
 ///
 /// Repeating the conditional update is safe: at most one of the attempts can take effect.
@@ -185,22 +206,45 @@
     })))
 }
 
+/// Reads the revisions of chunks before the manifest is written.
+///
+/// An apply that follows and needs one of them again writes it anew, so that the deletion at the
+/// revision read here fails.
+async fn read_revisions<P: Platform>(
+    platform: &P,
+    due: Vec<ChunkHash>,
+) -> Vec<(ChunkHash, Revision)> {
+    let mut reads = Vec::with_capacity(due.len());
+    for hash in due {
+        reads.push(read_revision(platform, hash));
+    }
+    let read = stream::iter(reads).buffer_unordered(PARALLEL_CALLS);
+    read.filter_map(std::future::ready).collect().await
+}
+
+async fn read_revision<P: Platform>(
+    platform: &P,
+    hash: ChunkHash,
+) -> Option<(ChunkHash, Revision)> {
+    let chunk = platform.get::<Chunk>(&hash.to_string()).await.ok()??;
+    Some((hash, chunk.revision))
+}
+
 /// Deletes chunks; those that can't be deleted now stay, which costs only their storage.
-async fn delete_chunks<P: Platform>(platform: &P, due: &[ChunkHash]) -> usize {
-    let deletions = due.iter().map(async |hash| {
-        let name = hash.to_string();
-        let Ok(Some(chunk)) = platform.get::<Chunk>(&name).await else {
-            return false;
-        };
-        platform
-            .delete::<Chunk>(&name, &chunk.revision)
-            .await
-            .is_ok()
-    });
+async fn delete_chunks<P: Platform>(platform: &P, due: &[(ChunkHash, Revision)]) -> usize {
+    let mut deletions = Vec::with_capacity(due.len());
+    for (hash, revision) in due {
+        deletions.push(delete_chunk(platform, *hash, revision));
+    }
     let deleted = stream::iter(deletions).buffer_unordered(PARALLEL_CALLS);
     deleted.filter(|ok| std::future::ready(*ok)).count().await
 }
 
+async fn delete_chunk<P: Platform>(platform: &P, hash: ChunkHash, revision: &Revision) -> bool {
+    let deleted = platform.delete::<Chunk>(&hash.to_string(), revision).await;
+    deleted.is_ok()
+}
+
 /// Loads the configuration in force.
 ///
 /// # Errors
@@ -234,25 +278,27 @@
     manifest: Manifest,
     known: Option<&Snapshot>,
 ) -> Result<Snapshot> {
-    let reads = manifest.chunks.iter().map(async |hash| {
+    let mut reads = Vec::with_capacity(manifest.chunks.len());
+    for hash in &manifest.chunks {
         let reusable = known.and_then(|k| {
             let at = k.manifest.chunks.iter().position(|h| h == hash)?;
-            k.chunks.get(at)
+            k.chunks.get(at).cloned()
         });
-        match reusable {
-            Some(chunk) => Ok(Arc::clone(chunk)),
-            None => read_chunk(platform, *hash).await,
-        }
-    });
-    let reads: Vec<_> = reads.collect();
-    let chunks = stream::iter(reads)
-        .buffered(PARALLEL_CALLS)
-        .try_collect()
-        .await?;
+        reads.push(read_chunk(platform, *hash, reusable));
+    }
+    let reads = stream::iter(reads).buffered(PARALLEL_CALLS);
+    let chunks = reads.try_collect().await?;
     Snapshot::new(manifest, chunks)
 }
 
-async fn read_chunk<P: Platform>(platform: &P, hash: ChunkHash) -> Result<Arc<Chunk>> {
+async fn read_chunk<P: Platform>(
+    platform: &P,
+    hash: ChunkHash,
+    known: Option<Arc<Chunk>>,
+) -> Result<Arc<Chunk>> {
+    if let Some(known) = known {
+        return Ok(known);
+    }
     match platform.get::<Chunk>(&hash.to_string()).await {
         Ok(Some(chunk)) => Ok(Arc::new(chunk.value)),
         Ok(None) => Err(Error::garbage(format_args!("chunk {hash} is missing"))),
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -9,7 +9,7 @@
     deployment::InForce,
     entry::{self, Entry},
     error::{Error, Result},
-    version::{Base, Chunk, Manifest, Snapshot, empty_chunks, place},
+    version::{Base, Chunk, ChunkHash, Manifest, Snapshot, empty_chunks, place},
 };
 
 /// Changes from one version to another.
@@ -17,8 +17,12 @@
 pub struct Delta {
     /// Version that it starts from; absent when it holds all entries.
     pub from: Option<ConfigVersion>,
-    /// Manifest of the version that it leads to.
+    /// Manifest of the version that it leads to, without the hashes that did not change.
+    ///
+    /// All hashes take 2 KB, which would be most of the delta.
     pub manifest: Manifest,
+    /// Numbers and hashes of chunks that changed.
+    pub hashes: Vec<(u16, ChunkHash)>,
     /// Entries that are new or changed.
     pub changed: Vec<Entry>,
     /// Keys of removed entries.
@@ -32,6 +36,11 @@
         let empty = Arc::new(Chunk::default());
         let mut changed = Vec::new();
         let mut removed = Vec::new();
+        let mut manifest = Manifest::clone(&to.manifest);
+        let hashes = match from {
+            Some(from) => changed_hashes(&from.manifest, &std::mem::take(&mut manifest.chunks)),
+            None => Vec::new(),
+        };
         for (i, new) in to.chunks.iter().enumerate() {
             let old = from.and_then(|f| f.chunks.get(i)).unwrap_or(&empty);
             if Arc::ptr_eq(old, new) {
@@ -43,8 +52,9 @@
             removed.extend(keys.filter(|key| new.entries.iter().all(|e| e.key() != *key)));
         }
         Self {
-            from: from.map(|f| f.version),
-            manifest: Manifest::clone(&to.manifest),
+            from: from.map(|f| f.manifest.version),
+            manifest,
+            hashes,
             changed,
             removed,
         }
@@ -64,7 +74,8 @@
             return Err(Error::garbage(message));
         };
         let chunks = self.patch(base.chunks.clone());
-        self.verify(base, &chunks)?;
+        let manifest = self.manifest_after(base)?;
+        verify(base, &manifest, &chunks)?;
         let mut deployment = base.in_force.deployment.as_ref().clone();
         for key in &self.removed {
             entry::remove(&mut deployment, key);
@@ -78,11 +89,22 @@
         };
         Ok(Snapshot {
             in_force: Arc::new(in_force),
-            manifest: Arc::new(self.manifest.clone()),
+            manifest: Arc::new(manifest),
             chunks,
         })
     }
 
+    /// Returns the manifest with all hashes.
+    fn manifest_after(&self, base: &Snapshot) -> Result<Manifest> {
+        let mut manifest = self.manifest.clone();
+        manifest.chunks.clone_from(&base.manifest.chunks);
+        for (i, hash) in &self.hashes {
+            let known = manifest.chunks.get_mut(usize::from(*i));
+            *known.ok_or_else(|| Error::garbage(format_args!("no chunk has number {i}")))? = *hash;
+        }
+        Ok(manifest)
+    }
+
     fn patch(&self, mut chunks: Vec<Arc<Chunk>>) -> Vec<Arc<Chunk>> {
         for key in &self.removed {
             Arc::make_mut(&mut chunks[place(key)]).remove(key);
@@ -92,21 +114,26 @@
         }
         chunks
     }
+}
 
-    /// Compares the hashes; those of untouched chunks were verified with the base.
-    fn verify(&self, base: &Snapshot, chunks: &[Arc<Chunk>]) -> Result<()> {
-        let named = &self.manifest.chunks;
-        let fits = |i: usize| {
-            let untouched = Arc::ptr_eq(&chunks[i], &base.chunks[i]);
-            let known = untouched.then(|| base.manifest.chunks[i]);
-            named[i] == known.unwrap_or_else(|| chunks[i].hash())
-        };
-        if named.len() == chunks.len() && (0..chunks.len()).all(fits) {
-            return Ok(());
-        }
-        Err(Error::garbage(format_args!(
-            "the delta does not lead to version {}",
-            self.manifest.version
-        )))
+fn changed_hashes(old: &Manifest, new: &[ChunkHash]) -> Vec<(u16, ChunkHash)> {
+    let both = (0_u16..).zip(old.chunks.iter().zip(new));
+    let changed = both.filter(|(_, (old, new))| old != new);
+    changed.map(|(i, (_, new))| (i, *new)).collect()
+}
+
+/// Compares the hashes; those of untouched chunks were verified with the base.
+fn verify(base: &Snapshot, manifest: &Manifest, chunks: &[Arc<Chunk>]) -> Result<()> {
+    let fits = |i: usize| {
+        let untouched = Arc::ptr_eq(&chunks[i], &base.chunks[i]);
+        let known = untouched.then(|| base.manifest.chunks[i]);
+        manifest.chunks[i] == known.unwrap_or_else(|| chunks[i].hash())
+    };
+    if (0..chunks.len()).all(fits) {
+        return Ok(());
     }
+    let version = manifest.version;
+    Err(Error::garbage(format_args!(
+        "the delta does not lead to version {version}"
+    )))
 }
--- a/crates/config/src/version.rs
+++ b/crates/config/src/version.rs
@@ -18,13 +18,17 @@
 /// Applies that a manifest remembers, so that a late read-back still tells whether it took effect.
 const HISTORY: usize = 8;
 
+/// Bytes of a chunk's hash: enough against accidents, and every host reads all hashes every ten
+/// seconds.
+const HASH_BYTES: usize = 16;
+
 /// Hash of a chunk's content, which is also its name.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ChunkHash([u8; 32]);
+pub struct ChunkHash([u8; HASH_BYTES]);
 
 impl fmt::Display for ChunkHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
     }
 }
 
@@ -38,9 +42,11 @@
     type Err = Error;
 
     fn from_str(s: &str) -> Result<Self> {
-        blake3::Hash::from_hex(s)
-            .map(|hash| Self(*hash.as_bytes()))
-            .map_err(|e| Error::garbage(format_args!("bad chunk hash: {e}")))
+        let number = u128::from_str_radix(s, 16)
+            .ok()
+            .filter(|_| s.len() == 2 * HASH_BYTES);
+        let number = number.ok_or_else(|| Error::garbage(format_args!("bad chunk hash `{s}`")))?;
+        Ok(Self(number.to_be_bytes()))
     }
 }
 
@@ -61,7 +67,7 @@
                 .parse()
                 .map_err(D::Error::custom)
         } else {
-            <[u8; 32]>::deserialize(deserializer).map(Self)
+            <[u8; HASH_BYTES]>::deserialize(deserializer).map(Self)
         }
     }
 }
@@ -83,7 +89,12 @@
     #[expect(clippy::missing_panics_doc, reason = "entries have string keys only")]
     pub fn hash(&self) -> ChunkHash {
         let bytes = serde_json::to_vec(&self.entries).expect("entries have string keys only");
-        ChunkHash(*blake3::hash(&bytes).as_bytes())
+        let mut hash = [0; HASH_BYTES];
+        blake3::Hasher::new()
+            .update(&bytes)
+            .finalize_xof()
+            .fill(&mut hash);
+        ChunkHash(hash)
     }
 
     pub(crate) fn set(&mut self, entry: Entry) {
@@ -179,8 +190,8 @@
 /// Chunks of a version, from which a delta starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Base {
-    /// Version.
-    pub version: ConfigVersion,
+    /// Manifest.
+    pub manifest: Arc<Manifest>,
     /// Chunks, in the order of their numbers.
     pub chunks: Vec<Arc<Chunk>>,
 }
@@ -224,7 +235,7 @@
     #[must_use]
     pub fn base(&self) -> Base {
         Base {
-            version: self.in_force.version,
+            manifest: Arc::clone(&self.manifest),
             chunks: self.chunks.clone(),
         }
     }
--- a/crates/config/tests/applying.rs
+++ b/crates/config/tests/applying.rs
@@ -1,7 +1,9 @@
 //! Applying to the platform: races, lost answers, outages.
 
+use std::sync::{Arc, Mutex};
+
 use config::{Category, Chunk, Deployment, Manifest};
-use store::{Fault, MemPlatform, Platform};
+use store::{Fault, Kind, Listing, MemPlatform, Object, Platform, Result, Revision, Watch};
 use types::ConfigVersion;
 
 fn deployment(queue: u32) -> Deployment {
@@ -176,3 +178,64 @@
     let err = config::load(&platform).await.unwrap_err();
     assert_eq!(err.category(), Category::Garbage);
 }
+
+/// Platform on which another operator applies a file just before the first deletion.
+#[derive(Clone)]
+struct Interposed {
+    inner: MemPlatform,
+    other: Arc<Mutex<Option<Deployment>>>,
+}
+
+impl Platform for Interposed {
+    async fn get<T: Kind>(&self, name: &str) -> Result<Option<Object<T>>> {
+        self.inner.get(name).await
+    }
+
+    async fn list<T: Kind>(&self) -> Result<Listing<T>> {
+        self.inner.list().await
+    }
+
+    async fn create<T: Kind>(&self, name: &str, value: &T) -> Result<Revision> {
+        self.inner.create(name, value).await
+    }
+
+    async fn update<T: Kind>(&self, name: &str, value: &T, at: &Revision) -> Result<Revision> {
+        self.inner.update(name, value, at).await
+    }
+
+    async fn delete<T: Kind>(&self, name: &str, at: &Revision) -> Result<()> {
+        let other = self.other.lock().unwrap().take();
+        if let Some(d) = other {
+            config::apply(&self.inner, &d, "ben", None).await.unwrap();
+        }
+        self.inner.delete::<T>(name, at).await
+    }
+
+    async fn watch<T: Kind>(&self, from: &Revision) -> Result<Watch<T>> {
+        self.inner.watch(from).await
+    }
+}
+
+/// Guards against the deletion of a chunk that an apply which followed uses again.
+#[tokio::test]
+async fn a_chunk_that_is_used_again_is_not_deleted() {
+    let inner = MemPlatform::new();
+    for n in 1..=5 {
+        config::apply(&inner, &deployment(n), "ana", None)
+            .await
+            .unwrap();
+    }
+    let other = Arc::new(Mutex::new(Some(deployment(1))));
+    let platform = Interposed {
+        inner: inner.clone(),
+        other: Arc::clone(&other),
+    };
+    config::apply(&platform, &deployment(6), "ana", None)
+        .await
+        .unwrap();
+    assert!(
+        other.lock().unwrap().is_none(),
+        "the other operator went between"
+    );
+    assert_eq!(in_force(&inner).await, Some((7, 1)));
+}
--- a/crates/config/tests/versions.rs
+++ b/crates/config/tests/versions.rs
@@ -77,7 +77,7 @@
     altered.changed.clear();
     altered.apply(Some(&second)).unwrap_err();
     let mut altered = delta;
-    altered.manifest.chunks.truncate(3);
+    altered.hashes[0].0 = 900;
     altered.apply(Some(&second)).unwrap_err();
 }
 
--- a/crates/peer/src/event.rs
+++ b/crates/peer/src/event.rs
@@ -22,9 +22,9 @@
     /// Two hosts of each data centre watch the platform; the others learn by exchange.
     #[default]
     Relay,
-    /// Every host watches the platform.
+    /// Every host watches the platform; for comparison only.
     Watch,
-    /// Every host polls the platform.
+    /// Every host polls the platform; for comparison only.
     Poll,
 }
 
@@ -115,7 +115,7 @@
     InForce(Arc<InForce>),
     /// The host list changed.
     Inventory(Inventory),
-    /// The members may have changed.
+    /// The members changed.
     Members(Vec<Member>),
     /// News for the router.
     Out(Outgoing),
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -7,7 +7,7 @@
 use types::{Deadline, Instant, Micros};
 
 use crate::{
-    event::{Action, Garbage, Target},
+    event::{Action, Garbage, Spread, Target},
     hosts::Host,
     load::Seen,
     member::{Member, MemberState},
@@ -29,8 +29,7 @@
 
 impl State {
     /// Starts the exchanges of this round.
-    pub(crate) fn exchange(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let members = self.members.list(now);
+    pub(crate) fn exchange(&mut self, now: Instant, members: &[Member], out: &mut Vec<Action>) {
         let others: Vec<&Member> = members
             .iter()
             .filter(|m| m.id != self.params.host)
@@ -45,7 +44,7 @@
             self.call(now, to, false, false, out);
         }
         if (others.is_empty() || self.round.is_multiple_of(SEED_EVERY))
-            && let Some(to) = self.pick_seed(&members)
+            && let Some(to) = self.pick_seed(members)
         {
             self.call(now, to, false, false, out);
         }
@@ -207,7 +206,8 @@
             ask(Request::Hosts(self.hosts.hash()));
         }
         let pulling = self.pulling.is_some_and(|until| !until.is_past(now));
-        if msg.version > self.versions.version() && !pulling {
+        let follows = self.params.spread == Spread::Relay;
+        if follows && msg.version > self.versions.version() && !pulling {
             self.pulling = Some(Deadline::after(now, PULL_TIMEOUT));
             ask(Request::Config(self.versions.base()));
         }
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -74,6 +74,7 @@
 pub struct Handle<P, C, S> {
     node: Arc<Node<P, C, S>>,
     addr: SocketAddr,
+    listening: SocketAddr,
     host: HostId,
     dc: DataCentreId,
 }
@@ -83,6 +84,7 @@
         Self {
             node: Arc::clone(&self.node),
             addr: self.addr,
+            listening: self.listening,
             host: self.host.clone(),
             dc: self.dc.clone(),
         }
@@ -153,6 +155,7 @@
     let handle = Handle {
         node,
         addr: advertised,
+        listening: addr,
         host: options.host,
         dc: options.dc,
     };
@@ -188,6 +191,12 @@
         self.addr
     }
 
+    /// Returns the address that this host listens on for peers.
+    #[must_use]
+    pub fn listening(&self) -> SocketAddr {
+        self.listening
+    }
+
     /// Follows the configuration in force; versions only rise.
     #[must_use]
     pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -87,3 +87,7 @@
     let [a, b, c, d, ..] = hash(parts).to_le_bytes();
     u32::from_le_bytes([a, b, c, d]).max(1)
 }
+
+#[cfg(test)]
+#[path = "../tests/state/mod.rs"]
+mod state_tests;
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -115,13 +115,7 @@
                 Action::Watch(on) => self.set_watching(on),
                 Action::InForce(new) => drop(self.in_force.send_replace(Some(new))),
                 Action::Inventory(new) => drop(self.inventory.send_replace(Arc::new(new))),
-                Action::Members(new) => drop(self.members.send_if_modified(|members| {
-                    let changed = **members != new;
-                    if changed {
-                        *members = Arc::new(new);
-                    }
-                    changed
-                })),
+                Action::Members(new) => drop(self.members.send_replace(Arc::new(new))),
                 Action::Out(news) => self.tell(news),
                 Action::Garbage => self.counts.garbage(),
             }
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -5,7 +5,7 @@
 use config::{Manifest, Snapshot};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::Fingerprint;
-use store::HostRole;
+use store::{HostRole, HostState};
 use types::{BackendId, ConfigVersion, DataCentreId, Deadline, HostId, Instant, Micros};
 
 use crate::{
@@ -57,6 +57,8 @@
     pub(crate) loading: Option<Deadline>,
     /// Newer manifest and when its chunks are read unless a peer brings it first.
     pub(crate) wanted: Option<(Manifest, Deadline)>,
+    /// Members that the process was told of.
+    pub(crate) told: Vec<Member>,
     pub(crate) live: Vec<HostId>,
     pub(crate) live_since: Instant,
 }
@@ -92,6 +94,7 @@
             pulling: None,
             loading: None,
             wanted: None,
+            told: Vec::new(),
             live: Vec::new(),
             live_since: now,
             params,
@@ -147,6 +150,10 @@
         self.round += 1;
         self.members.beat(self.versions.version(), now);
         self.members.forget(now);
+        let listed = self.hosts.hosts().iter();
+        let leaving = listed.filter(|h| h.role == HostRole::Entry && h.state == HostState::Leaving);
+        let leaving: Vec<&str> = leaving.map(|h| h.name.as_str()).collect();
+        self.members.set_leaving(&leaving);
         self.choose_relays(now, out);
         if self.next_read.is_past(now) && self.params.spread != Spread::Watch {
             // The random part keeps the reads of a fleet that started together apart.
@@ -161,9 +168,13 @@
             out.push(Action::ReadManifest);
         }
         self.load_wanted(now, out);
-        self.tell_residents(now, out);
-        self.exchange(now, out);
-        out.push(Action::Members(self.members.list(now)));
+        let members = self.members.list(now);
+        self.tell_residents(&members, out);
+        self.exchange(now, &members, out);
+        if members != self.told {
+            self.told.clone_from(&members);
+            out.push(Action::Members(members));
+        }
     }
 
     fn choose_relays(&mut self, now: Instant, out: &mut Vec<Action>) {
@@ -190,9 +201,8 @@
         }
     }
 
-    fn tell_residents(&mut self, now: Instant, out: &mut Vec<Action>) {
+    fn tell_residents(&mut self, members: &[Member], out: &mut Vec<Action>) {
         let mut news = Vec::new();
-        let members = self.members.list(now);
         let reachable = |dc: &DataCentreId| {
             let answers = |m: &Member| m.dc == *dc && m.state != MemberState::Gone;
             members.iter().any(answers)
@@ -259,12 +269,7 @@
         if !changed {
             return;
         }
-        let inventory = self.hosts.inventory();
-        let leaving = inventory.of_role(HostRole::Entry);
-        let leaving = leaving.filter(|h| h.state == store::HostState::Leaving);
-        let leaving: Vec<&str> = leaving.map(|h| h.name.as_str()).collect();
-        self.members.set_leaving(&leaving);
-        out.push(Action::Inventory(inventory));
+        out.push(Action::Inventory(self.hosts.inventory()));
     }
 
     /// Returns the host that grants the suspect slot of a backend server.
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -5,10 +5,13 @@
 use bincode::Options;
 use serde::Serialize;
 
-use crate::message::MessageKind;
+use crate::message::{MessageKind, Reply, Request};
 
-/// Bytes around each message: frame length, request id, deadline, trace context and variant.
-const ENVELOPE: u64 = 48;
+/// Bytes around a request: frame length, deadline, trace context, request id and variants.
+const REQUEST_ENVELOPE: u64 = 44;
+
+/// Bytes around a reply: frame length, request id and variant.
+const REPLY_ENVELOPE: u64 = 8;
 
 /// Bytes of one kind of message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,21 +33,28 @@
     refused: AtomicU64,
 }
 
-/// Returns the size of a message on the wire.
-pub(crate) fn size<T: Serialize>(message: &T) -> u64 {
+/// Returns the size of a request on the wire, without the headers of TCP and IP.
+pub(crate) fn request_size(req: &Request) -> u64 {
+    size(req) + REQUEST_ENVELOPE
+}
+
+/// Returns the size of a reply on the wire, without the headers of TCP and IP.
+pub(crate) fn reply_size(reply: &Reply) -> u64 {
+    size(reply) + REPLY_ENVELOPE
+}
+
+fn size<T: Serialize>(message: &T) -> u64 {
     let payload = bincode::DefaultOptions::new().serialized_size(message);
-    payload.unwrap_or_default() + ENVELOPE
+    payload.unwrap_or_default()
 }
 
 impl Counts {
-    pub(crate) fn sent<T: Serialize>(&self, kind: MessageKind, message: &T) {
-        let bytes = size(message);
+    pub(crate) fn sent(&self, kind: MessageKind, bytes: u64) {
         self.sent[kind as usize].fetch_add(bytes, Ordering::Relaxed);
         count("sent", kind, bytes);
     }
 
-    pub(crate) fn received<T: Serialize>(&self, kind: MessageKind, message: &T) {
-        let bytes = size(message);
+    pub(crate) fn received(&self, kind: MessageKind, bytes: u64) {
         self.received[kind as usize].fetch_add(bytes, Ordering::Relaxed);
         count("received", kind, bytes);
     }
--- a/crates/peer/src/version.rs
+++ b/crates/peer/src/version.rs
@@ -51,7 +51,10 @@
 
     /// Applies a delta; one that does not fit leads to a full copy next time.
     pub(crate) fn apply(&mut self, delta: &Delta) -> Result<bool, config::Error> {
-        if delta.manifest.version <= self.version() {
+        // A delta that arrives late starts from a version that is no longer in force; the next
+        // exchange leads to another one.
+        let fits = delta.from.is_none_or(|from| from == self.version());
+        if delta.manifest.version <= self.version() || !fits {
             return Ok(false);
         }
         match delta.apply(self.current().map(Arc::as_ref)) {
@@ -69,7 +72,7 @@
         if from.is_some_and(|from| from >= newest.in_force.version) {
             return None;
         }
-        let base = self.past.iter().find(|b| Some(b.version) == from);
+        let base = self.past.iter().find(|b| Some(b.manifest.version) == from);
         Some(Delta::between(base, newest))
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     message::{Reply, Request},
-    traffic::Counts,
+    traffic::{Counts, reply_size, request_size},
 };
 
 /// Largest message; a full configuration of design size takes under 1 MB.
@@ -80,10 +80,10 @@
         let client = self.connect(addr, within).await?;
         let mut cx = context::current();
         cx.deadline = Instant::now() + within;
-        self.counts.sent(kind, &req);
+        self.counts.sent(kind, request_size(&req));
         match timeout(within, client.ask(cx, req)).await {
             Ok(Ok(reply)) if reply != Reply::Denied => {
-                self.counts.received(kind, &reply);
+                self.counts.received(kind, reply_size(&reply));
                 Some(reply)
             }
             _ => {
@@ -163,9 +163,9 @@
             return Reply::Denied;
         }
         let kind = req.kind();
-        self.counts.received(kind, &req);
+        self.counts.received(kind, request_size(&req));
         let reply = self.answer.answer(req).await;
-        self.counts.sent(kind, &reply);
+        self.counts.sent(kind, reply_size(&reply));
         reply
     }
 }
--- a/crates/peer/tests/sockets.rs
+++ b/crates/peer/tests/sockets.rs
@@ -1,12 +1,25 @@
 //! The exchange over real connections.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use config::{Deployment, Secret};
 use peer::{Handle, News, Options, Served, Spread};
 use route::{Fingerprint, SuspectMark, SuspectState};
 use store::MemPlatform;
-use tokio::{io::AsyncWriteExt, net::TcpStream, sync::mpsc, time::timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::timeout,
+};
 use types::{AdapterId, Epoch, Incarnation, Micros, ModelId, Monotonic};
 
 const TOKEN: &str = "right-token";
@@ -30,12 +43,22 @@
     name: &str,
     token: &str,
     seeds: Vec<SocketAddr>,
+) -> (Node, mpsc::Receiver<News>) {
+    start_behind(platform, name, token, seeds, None).await
+}
+
+async fn start_behind(
+    platform: &MemPlatform,
+    name: &str,
+    token: &str,
+    seeds: Vec<SocketAddr>,
+    advertise: Option<SocketAddr>,
 ) -> (Node, mpsc::Receiver<News>) {
     let options = Options {
         host: name.parse().unwrap(),
         dc: "akl-north".parse().unwrap(),
         listen: "127.0.0.1:0".parse().unwrap(),
-        advertise: None,
+        advertise,
         http: "127.0.0.1:9".parse().unwrap(),
         seeds,
         token: Secret::new(token),
@@ -219,3 +242,75 @@
         );
     }
 }
+
+/// Forwards connections to an address and counts the bytes in both directions.
+async fn counting_forwarder(listener: TcpListener, to: SocketAddr, bytes: Arc<AtomicU64>) {
+    while let Ok((mut client, _)) = listener.accept().await {
+        let bytes = Arc::clone(&bytes);
+        tokio::spawn(async move {
+            let mut server = TcpStream::connect(to).await.unwrap();
+            let (mut from, mut back) = client.split();
+            let (mut answers, mut into) = server.split();
+            let up = forward(&mut from, &mut into, &bytes);
+            let down = forward(&mut answers, &mut back, &bytes);
+            tokio::join!(up, down);
+        });
+    }
+}
+
+async fn forward<R, W>(from: &mut R, to: &mut W, bytes: &AtomicU64)
+where
+    R: AsyncReadExt + Unpin,
+    W: AsyncWriteExt + Unpin,
+{
+    let mut buf = [0; 4_096];
+    while let Ok(n) = from.read(&mut buf).await {
+        if n == 0 || to.write_all(&buf[..n]).await.is_err() {
+            return;
+        }
+        bytes.fetch_add(n as u64, Ordering::Relaxed);
+    }
+}
+
+/// Starts a host that others reach through a forwarder.
+async fn start_counted(
+    platform: &MemPlatform,
+    name: &str,
+    seeds: Vec<SocketAddr>,
+    bytes: &Arc<AtomicU64>,
+) -> (Node, mpsc::Receiver<News>) {
+    let public = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let outside = public.local_addr().unwrap();
+    let started = start_behind(platform, name, TOKEN, seeds, Some(outside)).await;
+    let inside = started.0.listening();
+    tokio::spawn(counting_forwarder(public, inside, Arc::clone(bytes)));
+    started
+}
+
+/// Guards against a count of bytes that differs from what goes over the connections.
+#[tokio::test]
+async fn bytes_are_counted_as_they_are_sent() {
+    let platform = MemPlatform::new();
+    let bytes = Arc::new(AtomicU64::new(0));
+    let (first, _news) = start_counted(&platform, "entry-0", Vec::new(), &bytes).await;
+    let seeds = vec![first.addr()];
+    let (second, _more) = start_counted(&platform, "entry-1", seeds, &bytes).await;
+    let sum = |node: &Node| {
+        node.traffic()
+            .iter()
+            .map(|t| t.sent + t.received)
+            .sum::<u64>()
+    };
+    let busy = async {
+        while sum(&second) < 40_000 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(LIMIT, busy).await.expect("the hosts exchange");
+    let (counted, seen) = (sum(&second) as f64, bytes.load(Ordering::Relaxed) as f64);
+    println!("counted {counted}, seen {seen}");
+    assert!(
+        (0.95..1.05).contains(&(counted / seen)),
+        "{counted} of {seen}"
+    );
+}
--- /dev/null
+++ b/crates/peer/tests/state/failures.rs
@@ -0,0 +1,223 @@
+//! Failures of hosts, links and the platform.
+
+use config::Snapshot;
+use types::{ConfigVersion, Micros};
+
+use super::{
+    fixture::Size,
+    sim::{Network, Sim},
+};
+use crate::{
+    event::{Outgoing, Spread},
+    member::{Member, MemberState},
+};
+
+/// Every change must be in force everywhere within this time.
+const TARGET: Micros = Micros::from_secs(18);
+
+const LONG: Micros = Micros::from_secs(60);
+
+fn met(size: Size, seed: u64) -> Sim {
+    let mut sim = Sim::new(size, Spread::Relay, seed);
+    sim.run(LONG);
+    sim
+}
+
+fn state_of(sim: &Sim, of: usize, seen_by: usize) -> Option<Member> {
+    let members = sim.hosts[seen_by].state.members(sim.now);
+    members.into_iter().find(|m| m.id == sim.hosts[of].id)
+}
+
+fn all_see(sim: &Sim, of: usize, state: MemberState) -> bool {
+    let others = (0..sim.hosts.len()).filter(|i| *i != of && !sim.hosts[*i].frozen);
+    others
+        .into_iter()
+        .all(|i| state_of(sim, of, i).is_some_and(|m| m.state == state))
+}
+
+/// Guards against an older version that takes effect because messages arrive late or twice.
+#[test]
+fn versions_never_revert_under_reordering_and_duplication() {
+    for seed in 0..6 {
+        let mut sim = met(Size::of(20, 3), seed);
+        sim.network = Network {
+            lost: 10,
+            doubled: 30,
+            jitter: Micros::from_secs(4),
+        };
+        let mut version = ConfigVersion::default();
+        for _ in 0..15 {
+            version = sim.apply();
+            sim.run(Micros::from_secs(2));
+        }
+        sim.run_until(LONG, |sim| sim.all_have(version));
+        sim.check_order();
+    }
+}
+
+/// Guards against a host that stays without configuration and host list during an outage.
+#[test]
+fn a_host_starts_from_its_peers_while_the_platform_is_away() {
+    let size = Size::of(9, 3);
+    let mut sim = met(size, 1);
+    let version = sim.apply();
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.platform_away = true;
+    sim.restart(4, size);
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.run_until(TARGET, |sim| sim.hosts[4].state.hosts.hosts().len() == 9);
+    assert!(all_see(&sim, 4, MemberState::Alive));
+    // The loss of the platform changes nothing that is in force, and its return resumes changes.
+    sim.platform_away = false;
+    let version = sim.apply();
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.check_order();
+}
+
+/// Guards against a fleet that starts during an outage and does not recover by itself.
+#[test]
+fn a_fleet_that_starts_during_an_outage_recovers() {
+    let mut sim = Sim::empty(Size::of(12, 3), Spread::Relay, 2);
+    sim.platform_away = true;
+    sim.run(LONG);
+    assert!(sim.hosts.iter().all(|h| h.entered.is_empty()));
+    assert!((1..12).all(|i| all_see(&sim, i, MemberState::Alive)));
+    sim.platform_away = false;
+    sim.run_until(TARGET, |sim| sim.all_have(ConfigVersion::new(1)));
+}
+
+/// Guards against sides of a partition that do not find each other again.
+#[test]
+fn a_partition_heals() {
+    let mut sim = met(Size::of(18, 3), 3);
+    sim.cut_from = Some(2);
+    let version = sim.apply();
+    sim.run(LONG);
+    for host in &sim.hosts {
+        assert_eq!(host.has(version), host.dc < 2, "{}", host.id);
+    }
+    assert_eq!(state_of(&sim, 2, 0).unwrap().state, MemberState::Gone);
+    assert_eq!(state_of(&sim, 5, 2).unwrap().state, MemberState::Alive);
+    sim.cut_from = None;
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.run_until(LONG, |sim| {
+        (0..18).all(|i| all_see(sim, i, MemberState::Alive))
+    });
+    sim.check_order();
+}
+
+/// Guards against models that are offered in a data centre which can't be reached.
+#[test]
+fn an_unreachable_data_centre_holds_no_models() {
+    let mut sim = met(Size::of(9, 3), 4);
+    let models: Vec<_> = vec!["model-0003".parse().unwrap(), "model-0007".parse().unwrap()];
+    for i in [2, 5, 8] {
+        sim.event(i, crate::event::Event::Residents(models.clone()));
+    }
+    let last = |sim: &Sim| {
+        let news = sim.hosts[0].news.iter().rev();
+        news.into_iter().find_map(|n| match n {
+            Outgoing::Remote { dc, models } if dc.as_str() == "dc-02" => Some(models.clone()),
+            _ => None,
+        })
+    };
+    sim.run_until(LONG, |sim| last(sim).as_ref() == Some(&models));
+    sim.cut_from = Some(2);
+    sim.run_until(LONG, |sim| last(sim) == Some(Vec::new()));
+    sim.cut_from = None;
+    sim.run_until(LONG, |sim| last(sim).as_ref() == Some(&models));
+}
+
+/// Guards against changes that stop because the hosts that watch the platform are frozen.
+#[test]
+fn frozen_relays_delay_no_change_beyond_the_target() {
+    for dcs in [1, 3] {
+        let mut sim = met(Size::of(12, dcs), 5);
+        let relays: Vec<usize> = (0..12).filter(|i| sim.hosts[*i].watching).collect();
+        assert_eq!(relays.len(), 2 * dcs);
+        for i in &relays {
+            sim.hosts[*i].frozen = true;
+        }
+        let version = sim.apply();
+        let took = sim.run_until(TARGET, |sim| sim.all_have(version));
+        println!(
+            "| relays of {dcs} data centres frozen | {:.1} s |",
+            took.as_secs_f64()
+        );
+        sim.run(LONG);
+        let watching = (0..12).filter(|i| !sim.hosts[*i].frozen && sim.hosts[*i].watching);
+        assert_eq!(watching.count(), 2 * dcs, "other hosts watch instead");
+        // A relay that resumes brings nothing back.
+        for i in relays {
+            sim.hosts[i].frozen = false;
+        }
+        sim.run_until(TARGET, |sim| sim.all_have(version));
+        sim.check_order();
+    }
+}
+
+/// Guards against a silent host that counts as alive, and a living one that does not.
+#[test]
+fn a_silent_host_is_suspected_then_gone_then_back() {
+    let mut sim = met(Size::of(30, 3), 6);
+    sim.hosts[7].frozen = true;
+    let suspected = sim.run_until(LONG, |sim| all_see(sim, 7, MemberState::Suspected));
+    let gone = sim.run_until(LONG, |sim| all_see(sim, 7, MemberState::Gone));
+    assert!(suspected >= Micros::from_secs(12), "{suspected}");
+    assert!(suspected.get() + gone.get() < 45_000_000);
+    sim.hosts[7].frozen = false;
+    sim.run_until(LONG, |sim| all_see(sim, 7, MemberState::Alive));
+}
+
+/// Guards against a restarted host that is ignored because its clock is behind its former life.
+#[test]
+fn a_restarted_host_outbids_its_former_life() {
+    let size = Size::of(9, 3);
+    let mut sim = met(size, 7);
+    sim.restart(3, size);
+    // The new life counts from the simulation's clock, far below the former life's counter.
+    let version = sim.apply();
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.run(LONG);
+    assert!(all_see(&sim, 3, MemberState::Alive));
+    let known = (0..9).all(|i| state_of(&sim, 3, i).is_some_and(|m| m.version == version));
+    assert!(known, "its version is seen by all");
+}
+
+/// Guards against a host that others keep sending work to although the platform's list says so.
+#[test]
+fn a_leaving_host_is_known_to_all() {
+    let mut sim = met(Size::of(12, 3), 8);
+    sim.leave(5);
+    sim.run_until(TARGET, |sim| all_see(sim, 5, MemberState::Leaving));
+}
+
+/// Guards against a report that misses, or does not name, a host that is behind.
+#[test]
+fn versions_of_all_hosts_are_known_to_each() {
+    let mut sim = met(Size::of(12, 3), 9);
+    let version = sim.apply();
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    sim.run(TARGET);
+    for i in 0..12 {
+        let members = sim.hosts[i].state.members(sim.now);
+        assert!(members.iter().all(|m| m.version == version), "{members:?}");
+    }
+}
+
+/// Guards against a gap that is never closed: a host whose base no peer remembers.
+#[test]
+fn a_host_far_behind_gets_a_full_copy() {
+    let mut sim = met(Size::of(6, 1), 10);
+    sim.hosts[1].frozen = true;
+    let mut version = ConfigVersion::default();
+    for _ in 0..40 {
+        version = sim.apply();
+        sim.run(Micros::from_secs(3));
+    }
+    sim.platform_away = true;
+    sim.hosts[1].frozen = false;
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    let got = sim.hosts[1].state.versions.current().unwrap();
+    assert_eq!(Snapshot::clone(got), Snapshot::clone(&sim.platform));
+}
--- /dev/null
+++ b/crates/peer/tests/state/knowledge.rs
@@ -0,0 +1,125 @@
+//! Loads, suspect slots and leases as other hosts know them.
+
+use route::{BackendLoad, Fingerprint, Liveness, SuspectMark, SuspectState};
+use types::{BackendId, Epoch, Incarnation, Micros};
+
+use super::{
+    fixture::Size,
+    sim::{PERIOD, Sim},
+};
+use crate::event::{Event, Outgoing, Spread};
+
+fn met(hosts: usize, dcs: usize) -> Sim {
+    let mut sim = Sim::new(Size::of(hosts, dcs), Spread::Relay, 11);
+    sim.run(Micros::from_secs(30));
+    sim
+}
+
+fn load(in_flight: u16, life: u64) -> BackendLoad {
+    BackendLoad {
+        incarnation: Incarnation::new(life),
+        liveness: Liveness::Live,
+        in_flight,
+        own: 1,
+        tokens_per_second: 900,
+    }
+}
+
+fn digests(sim: &Sim, host: usize) -> Vec<(BackendLoad, Micros)> {
+    let news = sim.hosts[host].news.iter();
+    let digest = news.filter_map(|n| match n {
+        Outgoing::Digest { load, age, .. } => Some((*load, *age)),
+        Outgoing::Remote { .. } => None,
+    });
+    digest.collect()
+}
+
+/// Guards against digests that are lost, altered, made younger or sent to other data centres.
+#[test]
+fn digests_reach_the_hosts_of_the_data_centre_with_their_age() {
+    let mut sim = met(8, 2);
+    let worker: BackendId = "w-0000".parse().unwrap();
+    for (round, life) in [(3, 5), (4, 5), (5, 6)] {
+        let seen = load(round, life);
+        let aged = Micros::from_millis(200);
+        for _ in 0..6 {
+            sim.event(0, Event::Loads(vec![(worker.clone(), seen, aged)]));
+            sim.run(PERIOD);
+        }
+        for i in [2, 4, 6] {
+            let (got, age) = *digests(&sim, i).last().expect("a digest");
+            assert_eq!(got, seen, "host {i}");
+            assert!(age >= aged && age < Micros::from_secs(3), "{age}");
+        }
+        assert!(digests(&sim, 1).is_empty(), "another data centre");
+    }
+    // After the life is no longer news, a check byte stands for it.
+    for in_flight in 0..40 {
+        sim.event(
+            0,
+            Event::Loads(vec![(worker.clone(), load(in_flight, 6), Micros::ZERO)]),
+        );
+        sim.run(PERIOD);
+    }
+    let (last, _) = *digests(&sim, 2).last().expect("a digest");
+    assert!(
+        last.in_flight > 35 && last.incarnation == Incarnation::new(6),
+        "{last:?}"
+    );
+}
+
+/// Guards against two suspects on one backend server, and against a slot that is never freed.
+#[test]
+fn one_host_grants_one_slot_a_backend_server() {
+    let mut sim = met(6, 2);
+    let worker: BackendId = "w-0001".parse().unwrap();
+    let ask = |sim: &mut Sim, suspect: u128| {
+        let now = sim.now;
+        let hosts = sim.hosts.iter_mut();
+        let granted = hosts.map(|h| h.state.grant(now, Fingerprint::new(suspect), &worker));
+        granted.filter(|g| *g).count()
+    };
+    assert_eq!(ask(&mut sim, 1), 1, "exactly one host grants");
+    assert_eq!(ask(&mut sim, 2), 0, "the slot is taken");
+    let done = SuspectMark {
+        fingerprint: Fingerprint::new(1),
+        state: SuspectState::Cleared,
+        backend: worker.clone(),
+        incarnation: Incarnation::new(1),
+    };
+    for i in 0..6 {
+        sim.event(i, Event::Suspects(vec![done.clone()]));
+    }
+    assert_eq!(ask(&mut sim, 2), 1, "a cleared suspect frees the slot");
+    // A slot whose holder is never heard of again ends with the longest deadline, 20 s here.
+    sim.run(Micros::from_secs(21));
+    assert_eq!(ask(&mut sim, 3), 1);
+    let granters = sim.hosts.iter().map(|h| h.state.granter(sim.now, &worker));
+    let granters: Vec<_> = granters.collect();
+    assert!(
+        granters.iter().all(|g| g.is_some() && *g == granters[0]),
+        "all ask the same host"
+    );
+}
+
+/// Guards against a lease holder, or an epoch that was given up, that others do not learn of.
+#[test]
+fn lease_epochs_are_known_to_all() {
+    let mut sim = met(9, 3);
+    sim.event(0, Event::Holds(Some(Epoch::new(4))));
+    let row = |sim: &Sim, i: usize| {
+        let members = sim.hosts[i].state.members(sim.now);
+        members
+            .into_iter()
+            .find(|m| m.id == sim.hosts[0].id)
+            .unwrap()
+    };
+    let limit = Micros::from_secs(18);
+    sim.run_until(limit, |sim| {
+        (0..9).all(|i| row(sim, i).holds == Some(Epoch::new(4)))
+    });
+    sim.event(0, Event::Yielded(Epoch::new(4)));
+    sim.run_until(limit, |sim| {
+        (0..9).all(|i| row(sim, i).holds.is_none() && row(sim, i).yielded == Some(Epoch::new(4)))
+    });
+}
--- /dev/null
+++ b/crates/peer/tests/state/sim.rs
@@ -0,0 +1,416 @@
+//! Entry hosts, network and platform on virtual time.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use config::{Manifest, Snapshot};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use store::{HostRole, HostState};
+use types::{ConfigVersion, HostId, Incarnation, Instant, Micros};
+
+use super::fixture::{self, Size};
+use crate::{
+    event::{Action, Event, Outgoing, Params, Spread, Target},
+    hosts::Host,
+    message::{MessageKind, Request},
+    state::State,
+    traffic,
+};
+
+pub(crate) const PERIOD: Micros = Micros::from_secs(1);
+const NETWORK_DELAY: Micros = Micros::new(500);
+const PLATFORM_DELAY: Micros = Micros::from_millis(5);
+
+/// Calls of the platform by what they are for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Calls {
+    pub(crate) manifests: u64,
+    pub(crate) chunks: u64,
+    pub(crate) watches: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct SimHost {
+    pub(crate) state: State,
+    pub(crate) id: HostId,
+    pub(crate) dc: usize,
+    /// A frozen host neither ticks nor answers.
+    pub(crate) frozen: bool,
+    pub(crate) watching: bool,
+    /// Versions that came into force, with their times.
+    pub(crate) entered: Vec<(ConfigVersion, Instant)>,
+    pub(crate) bytes: BTreeMap<MessageKind, u64>,
+    /// Bytes of manifests and chunks read from the platform.
+    pub(crate) platform_bytes: u64,
+    pub(crate) news: Vec<Outgoing>,
+    pub(crate) garbage: u64,
+}
+
+/// Faults of the network between two hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Network {
+    /// Share of messages that are lost, in percent.
+    pub(crate) lost: u32,
+    /// Share of messages that arrive twice, in percent.
+    pub(crate) doubled: u32,
+    /// Largest additional delay, which reorders messages.
+    pub(crate) jitter: Micros,
+}
+
+#[derive(Debug)]
+enum Due {
+    Tick,
+    Event(Event),
+    Request(usize, Target, Request),
+}
+
+pub(crate) struct Sim {
+    pub(crate) now: Instant,
+    pub(crate) hosts: Vec<SimHost>,
+    pub(crate) platform: Arc<Snapshot>,
+    pub(crate) platform_away: bool,
+    pub(crate) calls: Calls,
+    pub(crate) network: Network,
+    /// Data centres from this number on are cut off from the others.
+    pub(crate) cut_from: Option<usize>,
+    listed: Vec<Host>,
+    rng: StdRng,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    due: BTreeMap<u64, (usize, Due)>,
+    next: u64,
+}
+
+fn addr(i: usize) -> SocketAddr {
+    let [.., a, b] = u32::try_from(i).unwrap().to_be_bytes();
+    SocketAddr::from(([10, 0, a, b], 80))
+}
+
+impl Sim {
+    /// Makes hosts that know the first version, one seed and the host list.
+    pub(crate) fn new(size: Size, spread: Spread, seed: u64) -> Self {
+        let mut sim = Self::empty(size, spread, seed);
+        let first = Arc::clone(&sim.platform);
+        for i in 0..size.hosts {
+            sim.event(i, Event::Loaded(Some(Arc::clone(&first))));
+        }
+        sim
+    }
+
+    /// Makes hosts that know one seed only.
+    pub(crate) fn empty(size: Size, spread: Spread, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Instant::from_micros(3_600_000_000);
+        let hosts: Vec<SimHost> = (0..size.hosts)
+            .map(|i| host(i, size, spread, rng.random_range(0..u64::MAX), now))
+            .collect();
+        let listed = (0..size.hosts).map(|i| listed(i, size)).collect();
+        let mut sim = Self {
+            now,
+            hosts,
+            platform: fixture::first(size),
+            platform_away: false,
+            calls: Calls::default(),
+            network: Network::default(),
+            cut_from: None,
+            listed,
+            rng,
+            queue: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            next: 0,
+        };
+        for i in 0..size.hosts {
+            let phase = sim.rng.random_range(0..PERIOD.get());
+            sim.push(i, Micros::new(phase), Due::Tick);
+        }
+        sim
+    }
+
+    fn push(&mut self, to: usize, after: Micros, due: Due) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now + after, self.next)));
+        self.due.insert(self.next, (to, due));
+    }
+
+    pub(crate) fn event(&mut self, to: usize, ev: Event) {
+        let mut out = Vec::new();
+        self.hosts[to].state.step(self.now, ev, &mut out);
+        self.perform(to, out);
+    }
+
+    /// Runs for a time.
+    pub(crate) fn run(&mut self, t: Micros) {
+        let end = self.now + t;
+        while self.queue.peek().is_some_and(|Reverse((at, _))| *at <= end) {
+            let Some(Reverse((at, key))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            if let Some((to, due)) = self.due.remove(&key) {
+                self.deliver(to, due);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until a condition holds, checked once a tenth of a period; returns the time it took.
+    pub(crate) fn run_until(&mut self, limit: Micros, holds: impl Fn(&Self) -> bool) -> Micros {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now.since(start) < limit, "not reached within {limit}");
+            self.run(Micros::new(PERIOD.get() / 10));
+        }
+        self.now.since(start)
+    }
+
+    fn deliver(&mut self, to: usize, due: Due) {
+        let host = &mut self.hosts[to];
+        match due {
+            Due::Tick => {
+                if !host.frozen {
+                    self.event(to, Event::Tick);
+                }
+                self.push(to, PERIOD, Due::Tick);
+            }
+            _ if host.frozen => {}
+            Due::Event(ev) => self.event(to, ev),
+            Due::Request(from, target, req) => self.serve(to, from, target, &req),
+        }
+    }
+
+    fn serve(&mut self, to: usize, from: usize, target: Target, req: &Request) {
+        let mut out = Vec::new();
+        let reply = self.hosts[to].state.serve(self.now, req, &mut out);
+        self.perform(to, out);
+        let Some(reply) = reply else { return };
+        self.count(from, to, req.kind(), traffic::reply_size(&reply));
+        if let Some(delay) = self.delay(from, to) {
+            let replied = Event::Replied {
+                from: target,
+                reply,
+            };
+            self.push(from, delay, Due::Event(replied));
+        }
+    }
+
+    fn count(&mut self, a: usize, b: usize, kind: MessageKind, bytes: u64) {
+        for host in [a, b] {
+            *self.hosts[host].bytes.entry(kind).or_default() += bytes;
+        }
+    }
+
+    /// Returns the delay of a message, or nothing when it is lost.
+    fn delay(&mut self, from: usize, to: usize) -> Option<Micros> {
+        let side = |i: usize| self.cut_from.is_some_and(|cut| self.hosts[i].dc >= cut);
+        if side(from) != side(to) || self.rng.random_range(0..100) < self.network.lost {
+            return None;
+        }
+        let jitter = self.rng.random_range(0..=self.network.jitter.get());
+        Some(Micros::new(NETWORK_DELAY.get() + jitter))
+    }
+
+    fn perform(&mut self, of: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call { to, req } => self.call(of, &to, &req),
+                Action::ReadManifest => self.read(of, false),
+                Action::Load { manifest, known } => self.load(of, &manifest, known.as_deref()),
+                Action::Watch(on) => self.watch(of, on),
+                Action::InForce(new) => {
+                    let entered = (new.version, self.now);
+                    self.hosts[of].entered.push(entered);
+                }
+                Action::Out(news) => self.hosts[of].news.push(news),
+                Action::Garbage => self.hosts[of].garbage += 1,
+                Action::Inventory(_) | Action::Members(_) => {}
+            }
+        }
+    }
+
+    fn call(&mut self, from: usize, to: &Target, req: &Request) {
+        let Some(at) = self
+            .hosts
+            .iter()
+            .position(|h| h.state.params.peer_addr == to.addr)
+        else {
+            return;
+        };
+        self.count(from, at, req.kind(), traffic::request_size(req));
+        let copies = 1 + usize::from(self.rng.random_range(0..100) < self.network.doubled);
+        for _ in 0..copies {
+            if let Some(delay) = self.delay(from, at) {
+                let due = Due::Request(from, to.clone(), req.clone());
+                self.push(at, delay, due);
+            }
+        }
+    }
+
+    /// Tells whether a host can reach the platform, which is on the side of the first data centre.
+    fn platform_answers(&self, host: usize) -> bool {
+        let cut = self.cut_from.is_some_and(|cut| self.hosts[host].dc >= cut);
+        !self.platform_away && !cut
+    }
+
+    fn read(&mut self, of: usize, watched: bool) {
+        if !watched {
+            self.calls.manifests += 1;
+        }
+        if self.platform_answers(of) {
+            self.hosts[of].platform_bytes += json_size(&*self.platform.manifest);
+            let manifest = Manifest::clone(&self.platform.manifest);
+            let ev = if watched {
+                Event::Watched(manifest)
+            } else {
+                Event::Read(manifest)
+            };
+            self.push(of, PLATFORM_DELAY, Due::Event(ev));
+        }
+    }
+
+    fn load(&mut self, of: usize, manifest: &Manifest, known: Option<&Snapshot>) {
+        let old = known.map_or(&[][..], |k| k.manifest.chunks.as_slice());
+        for (hash, chunk) in manifest.chunks.iter().zip(&self.platform.chunks) {
+            if !old.contains(hash) {
+                self.calls.chunks += 1;
+                self.hosts[of].platform_bytes += json_size(&**chunk);
+            }
+        }
+        // The chunks of an older manifest are still there; the newest stands for them here.
+        let loaded = self
+            .platform_answers(of)
+            .then(|| Arc::clone(&self.platform));
+        self.push(of, PLATFORM_DELAY, Due::Event(Event::Loaded(loaded)));
+    }
+
+    fn watch(&mut self, of: usize, on: bool) {
+        self.hosts[of].watching = on;
+        if on && self.platform_answers(of) {
+            // A list and a watch each of the manifest and of the hosts.
+            self.calls.watches += 4;
+            self.read(of, true);
+            let listed = Event::Listed(self.listed.clone());
+            self.push(of, PLATFORM_DELAY, Due::Event(listed));
+        }
+    }
+
+    /// Applies a change to the platform; hosts that watch it are told.
+    pub(crate) fn apply(&mut self) -> ConfigVersion {
+        self.platform = Arc::new(fixture::changed(&self.platform));
+        for i in 0..self.hosts.len() {
+            if self.hosts[i].watching {
+                self.read(i, true);
+            }
+        }
+        self.platform.in_force.version
+    }
+
+    /// Marks a host in the platform's list as leaving.
+    pub(crate) fn leave(&mut self, host: usize) {
+        self.listed[host].state = HostState::Leaving;
+        let entry = self.listed[host].clone();
+        for i in 0..self.hosts.len() {
+            if self.hosts[i].watching && self.platform_answers(i) {
+                let ev = Event::HostChanged {
+                    name: entry.name.clone(),
+                    host: Some(entry.clone()),
+                };
+                self.push(i, PLATFORM_DELAY, Due::Event(ev));
+            }
+        }
+    }
+
+    /// Replaces a host by a new life that knows one seed only.
+    pub(crate) fn restart(&mut self, i: usize, size: Size) {
+        let seed = self.rng.random_range(0..u64::MAX);
+        let spread = self.hosts[i].state.params.spread;
+        let mut new = host(i, size, spread, seed, self.now);
+        new.state = {
+            let mut params = new.state.params.clone();
+            params.incarnation = Incarnation::new(self.now.as_micros());
+            params.counter = self.now.as_micros() / PERIOD.get();
+            State::new(params, self.now)
+        };
+        self.hosts[i] = new;
+    }
+
+    pub(crate) fn all_have(&self, version: ConfigVersion) -> bool {
+        let running = self.hosts.iter().filter(|h| !h.frozen);
+        running.into_iter().all(|h| h.has(version))
+    }
+
+    /// Forgets what was counted so far.
+    pub(crate) fn reset_counts(&mut self) {
+        self.calls = Calls::default();
+        for host in &mut self.hosts {
+            host.bytes.clear();
+            host.platform_bytes = 0;
+        }
+    }
+
+    /// Returns the sum of bytes sent and received of the host with the most.
+    pub(crate) fn most_bytes(&self) -> u64 {
+        let sums = self.hosts.iter().map(|h| h.bytes.values().sum());
+        sums.max().unwrap_or_default()
+    }
+
+    /// Fails when a version came into force after a newer one.
+    pub(crate) fn check_order(&self) {
+        for host in &self.hosts {
+            let rising = host.entered.is_sorted_by(|a, b| a.0 < b.0);
+            assert!(rising, "{}: {:?}", host.id, host.entered);
+            assert_eq!(host.garbage, 0, "{} heard garbage", host.id);
+        }
+    }
+}
+
+impl SimHost {
+    pub(crate) fn has(&self, version: ConfigVersion) -> bool {
+        self.entered.last().is_some_and(|(v, _)| *v >= version)
+    }
+}
+
+fn json_size<T: serde::Serialize>(value: &T) -> u64 {
+    serde_json::to_vec(value).unwrap().len() as u64
+}
+
+fn host(i: usize, size: Size, spread: Spread, seed: u64, now: Instant) -> SimHost {
+    let id: HostId = format!("e-{i:03}").parse().unwrap();
+    let params = Params {
+        host: id.clone(),
+        dc: fixture::dc(i % size.dcs),
+        addr: addr(i),
+        peer_addr: addr(i),
+        incarnation: Incarnation::new(1),
+        counter: 1_700_000_000,
+        seeds: if i == 0 { vec![addr(1)] } else { vec![addr(0)] },
+        period: PERIOD,
+        spread,
+        seed,
+    };
+    SimHost {
+        state: State::new(params, now),
+        id,
+        dc: i % size.dcs,
+        frozen: false,
+        watching: false,
+        entered: Vec::new(),
+        bytes: BTreeMap::new(),
+        platform_bytes: 0,
+        news: Vec::new(),
+        garbage: 0,
+    }
+}
+
+fn listed(i: usize, size: Size) -> Host {
+    Host {
+        name: format!("e-{i:03}"),
+        role: HostRole::Entry,
+        dc: fixture::dc(i % size.dcs),
+        state: HostState::Live,
+        addr: addr(i),
+        peer_addr: Some(addr(i)),
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/state/spreading.rs
@@ -0,0 +1,92 @@
+//! Spreading of configuration changes: time, platform calls and bytes.
+
+use types::Micros;
+
+use super::{fixture::Size, sim::Sim};
+use crate::{event::Spread, message::MessageKind};
+
+/// Changes of the design size come every 12.7 s.
+const CHANGE_PERIOD: Micros = Micros::from_millis(12_700);
+
+/// Every change must be in force everywhere within this time.
+const TARGET: Micros = Micros::from_secs(18);
+
+/// Bytes a second that a host may send and receive.
+const BYTES_PER_SECOND: u64 = 7_000;
+
+/// Time to meet before anything is measured.
+const WARM_UP: Micros = Micros::from_secs(60);
+
+const CHANGES: usize = 7;
+
+struct Figures {
+    median: Micros,
+    longest: Micros,
+    /// Reads of the manifest a second, over all hosts.
+    reads: f64,
+    /// Open watches.
+    watches: usize,
+    /// Reads of chunks a change, over all hosts.
+    chunks: f64,
+    /// Bytes a change and host, from peers and from the platform.
+    bytes: (u64, u64),
+    /// Bytes a second of the whole exchange on the host with the most.
+    rate: u64,
+}
+
+fn measure(size: Size, spread: Spread) -> Figures {
+    let mut sim = Sim::new(size, spread, 7);
+    sim.run(WARM_UP);
+    sim.reset_counts();
+    let start = sim.now;
+    let mut times = Vec::new();
+    for _ in 0..CHANGES {
+        let version = sim.apply();
+        let took = sim.run_until(TARGET, |sim| sim.all_have(version));
+        times.push(took);
+        sim.run(Micros::new(CHANGE_PERIOD.get().saturating_sub(took.get())));
+    }
+    sim.check_order();
+    times.sort();
+    let millis = sim.now.since(start).get() / 1_000;
+    let of_host = |sum: u64| sum / (size.hosts * CHANGES) as u64;
+    let kind = MessageKind::Config;
+    let from_peers = sim.hosts.iter().filter_map(|h| h.bytes.get(&kind)).sum();
+    let from_platform = sim.hosts.iter().map(|h| h.platform_bytes).sum();
+    Figures {
+        median: times[CHANGES / 2],
+        longest: times[CHANGES - 1],
+        reads: sim.calls.manifests as f64 * 1_000.0 / millis as f64,
+        watches: sim.hosts.iter().filter(|h| h.watching).count(),
+        chunks: sim.calls.chunks as f64 / CHANGES as f64,
+        bytes: (of_host(from_peers), of_host(from_platform)),
+        rate: sim.most_bytes() * 1_000 / millis,
+    }
+}
+
+/// Guards against a change that takes longer than 18 s or costs a host more than 7 KB/s.
+#[test]
+fn changes_are_in_force_everywhere_in_time() {
+    for (hosts, dcs) in [(7, 4), (30, 3), (100, 5)] {
+        for spread in [Spread::Watch, Spread::Poll, Spread::Relay] {
+            let f = measure(Size::of(hosts, dcs), spread);
+            println!(
+                "| {spread:?} | {hosts} in {dcs} | {:.1} | {:.1} | {:.1} | {} | {:.1} | {} | {} | {} |",
+                f.median.as_secs_f64(),
+                f.longest.as_secs_f64(),
+                f.reads,
+                f.watches,
+                f.chunks,
+                f.bytes.0,
+                f.bytes.1,
+                f.rate,
+            );
+            assert!(f.longest < TARGET);
+            assert!(
+                f.rate < BYTES_PER_SECOND,
+                "{spread:?} {hosts}: {} B/s",
+                f.rate
+            );
+        }
+    }
+}
