--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -1,11 +1,14 @@
 //! Ledgers of a term and the placement round over them.
 
+use std::time::Duration;
+
 use config::{BackendServer, Deployment, ServiceKind};
-use orders::{Copy, CopyState, Ledger, Limits, Want};
+use orders::{Copy, CopyState, Ledger, Limits, Slots, Want};
 use place::{Demand, Held, Input, Move, Worker};
 use store::Revision;
 use types::{
-    BackendId, Bytes, DataCentreId, Epoch, HostId, Instant, Micros, ModelId, OrderId, OrderOp,
+    AttemptId, BackendId, Bytes, DataCentreId, Epoch, HostId, Instant, Micros, ModelId, OrderId,
+    OrderOp,
 };
 
 use crate::event::{ModelDemand, Settings};
@@ -13,12 +16,18 @@
 /// Time after the start of a term in which records and reports are awaited before anything moves.
 const SETTLE: Micros = Micros::from_secs(5);
 
+/// Duration of a weight-store slot; a load takes seconds and must end within half of it.
+const SLOT: Micros = Micros::from_secs(120);
+
 /// Ledgers of the backend servers of a data centre for one term.
 #[derive(Debug)]
 pub(crate) struct Term {
     pub(crate) epoch: Epoch,
     host: HostId,
     started: Instant,
+    pub(crate) slots: Slots<Revision>,
+    /// Starts of model loads that still count against the rate of the weight store.
+    pub(crate) recent: Vec<Instant>,
     pub(crate) workers: Vec<Managed>,
 }
 
@@ -30,6 +39,8 @@
     /// A load report was asked for and is not there yet.
     pub(crate) asking: bool,
     pub(crate) next_load: Instant,
+    /// Instant until which no model is loaded here, because a load had no effect.
+    pub(crate) rest_until: Instant,
 }
 
 /// What a round knows besides the ledgers.
@@ -37,12 +48,24 @@
 pub(crate) struct Surroundings<'a> {
     pub(crate) deployment: &'a Deployment,
     pub(crate) settings: &'a Settings,
+    pub(crate) floor: &'a [place::Copy],
     pub(crate) live: &'a [BackendId],
     pub(crate) demand: &'a [ModelDemand],
     pub(crate) ready_elsewhere: Vec<ModelId>,
     pub(crate) loads: u32,
 }
 
+/// Returns the time for which a started load occupies a slot, so that the rate is kept.
+fn window(limits: &config::Limits) -> Micros {
+    let rate = limits.weight_store_rate.per_second();
+    if rate <= 0.0 {
+        return Micros::ZERO;
+    }
+    let secs = f64::from(limits.weight_store_slots) / rate;
+    let window = Duration::try_from_secs_f64(secs).unwrap_or_default();
+    Micros::new(u64::try_from(window.as_micros()).unwrap_or_default())
+}
+
 fn limits(b: &BackendServer) -> Limits {
     Limits {
         memory: b.memory,
@@ -67,11 +90,13 @@
 }
 
 impl Term {
-    pub(crate) fn new(host: HostId, epoch: Epoch, now: Instant) -> Self {
+    pub(crate) fn new(settings: &Settings, epoch: Epoch, attempt: AttemptId, now: Instant) -> Self {
         Self {
             epoch,
-            host,
+            host: settings.host.clone(),
             started: now,
+            slots: Slots::new(settings.dc.clone(), attempt, SLOT),
+            recent: Vec::new(),
             workers: Vec::new(),
         }
     }
@@ -99,6 +124,7 @@
                         ledger: Ledger::new(self.host.clone(), self.epoch, limits(b)),
                         asking: false,
                         next_load: Instant::ZERO,
+                        rest_until: Instant::ZERO,
                     },
                 ),
             }
@@ -106,20 +132,33 @@
         changed
     }
 
+    /// Tells whether a worker may be given a model now.
+    pub(crate) fn takes_loads(&self, id: &BackendId, now: Instant) -> bool {
+        let at = self.find(id);
+        at.is_some_and(|at| now >= self.workers[at].rest_until)
+    }
+
     /// Returns the number of recorded orders that are not closed.
     pub(crate) fn pending(&self) -> usize {
         let records = self.workers.iter().filter_map(|w| w.ledger.record());
         records.map(|r| r.pending().count()).sum()
     }
 
-    /// Returns the number of models that are being loaded.
-    pub(crate) fn loading(&self) -> usize {
+    /// Returns the number of models, or of adapters, that are being loaded.
+    pub(crate) fn loading(&self, adapters: bool) -> usize {
         let copies = self.workers.iter().flat_map(|w| w.ledger.copies());
         copies
-            .filter(|c| !c.adapter && c.state == CopyState::Loading)
+            .filter(|c| c.adapter == adapters && c.state == CopyState::Loading)
             .count()
     }
 
+    /// Returns the model loads that count against the weight store.
+    pub(crate) fn busy(&mut self, now: Instant, limits: &config::Limits) -> usize {
+        let window = window(limits);
+        self.recent.retain(|start| now.since(*start) < window);
+        self.loading(false).max(self.recent.len())
+    }
+
     /// Tells whether the state of the data centre is known well enough to change it.
     pub(crate) fn is_settled(&self, now: Instant, live: &[BackendId]) -> bool {
         let known = |w: &Managed| {
@@ -137,7 +176,7 @@
                 .filter_map(|b| Some(worker_of(&self.workers[self.find(&b.id)?], b, around.live)))
                 .collect(),
             demand: demand(around.deployment, around.demand),
-            floor: (around.settings.planner.floor)(around.deployment, dc),
+            floor: around.floor.to_vec(),
             ready_elsewhere: around.ready_elsewhere.clone(),
             base_tokens_per_second: around.settings.base_tokens_per_second,
             loads: around.loads,
