Read the response to a claimed request completely

Cause: the outcome of a claimed request was recorded while a large response or a stream was still open, and its failure was counted twice. Change: responses to claimed requests are read to their end, up to 16 MiB, before the outcome is recorded; a larger one is reported as "already ran". Conclusion: a stored answer is complete; no test covers a claimed stream yet.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -178,6 +178,28 @@
         }))
     }
 
+    /// Reads an event stream to its end.
+    ///
+    /// # Errors
+    /// As [`Events::next`], and `Truncated` beyond the limit.
+    pub async fn read_events(self, limit: usize) -> Result<Whole> {
+        let (status, headers) = (self.status, self.headers.clone());
+        let mut events = self.events();
+        let mut buf = BytesMut::new();
+        while let Some((bytes, _)) = events.next().await? {
+            buf.extend_from_slice(&bytes);
+            if buf.len() > limit {
+                let detail = "the stream is too large";
+                return Err(events.answer.error(Category::Truncated, detail));
+            }
+        }
+        Ok(Whole {
+            status,
+            headers,
+            body: buf.freeze(),
+        })
+    }
+
     /// Reads the body as an event stream.
     #[must_use]
     pub fn events(self) -> Events {
--- a/crates/gate/src/claims.rs
+++ b/crates/gate/src/claims.rs
@@ -10,7 +10,6 @@
 };
 
 use claim::{Answer, Claim, Outcome, Owner, State};
-use futures::StreamExt;
 use salvo::http::{StatusCode, header::CONTENT_TYPE};
 use store::{Category, Platform};
 use tokio::sync::oneshot;
@@ -32,9 +31,6 @@
 /// takes up to four bytes for one.
 const MAX_KEPT: usize = 16 << 10;
 
-/// Largest answer to a keyed request, which is read completely before it is passed on.
-const MAX_ANSWER: usize = 16 << 20;
-
 /// Time between two looks for claims whose retention has ended.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(10);
 
@@ -116,12 +112,14 @@
         &self,
         runner: &Runner<R, N>,
         key: &str,
-        job: Job,
+        mut job: Job,
         retention: Micros,
     ) -> Result<Reply, Refusal> {
         let attempt = AttemptId::random(&mut rand::rng());
         let claim = Claim::new(attempt, body_hash(&job)).owned_by(self.owner.clone());
         let name = name(&job, key);
+        // The outcome is known only when the response is complete.
+        job.buffered = true;
         let unresolved = Arc::new(AtomicBool::new(false));
         let listed = self.list(attempt, &name, &unresolved)?;
         let (running, owner) = (Arc::clone(&self.running), self.owner.clone());
@@ -235,10 +233,7 @@
 }
 
 async fn dispatch<R: Step, N: Peers>(runner: Runner<R, N>, job: Job) -> Dispatched {
-    let reply = match runner.run(job).await {
-        Ok(reply) => collect(reply).await,
-        Err(refusal) => Err(refusal),
-    };
+    let reply = runner.run(job).await;
     let outcome = match &reply {
         // Another entry host's refusal or failure passes through as a response with a code.
         Ok(reply) => match refusal::code(&reply.headers) {
@@ -258,23 +253,6 @@
     }
 }
 
-/// Reads a response to its end, which decides the outcome.
-async fn collect(mut reply: Reply) -> Result<Reply, Refusal> {
-    let Body::Stream(body) = &mut reply.body else {
-        return Ok(reply);
-    };
-    let mut buf = bytes::BytesMut::new();
-    while let Some(part) = body.next().await {
-        // The counter of the failure has counted already.
-        buf.extend_from_slice(&part.map_err(|_e| Code::AnswerTruncated)?);
-        if buf.len() > MAX_ANSWER {
-            return Err(Code::AlreadyRan.into());
-        }
-    }
-    reply.body = Body::Full(buf.freeze());
-    Ok(reply)
-}
-
 fn kept(reply: &Reply) -> Option<Answer> {
     let Body::Full(body) = &reply.body else {
         return None;
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -91,6 +91,8 @@
     pub(crate) original: Bytes,
     pub(crate) protocol: Protocol,
     pub(crate) stream: bool,
+    /// Whether the response is read completely before it is passed on, whatever its size.
+    pub(crate) buffered: bool,
     pub(crate) key: Option<String>,
 }
 
@@ -142,6 +144,7 @@
             original: self.body,
             protocol,
             stream,
+            buffered: false,
             key,
         })
     }
--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -25,6 +25,9 @@
 /// response that breaks off can be replaced by that of another server.
 const MAX_BUFFERED: usize = 4 << 20;
 
+/// Largest response to a claimed request, which is always read completely.
+const MAX_CLAIMED: usize = 16 << 20;
+
 /// Headers of a server's response that end at this hop.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -54,7 +57,7 @@
         let mut attempts = Attempts::begin(self.clone(), Arc::new(job));
         loop {
             let (server, answer) = attempts.open().await?;
-            if attempts.job.stream && answer.is_event_stream() && answer.status().is_success() {
+            if attempts.relays(&answer) {
                 let head = (answer.status(), answer.headers().clone());
                 let mut events = answer.events();
                 // Until the first event, a failure is an ordinary one that may be retried.
@@ -67,8 +70,10 @@
             if attempts.passes_through(&answer) {
                 return Ok(pass_through(attempts, server, Bytes::new(), answer));
             }
-            match answer.read(MAX_BUFFERED).await {
+            match attempts.read(answer).await {
                 Ok(Ok(whole)) => return attempts.whole(whole),
+                // It ran, and its answer is not kept.
+                Ok(Err(_)) if attempts.job.buffered => return Err(Code::AlreadyRan.into()),
                 Ok(Err((head, answer))) => return Ok(pass_through(attempts, server, head, answer)),
                 Err(e) => attempts.fail(&server, e).await,
             }
@@ -77,13 +82,30 @@
 }
 
 impl<R: Step, N: Peers> Attempts<R, N> {
+    /// Tells whether a response is a stream of completions that is passed on event by event.
+    fn relays(&self, answer: &Answer) -> bool {
+        let events = answer.is_event_stream() && answer.status().is_success();
+        self.job.stream && events && !self.job.buffered
+    }
+
+    /// Reads a response completely, unless it is too large.
+    async fn read(&self, answer: Answer) -> engine::Result<Result<Whole, (Bytes, Answer)>> {
+        if !self.job.buffered {
+            return answer.read(MAX_BUFFERED).await;
+        }
+        if self.job.stream && answer.is_event_stream() {
+            return answer.read_events(MAX_CLAIMED).await.map(Ok);
+        }
+        answer.read(MAX_CLAIMED).await
+    }
+
     /// Tells whether a response is passed on as it arrives: a large one, or the event stream of a
     /// plain service.
     fn passes_through(&self, answer: &Answer) -> bool {
         let plain = self.job.protocol == Protocol::Plain;
         let length = answer.content_length().unwrap_or(0);
-        let empty = self.job.method == Method::HEAD;
-        !empty && ((plain && answer.is_event_stream()) || length > MAX_BUFFERED as u64)
+        let whole = self.job.buffered || self.job.method == Method::HEAD;
+        !whole && ((plain && answer.is_event_stream()) || length > MAX_BUFFERED as u64)
     }
 
     fn whole(&mut self, whole: Whole) -> Result<Reply, Refusal> {
