Test that events do not depend on where the body is split

Cause: event boundaries are found in parts of any size, with four kinds of line ends. Change: a stream with all of them is sent in parts of one to nine bytes.

--- a/crates/engine/tests/backend/mod.rs
+++ b/crates/engine/tests/backend/mod.rs
@@ -24,6 +24,10 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+/// Event stream with every kind of line end.
+pub const MIXED: &str =
+    "data: 0\r\n\r\n: note\n\ndata: 1\r\rid: 7\ndata: 2\n\ndata: [DONE]\r\n\r\n";
+
 /// What the server does with one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Act {
@@ -35,6 +39,8 @@
     EndEarly(u64),
     /// Sends this many events, then breaks the connection.
     Break(u64),
+    /// Sends [`MIXED`] in parts of this many bytes.
+    Parts(usize),
     /// Sends one event and then nothing.
     Stall,
     /// Sends half of the announced body.
@@ -175,6 +181,15 @@
                 });
                 res.body = ResBody::stream(body);
             }
+            Act::Parts(n) => {
+                let event = "text/event-stream".parse().unwrap();
+                res.headers.insert("content-type", event);
+                let parts = stream::iter(MIXED.as_bytes().chunks(n)).then(|part| async move {
+                    tokio::task::yield_now().await;
+                    Ok::<_, io::Error>(part)
+                });
+                res.body = ResBody::stream(parts);
+            }
             Act::Truncate => {
                 res.headers.insert("content-length", 100.into());
                 let half = stream::iter([Ok("half")]);
--- a/crates/engine/tests/streams.rs
+++ b/crates/engine/tests/streams.rs
@@ -2,7 +2,7 @@
 
 mod backend;
 
-use backend::{Act, Backend};
+use backend::{Act, Backend, MIXED};
 use engine::{CacheEvent, CacheNews, Call, Category, Client, Error, Server, prefix_key};
 use reqwest::header::HeaderMap;
 use types::RequestId;
@@ -94,3 +94,17 @@
     assert_eq!(end.category(), Category::Truncated);
     assert_ne!(prefix_key("m", "text"), prefix_key("other", "text"));
 }
+
+/// Guards against events that are changed or miscounted where a part of the body ends.
+#[tokio::test]
+async fn events_do_not_depend_on_where_the_body_is_split() {
+    let backend = Backend::start((1..=9).map(Act::Parts)).await;
+    let (client, server) = (Client::new().unwrap(), backend.server("w1"));
+
+    for n in 1..=9 {
+        let (text, count, err) = read(&client, &server, n).await;
+
+        assert!(err.is_none(), "parts of {n}: {err:?}");
+        assert_eq!((text.as_str(), count), (MIXED, 3), "parts of {n}");
+    }
+}
