Return the address that the exchange listens on

Cause: serve prints the address of the peer port so that whoever started it with port 0 can reach it; with an advertised address it printed that instead, and the port that the kernel chose was unknown. Change: Handle::addr is the bound address; peers still learn the advertised one. Conclusion: hosts behind a proxy can use ports that the kernel assigns.

--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -152,7 +152,7 @@
     tokio::spawn(Arc::clone(&node).run(options.period.into()));
     let handle = Handle {
         node,
-        addr: advertised,
+        addr,
         host: options.host,
         dc: options.dc,
     };
@@ -182,7 +182,7 @@
 }
 
 impl<P: Platform, C: Clock, S: Served> Handle<P, C, S> {
-    /// Returns the address at which peers reach this host.
+    /// Returns the address on which this host listens for peers.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
         self.addr
