Let entry hosts listen on ports that the kernel assigns

Cause: in one of about 20 clusters a port that was chosen beforehand was taken before the host listened on it. Change: the links of a host point nowhere until the host prints its ports. Conclusion: no port is chosen before a process listens on it.

--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -1,7 +1,7 @@
 //! A deployment on loopback: platform, backend servers, proxy links and entry hosts.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Output, Stdio},
     time::Duration,
@@ -33,6 +33,9 @@
 /// Exchange period of the tests; short, so that news spreads in less than a second.
 const EXCHANGE: &str = "200 ms";
 
+/// Target of a link whose process has no address yet; nothing listens there.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 /// Backend server of a layout.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -58,8 +61,6 @@
 /// Ports of an entry host and the links through which others reach it.
 #[derive(Clone, Copy, Debug)]
 pub struct HostLinks {
-    listen_http: SocketAddr,
-    listen_peers: SocketAddr,
     /// Link to the caller port.
     pub http: SocketAddr,
     /// Link to the peer port.
@@ -173,12 +174,9 @@
 
     async fn link_hosts(&mut self) {
         for _ in 0..self.layout.hosts.len() {
-            let (listen_http, listen_peers) = (free_port(), free_port());
             self.links.push(HostLinks {
-                listen_http,
-                listen_peers,
-                http: self.stage.link(listen_http).await,
-                peer: self.stage.link(listen_peers).await,
+                http: self.stage.link(NOWHERE).await,
+                peer: self.stage.link(NOWHERE).await,
                 platform: self.stage.link(self.platform.addr()).await,
             });
         }
@@ -193,7 +191,7 @@
         let text = format!(
             r#"host = "{name}"
 data_centre = "{dc}"
-listen = {{ http = "{}", peers = "{}" }}
+listen = {{ http = "127.0.0.1:0", peers = "127.0.0.1:0" }}
 advertise = {{ http = "{}", peers = "{}" }}
 platform = {{ url = "http://{}", token_file = "platform.token" }}
 peers = {{ seeds = [{seeds}], token_file = "peer.token" }}
@@ -201,7 +199,7 @@
 log = {{ format = "text", level = "info" }}
 tuning = {{ lease_duration = "{LEASE}", exchange_period = "{EXCHANGE}" }}
 "#,
-            links.listen_http, links.listen_peers, links.http, links.peer, links.platform
+            links.http, links.peer, links.platform
         );
         self.write("platform.token", PLATFORM_TOKEN);
         self.write("peer.token", PEER_TOKEN);
@@ -217,6 +215,9 @@
         let settings = self.settings(host);
         let dir = self.stage.dir();
         let entry = EntryHost::start(dir, &name, &dc, &settings, &self.layout.token).await;
+        let links = self.links[host];
+        self.stage.set_target(links.http, entry.http).await;
+        self.stage.set_target(links.peer, entry.peer).await;
         match self.hosts.iter_mut().find(|known| known.name == name) {
             Some(known) => *known = entry,
             None => self.hosts.push(entry),
@@ -332,9 +333,3 @@
 
 /// Lines of each host's log that a failed test prints.
 const LOG_LINES: usize = 25;
-
-/// Returns an address that the kernel chose, for a process that others must know before it starts.
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("the address of the listener")
-}
--- a/crates/standin/src/harness/entry.rs
+++ b/crates/standin/src/harness/entry.rs
@@ -64,6 +64,7 @@
     process: Process,
     /// Address of the caller port, without a proxy in between.
     pub http: SocketAddr,
+    pub(crate) peer: SocketAddr,
     pub(crate) log: PathBuf,
     token: String,
 }
@@ -94,15 +95,17 @@
         let args = ["serve", "--settings", &settings.display().to_string()];
         let args = args.map(ToOwned::to_owned);
         let process = Process::start(&program("celerytally"), &args, &log).await;
-        let found = process
-            .line
-            .split(' ')
-            .find_map(|part| part.strip_prefix("http="));
-        let http = found.and_then(|addr| addr.parse().ok());
+        let address = |key: &str| {
+            let mut parts = process.line.split(' ');
+            let found = parts.find_map(|part| part.strip_prefix(key));
+            found.and_then(|addr| addr.parse().ok())
+        };
+        let (http, peer) = (address("http="), address("peer="));
         Self {
             name: name.to_owned(),
             dc: dc.to_owned(),
             http: http.expect("the caller port"),
+            peer: peer.expect("the peer port"),
             process,
             log,
             token: token.to_owned(),
