--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -98,7 +98,7 @@
     let addr = listener.local_addr().map_err(internal)?;
     let stop = CancellationToken::new();
     let (host, news, controller) = assemble(&settings, &listener, metrics).await?;
-    println!("listening http={addr} peer={}", host.exchange.addr());
+    println!("listening http={addr} peer={}", host.exchange.listening());
     tracing::info!(host = %host.id, dc = %host.dc, http = %addr, "entry host started");
 
     let controller = tokio::spawn(controller.run(stop.clone()));
