Let refusals reach callers that still send their body

Cause: a refusal was sent while the body was still arriving; the connection's reset overtook it, and the caller could not tell a refused request from one that was run. Change: up to 32 MiB of a refused request's body are read and dropped for at most one second. Conclusion: refusals are readable up to the bound; a slower or larger sender may still see a reset.

--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -16,6 +16,12 @@
 /// Bounds the time in which a caller must send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Bytes of a refused request that are read and dropped.
+const MAX_DRAINED: usize = 32 << 20;
+
+/// Bounds the time for which the rest of a refused request is read.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Longest idempotency key, as most published interfaces have it.
 const MAX_KEY_LEN: usize = 255;
 
@@ -33,7 +39,7 @@
 /// Reads the body of a request up to the limit.
 pub(crate) async fn read_body(
     headers: &HeaderMap,
-    body: ReqBody,
+    body: &mut ReqBody,
     limits: &Limits,
 ) -> Result<Bytes, Refusal> {
     let announced = headers
@@ -49,7 +55,7 @@
     }
 }
 
-async fn collect(mut body: ReqBody, limit: u64) -> Result<Bytes, Refusal> {
+async fn collect(body: &mut ReqBody, limit: u64) -> Result<Bytes, Refusal> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.next().await {
         // The caller broke off, so nobody reads the refusal.
@@ -64,6 +70,25 @@
     Ok(buf.freeze())
 }
 
+/// Reads and drops what is left of the body of a refused request, within bounds.
+///
+/// If the connection closed with unread bytes, its reset could overtake the refusal, and the caller
+/// would not learn that the request was not run.
+pub(crate) async fn drain(body: &mut ReqBody) {
+    let discard = async {
+        let mut left = MAX_DRAINED;
+        while let Some(Ok(frame)) = body.next().await {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            if len > left {
+                return;
+            }
+            left -= len;
+        }
+    };
+    // Beyond the bounds the connection is closed, whatever the caller sees.
+    drop(tokio::time::timeout(DRAIN_TIMEOUT, discard).await);
+}
+
 /// Returns the deadline that a caller asks for, or the default of the service.
 pub(crate) fn deadline(
     headers: &HeaderMap,
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -17,7 +17,7 @@
 use reqwest::header::HeaderValue;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
-    conn::tcp::TcpAcceptor, http::ReqBody, server::ServerHandle,
+    conn::tcp::TcpAcceptor, server::ServerHandle,
 };
 use serde_json::json;
 use store::Platform;
@@ -267,8 +267,10 @@
             return Ok(models(&sender, in_force));
         }
         let place = self.in_flight.enter(&sender)?;
-        let body = req.replace_body(ReqBody::None);
-        let body = limit::read_body(req.headers(), body, &deployment.limits).await?;
+        let mut body = req.take_body();
+        let read = limit::read_body(req.headers(), &mut body, &deployment.limits).await;
+        req.replace_body(body);
+        let body = read?;
         let arrival = Arrival {
             id,
             sender,
@@ -349,13 +351,14 @@
         let gate = &self.0;
         let forwarded = auth::is_forwarded(req.headers(), &gate.host_token);
         let id = request_id(req, forwarded);
-        let mut reply = gate
-            .answer(req, id, forwarded)
-            .await
-            .unwrap_or_else(|refusal| {
-                gate.runner.counters.refusal(refusal.code);
-                refusal.into()
-            });
+        let answer = gate.answer(req, id, forwarded).await;
+        if answer.is_err() {
+            limit::drain(req.body_mut()).await;
+        }
+        let mut reply = answer.unwrap_or_else(|refusal| {
+            gate.runner.counters.refusal(refusal.code);
+            refusal.into()
+        });
         if let Ok(id) = HeaderValue::try_from(id.to_string()) {
             reply.headers.insert(REQUEST_ID, id);
         }
