--- a/crates/gate/src/relay.rs
+++ b/crates/gate/src/relay.rs
@@ -17,7 +17,7 @@
     dispatcher::Step,
     job::Job,
     peers::Peers,
-    refusal::Refusal,
+    refusal::{CODE, Refusal},
     reply::{Body, Reply},
 };
 
@@ -55,7 +55,17 @@
         loop {
             let (server, answer) = attempts.open().await?;
             if attempts.job.stream && answer.is_event_stream() && answer.status().is_success() {
-                return relay(attempts, server, answer).await;
+                let head = (answer.status(), answer.headers().clone());
+                let mut events = answer.events();
+                // Until the first event, a failure is an ordinary one that may be retried.
+                match events.next().await {
+                    Ok(first) => return Ok(Relay::begin(attempts, (server, events), head, first)),
+                    Err(e) => attempts.fail(&server, e).await,
+                }
+                continue;
+            }
+            if attempts.passes_through(&answer) {
+                return Ok(pass_through(attempts, server, Bytes::new(), answer));
             }
             match answer.read(MAX_BUFFERED).await {
                 Ok(Ok(whole)) => return attempts.whole(whole),
@@ -67,14 +77,22 @@
 }
 
 impl<R: Step, N: Peers> Attempts<R, N> {
+    /// Tells whether a response is passed on as it arrives: a large one, or the event stream of a
+    /// plain service.
+    fn passes_through(&self, answer: &Answer) -> bool {
+        let plain = self.job.protocol == Protocol::Plain;
+        let length = answer.content_length().unwrap_or(0);
+        let empty = self.job.method == Method::HEAD;
+        !empty && ((plain && answer.is_event_stream()) || length > MAX_BUFFERED as u64)
+    }
+
     fn whole(&mut self, whole: Whole) -> Result<Reply, Refusal> {
         let model = self.job.protocol == Protocol::Model;
         let failed = whole.status.is_server_error();
         let tokens = if model { tokens(&whole.body) } else { 0 };
         self.flight.first_byte();
         self.finish(tokens, !failed);
-        let by_host = whole.headers.contains_key(crate::refusal::CODE);
-        if model && failed && !by_host {
+        if model && failed && !self.remote {
             return Err(Code::BackendError.into());
         }
         let mut headers = whole.headers;
@@ -88,9 +106,12 @@
         for name in HOP_HEADERS {
             headers.remove(name);
         }
+        if !self.remote {
+            headers.remove(CODE);
+        }
         let mut reply = Reply::new(status, body);
         reply.headers = headers;
-        if let Some(timing) = self.timing.header() {
+        if let Some(timing) = self.timing() {
             reply.headers.append("server-timing", timing);
         }
         reply
@@ -104,7 +125,7 @@
         .unwrap_or(0)
 }
 
-/// Passes on an event stream, resuming it where the router allows.
+/// Passes on an event stream, resuming it where its server can.
 struct Relay<R: Step, N: Peers> {
     attempts: Attempts<R, N>,
     server: Server,
@@ -112,67 +133,53 @@
     closed: bool,
 }
 
-/// Waits for the first event, so that a failure before it is an ordinary refusal.
-async fn relay<R: Step, N: Peers>(
-    attempts: Attempts<R, N>,
-    server: Server,
-    answer: Answer,
-) -> Result<Reply, Refusal> {
-    let (status, headers) = (answer.status(), answer.headers().clone());
-    let mut relay = Relay {
-        attempts,
-        server,
-        events: answer.events(),
-        closed: false,
-    };
-    let first = relay.advance().await?;
-    let mut reply = relay
-        .attempts
-        .reply(status, headers, Body::Full(Bytes::new()));
-    // The length of a resumed stream is not known.
-    reply.headers.remove(header::CONTENT_LENGTH);
-    let rest = stream::unfold(relay, |mut relay| async move {
-        let part = relay.next().await?;
-        Some((part, relay))
-    });
-    let body = stream::iter(first).chain(rest).map(Ok);
-    reply.body = Body::Stream(body.boxed());
-    Ok(reply)
-}
-
 impl<R: Step, N: Peers> Relay<R, N> {
-    /// Returns the next events, or an event that says why there are no more.
-    async fn next(&mut self) -> Option<Bytes> {
-        match self.advance().await {
-            Ok(part) => part,
-            Err(refusal) => {
-                self.closed = true;
-                self.attempts.runner.counters.refusal(refusal.code);
-                Some(refusal.event())
-            }
+    /// Makes the response that begins with the first events.
+    fn begin(
+        mut attempts: Attempts<R, N>,
+        (server, events): (Server, Events),
+        (status, mut headers): (StatusCode, HeaderMap),
+        first: Option<(Bytes, u64)>,
+    ) -> Reply {
+        // The length of a resumed stream is not known.
+        headers.remove(header::CONTENT_LENGTH);
+        let reply = attempts.reply(status, headers, Body::Full(Bytes::new()));
+        attempts.flight.first_byte();
+        attempts.delivered = Some(first.as_ref().map_or(0, |(_, events)| *events));
+        let relay = Self {
+            attempts,
+            server,
+            events,
+            closed: false,
+        };
+        let rest = stream::unfold(relay, |mut relay| async move {
+            let part = relay.next().await?;
+            Some((part, relay))
+        });
+        let first = stream::iter(first.map(|(bytes, _)| bytes));
+        let body = first.chain(rest).map(Ok).boxed();
+        Reply {
+            body: Body::Stream(body),
+            ..reply
         }
     }
 
-    async fn advance(&mut self) -> Result<Option<Bytes>, Refusal> {
+    /// Returns the next events, or an event that says why there are no more.
+    async fn next(&mut self) -> Option<Bytes> {
         while !self.closed {
             match self.events.next().await {
                 Ok(Some((bytes, events))) => {
-                    self.pass(events);
-                    return Ok(Some(bytes));
+                    *self.attempts.delivered.get_or_insert(0) += events;
+                    return Some(bytes);
                 }
                 Ok(None) => self.close(),
-                Err(e) => self.reopen(e).await?,
+                Err(e) => match self.attempts.resume(&self.server, e).await {
+                    Ok(answer) => self.events = answer.events(),
+                    Err(e) => return Some(self.interrupt(e).await),
+                },
             }
         }
-        Ok(None)
-    }
-
-    fn pass(&mut self, events: u64) {
-        if self.attempts.delivered.is_none() {
-            self.attempts.flight.first_byte();
-        }
-        let delivered = self.attempts.delivered.get_or_insert(0);
-        *delivered += events;
+        None
     }
 
     fn close(&mut self) {
@@ -182,12 +189,12 @@
         self.attempts.finish(tokens, !self.events.is_error());
     }
 
-    async fn reopen(&mut self, err: engine::Error) -> Result<(), Refusal> {
+    async fn interrupt(&mut self, err: engine::Error) -> Bytes {
+        self.closed = true;
         self.attempts.fail(&self.server, err).await;
-        let (server, answer) = self.attempts.open().await?;
-        self.server = server;
-        self.events = answer.events();
-        Ok(())
+        let refusal = self.attempts.end().await;
+        self.attempts.runner.counters.refusal(refusal.code);
+        refusal.event()
     }
 }
 
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -20,7 +20,7 @@
 use serde_json::json;
 use store::Platform;
 use tokio::net::TcpListener;
-use types::{Clock, Code, Monotonic, RequestId};
+use types::{Clock, Code, Micros, Monotonic, RequestId};
 
 use crate::{
     attempt::Runner,
@@ -52,6 +52,8 @@
     pub reporter: W,
     /// Metrics that `/metrics` shows; its recorder must be installed before.
     pub metrics: PrometheusHandle,
+    /// Name and life of this process, which claims carry.
+    pub owner: claim::Owner,
     /// Client of backend servers, shared with the polling of load reports.
     pub engine: Client,
     /// Token of entry hosts among themselves.
@@ -76,6 +78,9 @@
 const NOT_READY: u8 = 1;
 const CLOSED: u8 = 2;
 
+/// Claims are kept at least this long, whatever the file says.
+const MIN_RETENTION: Micros = Micros::from_secs(60);
+
 /// Time beyond the longest deadline after which a shutdown no longer waits for slow readers.
 const SHUTDOWN_MARGIN: Duration = Duration::from_secs(2);
 
@@ -109,7 +114,7 @@
                 counters,
                 host_bearer,
             },
-            claims: Claims::new(parts.platform, parts.clock),
+            claims: Claims::new(parts.platform, parts.clock, parts.owner),
             operator: Operator {
                 reporter: parts.reporter,
                 metrics: parts.metrics,
@@ -132,11 +137,36 @@
         &self.runner.counters
     }
 
-    /// Returns the claims whose outcome is not stored yet.
+    /// Returns the number of claims whose outcome is not stored yet.
     pub fn pending_claims(&self) -> usize {
         self.claims.pending()
     }
 
+    /// Waits until every claim's outcome is stored, which an absent platform delays.
+    ///
+    /// To be called, with a bound, after [`serve`](Self::serve) has returned.
+    pub async fn settle(&self) {
+        self.claims.settle().await;
+    }
+
+    /// Deletes finished claims of hosts that are gone, and returns their number.
+    ///
+    /// To be called now and then by one host of the deployment. A claim is deleted once this host
+    /// has seen it unchanged for the retention, so at least two calls are needed.
+    ///
+    /// # Errors
+    /// As [`Platform::list`] and [`Platform::delete`].
+    pub async fn sweep_claims(&self) -> store::Result<usize> {
+        self.claims.sweep(self.retention()).await
+    }
+
+    fn retention(&self) -> Micros {
+        let in_force = self.runner.dispatcher.in_force();
+        in_force.map_or(MIN_RETENTION, |c| {
+            c.deployment.limits.claim_retention.max(MIN_RETENTION)
+        })
+    }
+
     /// Serves callers on a listening socket until [`drain`](Self::drain) has ended.
     ///
     /// # Errors
@@ -146,7 +176,10 @@
         *self.server.lock().unwrap_or_else(PoisonError::into_inner) = Some(server.handle());
         let entry = Entry(Arc::clone(self));
         let router = Router::new().push(Router::with_path("{**path}").goal(entry));
-        Ok(server.try_serve(router).await?)
+        tokio::select! {
+            ended = server.try_serve(router) => Ok(ended?),
+            () = self.claims.expire() => Ok(()),
+        }
     }
 
     /// Shuts down: not ready, then no new connections, then the end of what is in flight.
@@ -184,14 +217,21 @@
         }
     }
 
-    async fn answer(&self, req: &mut Request, id: RequestId) -> Result<Reply, Refusal> {
+    async fn answer(
+        &self,
+        req: &mut Request,
+        id: RequestId,
+        forwarded: bool,
+    ) -> Result<Reply, Refusal> {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default();
         let readiness = self.readiness();
         if let Some(answer) = self.operator.answer(&path, req.headers(), query, readiness) {
             return answer;
         }
-        self.runner.counters.request();
+        if !forwarded {
+            self.runner.counters.request();
+        }
         if self.phase.load(Ordering::SeqCst) == CLOSED {
             return Err(Code::Draining.into());
         }
@@ -207,7 +247,7 @@
         path: &str,
         in_force: &InForce,
     ) -> Result<Reply, Refusal> {
-        let deployment = &in_force.deployment;
+        let (deployment, now) = (&in_force.deployment, self.runner.clock.now());
         limit::check_headers(req.headers(), &deployment.limits)?;
         let sender = auth::authenticate(req.headers(), deployment, &self.host_token)?;
         let asked = Path::parse(req.method(), path)?;
@@ -226,7 +266,6 @@
             headers: std::mem::take(req.headers_mut()),
             body,
         };
-        let now = self.runner.clock.now();
         let job = match asked {
             Path::Completions { prompt } => job::completions(arrival, prompt, deployment, now)?,
             Path::Service { name, rest } => job::plain(arrival, name, rest, deployment, now)?,
@@ -239,20 +278,21 @@
         // The entry host that the request reached first has claimed it.
         let claims = !job.ticket.idempotent && !job.ticket.forwarded;
         match &job.key {
-            Some(key) if claims => self.claims.run(&self.runner, key.clone(), job).await,
+            Some(key) if claims => {
+                let (key, retention) = (key.clone(), self.retention());
+                self.claims.run(&self.runner, &key, job, retention).await
+            }
             _ => self.runner.run(job).await,
         }
     }
+}
 
-    /// Takes the id of a forwarded request from its entry host, and draws all others.
-    fn request_id(&self, req: &Request) -> RequestId {
-        let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
-        let forwarded = req.headers().contains_key(auth::HOP);
-        match sent.and_then(|id| id.parse().ok()) {
-            Some(id) if forwarded && self.host_token.is_sent(req.headers()) => id,
-            _ => RequestId::random(&mut rand::rng()),
-        }
-    }
+/// Takes the id of a forwarded request from its entry host, and draws all others.
+fn request_id(req: &Request, forwarded: bool) -> RequestId {
+    let sent = req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
+    sent.filter(|_| forwarded)
+        .and_then(|id| id.parse().ok())
+        .unwrap_or_else(|| RequestId::random(&mut rand::rng()))
 }
 
 /// Lists the models and adapters that a caller may use.
@@ -284,11 +324,15 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let gate = &self.0;
-        let id = gate.request_id(req);
-        let mut reply = gate.answer(req, id).await.unwrap_or_else(|refusal| {
-            gate.runner.counters.refusal(refusal.code);
-            refusal.into()
-        });
+        let forwarded = auth::is_forwarded(req.headers(), &gate.host_token);
+        let id = request_id(req, forwarded);
+        let mut reply = gate
+            .answer(req, id, forwarded)
+            .await
+            .unwrap_or_else(|refusal| {
+                gate.runner.counters.refusal(refusal.code);
+                refusal.into()
+            });
         if let Ok(id) = HeaderValue::try_from(id.to_string()) {
             reply.headers.insert(REQUEST_ID, id);
         }
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -197,6 +197,14 @@
         self.listening
     }
 
+    /// Returns the life of this process as its peers know it.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        let members = self.current_members();
+        let own = members.into_iter().find(|m| m.id == self.host);
+        own.map(|m| m.incarnation).unwrap_or_default()
+    }
+
     /// Follows the configuration in force; versions only rise.
     #[must_use]
     pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
