--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -12,11 +12,12 @@
 
 /// Exchange periods without a heartbeat after which a host is suspected.
 ///
-/// Over 390 hosts a heartbeat needs up to about ten periods to reach everyone.
-const SUSPECT_PERIODS: u64 = 15;
+/// The oldest heartbeat seen in a simulation without losses was 3.0 periods old with 7 hosts and
+/// 5.5 periods with 390.
+const SUSPECT_PERIODS: u64 = 8;
 
 /// Exchange periods without a heartbeat after which a host counts as gone.
-const GONE_PERIODS: u64 = 30;
+const GONE_PERIODS: u64 = 20;
 
 /// Exchange periods after which a host that is gone is forgotten.
 const FORGET_PERIODS: u64 = 600;
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -28,6 +28,9 @@
 /// Bounds a load from the platform, after which it may be tried again.
 const LOAD_TIMEOUT: Micros = Micros::from_secs(5);
 
+/// Rounds of exchange started at once by a host that drains, which may stop before the next one.
+const FAREWELLS: usize = 3;
+
 /// Hosts of a data centre that watch the platform.
 const RELAYS: usize = 2;
 
@@ -104,7 +107,7 @@
     pub(crate) fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
         match ev {
             Event::Tick => self.tick(now, out),
-            Event::Own(state) => self.members.change_own(now, |row| row.state = state),
+            Event::Own(state) => self.change_state(now, state, out),
             Event::Loads(views) => {
                 for (id, load, age) in views {
                     let seen = now.as_micros().saturating_sub(age.get());
@@ -146,6 +149,16 @@
         }
     }
 
+    fn change_state(&mut self, now: Instant, state: OwnState, out: &mut Vec<Action>) {
+        self.members.change_own(now, |row| row.state = state);
+        if state == OwnState::Draining {
+            let members = self.members.list(now);
+            for _ in 0..FAREWELLS {
+                self.exchange(now, &members, out);
+            }
+        }
+    }
+
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.round += 1;
         self.members.beat(self.versions.version(), now);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -37,6 +37,9 @@
 /// Bounds a connection attempt, the first call included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bounds the wait for the first call, so that strangers do not hold connections open.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 #[tarpc::service]
 pub(crate) trait Wire {
     /// Authenticates the connection; it must be the first call.
@@ -209,12 +212,14 @@
 async fn serve_connection<A: Answer>(stream: TcpStream, connection: Connection<A>) {
     let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
     let mut requests = Box::pin(BaseChannel::with_defaults(transport).requests());
-    while let Some(request) = requests.next().await {
+    let mut next = timeout(HELLO_TIMEOUT, requests.next()).await.ok().flatten();
+    while let Some(request) = next.take() {
         let Ok(request) = request else {
             // The framing is lost, so the connection ends; the peer opens a new one.
             connection.counts.garbage();
             return;
         };
         tokio::spawn(request.execute(connection.clone().serve()));
+        next = requests.next().await;
     }
 }
