--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -191,20 +191,22 @@
         self.addr
     }
 
-    /// Returns the address that this host listens on for peers.
-    #[must_use]
-    pub fn listening(&self) -> SocketAddr {
-        self.listening
-    }
-
     /// Returns the life of this process as its peers know it.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
-        let members = self.current_members();
-        let own = members.into_iter().find(|m| m.id == self.host);
+        let own = self
+            .current_members()
+            .into_iter()
+            .find(|m| m.id == self.host);
         own.map(|m| m.incarnation).unwrap_or_default()
     }
 
+    /// Returns the address that this host listens on for peers.
+    #[must_use]
+    pub fn listening(&self) -> SocketAddr {
+        self.listening
+    }
+
     /// Follows the configuration in force; versions only rise.
     #[must_use]
     pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
