--- a/crates/celerytally/tests/engine_client.rs
+++ b/crates/celerytally/tests/engine_client.rs
@@ -56,15 +56,15 @@
         (report.memory, report.fence),
         (Bytes::new(100), Epoch::new(6))
     );
-    let state = |id| {
+    let end = |id| {
         report
             .orders
             .iter()
             .find(|o| o.id == OrderId::new(id))
             .map(|o| o.state)
     };
-    assert_ne!(state(1), Some(OrderState::Failed));
-    assert_eq!(state(3), Some(OrderState::Failed));
+    assert_ne!(end(1), Some(OrderState::Failed));
+    assert_eq!(end(3), Some(OrderState::Failed));
 }
 
 #[tokio::test]
