Let the report cover every data centre

Cause: a host sees only the backend servers of its own data centre, so its report said OK while a server of another one was dead. Change: a report asks one entry host of each data centre for its facts, the controller's host first, at most two and 750 ms each; a data centre that does not answer is named as cut off. Conclusion: one look at any host shows the whole deployment.

--- a/crates/celerytally/src/facts.rs
+++ b/crates/celerytally/src/facts.rs
@@ -3,13 +3,18 @@
 use std::sync::{Arc, OnceLock};
 
 use config::InForce;
+use futures::future::join_all;
 use peer::{Member, MemberState};
-use report::{Facts, ModelCopies, Report};
+use report::{Facts, LocalFacts, ModelCopies, Report};
 use route::Liveness;
-use types::{BackendId, Bytes, Clock, DataCentreId, HostId, ModelId};
+use serde_json::Value;
+use types::{Bytes, Clock, DataCentreId, HostId, ModelId};
 
 use crate::serve::Host;
 
+/// Hosts of a data centre that are asked in turn before it counts as cut off.
+const ASKED: usize = 2;
+
 /// Source of the report; it is empty until the host is complete.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reporter {
@@ -22,36 +27,82 @@
         drop(self.host.set(host));
     }
 
-    fn report(&self) -> Report {
-        let facts = self.host.get().map(|host| collect(host));
-        Report::new(&facts.unwrap_or_else(|| Facts::new("starting")))
+    async fn report(&self) -> Report {
+        let facts = match self.host.get() {
+            Some(host) => collect(host).await,
+            None => Facts::new("starting"),
+        };
+        Report::new(&facts)
     }
 }
 
 impl gate::Reporter for Reporter {
-    fn text(&self) -> String {
-        self.report().to_string()
+    async fn text(&self) -> String {
+        self.report().await.to_string()
+    }
+
+    async fn json(&self) -> Value {
+        self.report().await.json()
     }
 
-    fn json(&self) -> serde_json::Value {
-        self.report().json()
+    fn local(&self) -> Value {
+        let local = self.host.get().map(|host| local(host));
+        serde_json::to_value(local.unwrap_or_default()).unwrap_or_default()
     }
 }
 
-fn collect(host: &Host) -> Facts {
+async fn collect(host: &Host) -> Facts {
     let members = host.exchange.members().borrow().clone();
     let mut facts = Facts::new("no deployment");
     hosts(&mut facts, host, &members);
     counts(&mut facts, host);
     if let Some(in_force) = host.gate.dispatcher().in_force() {
         facts.deployment.clone_from(&in_force.deployment.name);
-        backends(&mut facts, host);
         models(&mut facts, host, &in_force);
-        data_centres(&mut facts, host, &in_force, &members);
+        data_centres(&mut facts, host, &in_force, &members).await;
     }
     facts
 }
 
+/// Returns what this host knows about its own data centre.
+fn local(host: &Host) -> LocalFacts {
+    let now = host.clock.now();
+    let status = host.control.status.borrow().clone();
+    let mut facts = LocalFacts {
+        moves: (status.loads, status.unloads),
+        ..LocalFacts::default()
+    };
+    host.gate.dispatcher().with_router(|router| {
+        for view in router.backends(now).filter(|view| view.local) {
+            facts.backends.1 += 1;
+            match view.load.liveness {
+                Liveness::Live => facts.backends.0 += 1,
+                Liveness::Leaving => facts.leaving_backends.push(view.id.clone()),
+                Liveness::Dead => facts.dead_backends.push(view.id.clone()),
+            }
+        }
+    });
+    facts
+}
+
+/// Asks the hosts of a data centre for its facts, the controller's host first.
+///
+/// Only that host counts the moves, so without authority another one knows of none.
+async fn ask(host: &Host, dc: &DataCentreId, members: &[Member]) -> Option<LocalFacts> {
+    let usable = |m: &&Member| m.dc == *dc && m.state != MemberState::Gone;
+    let mut hosts: Vec<&Member> = members.iter().filter(usable).collect();
+    hosts.sort_by_key(|m| (m.holds.is_none(), m.state != MemberState::Alive));
+    for member in hosts.into_iter().take(ASKED) {
+        if member.id == host.id {
+            return Some(local(host));
+        }
+        if let Some(facts) = host.ask_local(member.addr).await {
+            return Some(facts);
+        }
+    }
+    None
+}
+
 fn hosts(facts: &mut Facts, host: &Host, members: &[Member]) {
     let convergence = host.exchange.convergence();
     facts.version = (convergence.lowest.get() > 0).then_some(convergence.lowest);
@@ -68,25 +119,6 @@
     facts.draining = host.is_draining();
 }
 
-fn backends(facts: &mut Facts, host: &Host) {
-    let now = host.clock.now();
-    let (mut known, mut live) = (0, 0);
-    let (mut dead, mut leaving): (Vec<BackendId>, Vec<BackendId>) = (Vec::new(), Vec::new());
-    host.gate.dispatcher().with_router(|router| {
-        for view in router.backends(now).filter(|view| view.local) {
-            known += 1;
-            match view.load.liveness {
-                Liveness::Live => live += 1,
-                Liveness::Leaving => leaving.push(view.id.clone()),
-                Liveness::Dead => dead.push(view.id.clone()),
-            }
-        }
-    });
-    facts.backends = (live, known);
-    facts.dead_backends = dead;
-    facts.leaving_backends = leaving;
-}
-
 fn models(facts: &mut Facts, host: &Host, in_force: &InForce) {
     let deployment = &in_force.deployment;
     facts.models = count(deployment.models.len());
@@ -113,25 +145,21 @@
     }
 }
 
-fn data_centres(facts: &mut Facts, host: &Host, in_force: &InForce, members: &[Member]) {
-    let reachable = |dc: &DataCentreId| {
-        let gone = |m: &&Member| m.state != MemberState::Gone;
-        members.iter().filter(gone).any(|m| m.dc == *dc)
-    };
-    let silent = host.elsewhere.silent();
-    for dc in &in_force.deployment.data_centres {
-        let known = members.iter().any(|m| m.dc == dc.id);
-        if !known || dc.id == host.dc {
-            continue;
-        }
-        if !reachable(&dc.id) || silent.contains(&dc.id) {
-            facts.cut_off.push(dc.id.clone());
+async fn data_centres(facts: &mut Facts, host: &Host, in_force: &InForce, members: &[Member]) {
+    let dcs = &in_force.deployment.data_centres;
+    let known = dcs
+        .iter()
+        .filter(|dc| members.iter().any(|m| m.dc == dc.id));
+    let asked = known.map(async |dc| (dc.id.clone(), ask(host, &dc.id, members).await));
+    for (dc, answer) in join_all(asked).await {
+        match answer {
+            Some(local) => facts.add(local),
+            None => facts.cut_off.push(dc),
         }
     }
     let status = host.control.status.borrow().clone();
-    facts.moves = (status.loads, status.unloads);
-    let held = members.iter().any(|m| m.dc == host.dc && m.holds.is_some());
-    if !held && !status.authority {
+    let held = |m: &Member| m.dc == host.dc && m.holds.is_some();
+    if !members.iter().any(held) && !status.authority {
         facts.no_controller.push(host.dc.clone());
     }
 }
--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -227,11 +227,4 @@
         let holds = |(_, models): &&Residents| models.binary_search(model).is_ok();
         u32::try_from(lists.iter().filter(holds).count()).unwrap_or(u32::MAX)
     }
-
-    /// Returns the data centres from which nothing is known to be resident.
-    pub(crate) fn silent(&self) -> Vec<DataCentreId> {
-        let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
-        let silent = lists.iter().filter(|(_, models)| models.is_empty());
-        silent.map(|(dc, _)| dc.clone()).collect()
-    }
 }
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs an entry host: wires the crates together and shuts them down in order.
 
 use std::{
+    net::SocketAddr,
     path::Path,
     process::ExitCode,
     sync::{
@@ -10,7 +11,7 @@
     time::Duration,
 };
 
-use config::{Deployment, HostSettings, InForce, LogFormat};
+use config::{Deployment, HostSettings, InForce, LogFormat, Secret};
 use control::{Controller, Event as ControlEvent, Planner};
 use engine::{Client, Server};
 use gate::{Gate, Parts};
@@ -18,6 +19,7 @@
 use peer::{Host as ListedHost, Inventory, News, Options, OwnState, Spread};
 use place::Copy;
 use rand::Rng;
+use report::LocalFacts;
 use route::{Event, Liveness, Router};
 use store::{HostRole, HostState, HttpPlatform};
 use tokio::{
@@ -53,6 +55,9 @@
 /// Tokens a second that a worker of speed one generates at full load, until it is measured.
 const BASE_TOKENS_PER_SECOND: f64 = 400.0;
 
+/// Bounds the question for another data centre's facts, so that a report comes within seconds.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(750);
+
 /// Crates whose log level the settings choose.
 const OWN_CRATES: [&str; 6] = ["celerytally", "control", "engine", "gate", "peer", "store"];
 
@@ -72,6 +77,8 @@
     pub(crate) control: control::Handle,
     pub(crate) gate: Arc<HostGate>,
     platform: HttpPlatform,
+    peer_token: Secret,
+    reports: reqwest::Client,
     draining: AtomicBool,
 }
 
@@ -80,6 +87,13 @@
         self.platform.is_away()
     }
 
+    /// Asks another entry host for the facts of its data centre.
+    pub(crate) async fn ask_local(&self, addr: SocketAddr) -> Option<LocalFacts> {
+        let url = format!("http://{addr}/report/local");
+        let req = self.reports.get(url).bearer_auth(self.peer_token.expose());
+        req.send().await.ok()?.json().await.ok()
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
@@ -232,13 +246,23 @@
         control,
         gate,
         platform,
+        peer_token: settings.peer_token.clone(),
+        reports: report_client()?,
         draining: AtomicBool::new(false),
     });
     reporter.set(Arc::clone(&host));
     Ok((host, news, controller))
 }
 
-fn exchange_options(settings: &HostSettings, http: std::net::SocketAddr) -> Options {
+fn report_client() -> Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .timeout(REPORT_TIMEOUT)
+        .no_proxy()
+        .build()
+        .map_err(internal)
+}
+
+fn exchange_options(settings: &HostSettings, http: SocketAddr) -> Options {
     Options {
         host: settings.host.clone(),
         dc: settings.dc.clone(),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -26,11 +26,15 @@
 //! struct Report;
 //!
 //! impl Reporter for Report {
-//!     fn text(&self) -> String {
+//!     async fn text(&self) -> String {
 //!         "OK".to_owned()
 //!     }
 //!
-//!     fn json(&self) -> serde_json::Value {
+//!     async fn json(&self) -> serde_json::Value {
+//!         serde_json::json!({})
+//!     }
+//!
+//!     fn local(&self) -> serde_json::Value {
 //!         serde_json::json!({})
 //!     }
 //! }
--- a/crates/gate/src/operator.rs
+++ b/crates/gate/src/operator.rs
@@ -8,13 +8,18 @@
 
 const TEXT: &str = "text/plain; charset=utf-8";
 
+const JSON: &str = "application/json";
+
 /// Source of the operator's report.
 pub trait Reporter: Send + Sync + 'static {
-    /// Returns the report as short plain text.
-    fn text(&self) -> String;
+    /// Returns the report as short plain text, within a bounded time.
+    fn text(&self) -> impl Future<Output = String> + Send;
+
+    /// Returns the report with all its facts, within a bounded time.
+    fn json(&self) -> impl Future<Output = serde_json::Value> + Send;
 
-    /// Returns the report with all its facts.
-    fn json(&self) -> serde_json::Value;
+    /// Returns the facts of this host's data centre, for the report of another entry host.
+    fn local(&self) -> serde_json::Value;
 }
 
 /// What the routes for operators need.
@@ -23,6 +28,8 @@
     pub(crate) metrics: PrometheusHandle,
     /// Token of operators; without one, their routes are open.
     pub(crate) token: Option<Secret>,
+    /// Token of entry hosts among themselves.
+    pub(crate) host_token: Secret,
 }
 
 /// Readiness of the entry host as the balancer sees it.
@@ -35,7 +42,7 @@
 
 impl<W: Reporter> Operator<W> {
     /// Answers a request to an operator's route, or returns nothing for any other path.
-    pub(crate) fn answer(
+    pub(crate) async fn answer(
         &self,
         path: &str,
         headers: &HeaderMap,
@@ -49,15 +56,30 @@
                 let text = "text/plain; version=0.0.4";
                 Reply::full(StatusCode::OK, text, self.metrics.render())
             })),
-            "/report" if wants_json(headers, query) => Some(self.check(headers).map(|()| {
-                let json = self.reporter.json().to_string();
-                Reply::full(StatusCode::OK, "application/json", json)
-            })),
-            "/report" => Some(Ok(Reply::full(StatusCode::OK, TEXT, self.reporter.text()))),
+            "/report" => Some(self.report(headers, query).await),
+            "/report/local" => Some(self.local(headers)),
             _ => None,
         }
     }
 
+    async fn report(&self, headers: &HeaderMap, query: &str) -> Result<Reply, Refusal> {
+        if !wants_json(headers, query) {
+            let text = self.reporter.text().await;
+            return Ok(Reply::full(StatusCode::OK, TEXT, text));
+        }
+        self.check(headers)?;
+        let json = self.reporter.json().await.to_string();
+        Ok(Reply::full(StatusCode::OK, JSON, json))
+    }
+
+    fn local(&self, headers: &HeaderMap) -> Result<Reply, Refusal> {
+        if !self.host_token.is_sent(headers) {
+            return Err(Code::Unauthenticated.into());
+        }
+        let json = self.reporter.local().to_string();
+        Ok(Reply::full(StatusCode::OK, JSON, json))
+    }
+
     fn check(&self, headers: &HeaderMap) -> Result<(), Refusal> {
         match &self.token {
             Some(token) if !token.is_sent(headers) => Err(Code::Unauthenticated.into()),
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -133,6 +133,7 @@
                 reporter: parts.reporter,
                 metrics: parts.metrics,
                 token: parts.operator_token.as_deref().map(Secret::new),
+                host_token: Secret::new(&parts.host_token),
             },
             host_token: Secret::new(&parts.host_token),
             in_flight: InFlight::default(),
@@ -238,7 +239,11 @@
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or_default();
         let readiness = self.readiness();
-        if let Some(answer) = self.operator.answer(&path, req.headers(), query, readiness) {
+        if let Some(answer) = self
+            .operator
+            .answer(&path, req.headers(), query, readiness)
+            .await
+        {
             return answer;
         }
         if !forwarded {
--- a/crates/report/src/facts.rs
+++ b/crates/report/src/facts.rs
@@ -1,6 +1,6 @@
 //! What a host knows about the state of the whole deployment.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use types::{BackendId, ConfigVersion, DataCentreId, HostId, ModelId};
 
 /// Ready copies of a model against its floor.
@@ -14,6 +14,19 @@
     pub floor: u32,
 }
 
+/// What an entry host of a data centre knows about that data centre alone.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct LocalFacts {
+    /// Backend servers that are live, and all that are configured.
+    pub backends: (u32, u32),
+    /// Backend servers that do not answer.
+    pub dead_backends: Vec<BackendId>,
+    /// Backend servers that are leaving.
+    pub leaving_backends: Vec<BackendId>,
+    /// Models loaded and unloaded by the controller, if this host runs it.
+    pub moves: (u64, u64),
+}
+
 /// Input of a report: the state of the deployment as one host sees it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Facts {
@@ -58,6 +71,18 @@
 }
 
 impl Facts {
+    /// Adds what is known about one data centre.
+    pub fn add(&mut self, local: LocalFacts) {
+        self.backends.0 += local.backends.0;
+        self.backends.1 += local.backends.1;
+        self.dead_backends.extend(local.dead_backends);
+        self.dead_backends.sort();
+        self.leaving_backends.extend(local.leaving_backends);
+        self.leaving_backends.sort();
+        self.moves.0 += local.moves.0;
+        self.moves.1 += local.moves.1;
+    }
+
     /// Makes the facts of a deployment about which nothing is known yet.
     #[must_use]
     pub fn new(deployment: &str) -> Self {
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -21,5 +21,5 @@
 mod facts;
 mod text;
 
-pub use facts::{Facts, ModelCopies};
+pub use facts::{Facts, LocalFacts, ModelCopies};
 pub use text::{MAX_COLUMNS, MAX_LINES, Report};
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -151,7 +151,7 @@
     let reachable = u64::from(models).saturating_sub(facts.unreachable_models.len() as u64);
     let mut lines = vec![
         format!("{} {version}, hosts {live}/{known}", facts.deployment),
-        format!("servers here {live_backends}/{backends}, models {reachable}/{models}"),
+        format!("servers {live_backends}/{backends}, models {reachable}/{models}"),
         in_time(facts),
         refusals(facts),
         format!("moves: {} loads, {} unloads", facts.moves.0, facts.moves.1),
--- a/crates/report/tests/snapshots.rs
+++ b/crates/report/tests/snapshots.rs
@@ -8,7 +8,7 @@
     let mut facts = Facts::new("te-awa");
     facts.version = Some("12".parse().unwrap());
     facts.hosts = (7, 7);
-    facts.backends = (4, 4);
+    facts.backends = (16, 16);
     facts.models = 25;
     facts.in_time = (1192, 1204);
     facts.refusals = vec![(302, 9), (301, 3)];
@@ -63,7 +63,7 @@
 #[test]
 fn dead_backend_and_low_floor() {
     snapshot("dead_backend", |f| {
-        f.backends.0 = 3;
+        f.backends.0 = 15;
         f.dead_backends = ids(&["w03"]);
         f.below_floor = (1..=9)
             .map(|n| ModelCopies {
