Test that a stream runs to its deadline in a shutdown

Cause: the shutdown tests had no open stream. Change: a stalled stream is open while the host drains. Conclusion: a shutdown cuts no stream before its deadline.

--- a/crates/gate/tests/shutdown.rs
+++ b/crates/gate/tests/shutdown.rs
@@ -53,3 +53,19 @@
     assert!(!served, "neither a closed connection nor a refusal");
     assert!(backend.seen().is_empty());
 }
+
+/// Guards against a stream that is cut without a word when the host shuts down.
+#[tokio::test]
+async fn a_stream_runs_to_its_deadline() {
+    let backend = Backend::start([Act::Stall]).await;
+    let host = Host::start(&[&backend]).await;
+    let req = host.chat(true).header("x-deadline-ms", "300");
+    let stream = req.send().await.unwrap();
+
+    host.gate.drain(Duration::ZERO).await;
+    let text = stream.text().await.unwrap();
+    host.task.await.unwrap().unwrap();
+
+    assert!(text.starts_with("data: 0\n\nevent: error\n"), "{text}");
+    assert!(text.contains(r#""code":504"#), "{text}");
+}
