Give the failure tests a deadline that a busy machine can't reach

Ruled out: the client's classification; the same case passes whenever the cut is earlier than the deadline. Change: 60 s for all cases but the response that never comes, which keeps a short one. Conclusion: the verdict no longer depends on how busy the machine is.

--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -25,11 +25,13 @@
 }
 
 async fn fail(act: Act, protocol: Protocol) -> Error {
+    // Only the response that never comes may reach the deadline, however busy the machine is.
+    let limit = Duration::from_secs(if matches!(act, Act::Hang) { 2 } else { 60 });
     let backend = Backend::start([act]).await;
     let (client, server) = (Client::new().unwrap(), backend.server("w1"));
     let call = Call {
         protocol,
-        deadline: tokio::time::Instant::now() + Duration::from_millis(300),
+        deadline: tokio::time::Instant::now() + limit,
         ..call(2)
     };
     let err = read(&client, &server, call).await.unwrap_err();
