Ask a former holder once for all ledgers and keep removed workers until settled

Cause: 108 ledgers asked the same former holder every second, and a worker that left the configuration was dropped with open orders. Change: one question a second for each former holder; a removed worker stays until its recorded orders are closed. The exploration of claims also checks that no attempt leaves a claim behind that it never dispatched; a trial that ended the withdrawal early is found by it. Conclusion: a takeover asks each former holder at most once a second.

--- a/crates/claim/tests/explore/world.rs
+++ b/crates/claim/tests/explore/world.rs
@@ -106,6 +106,17 @@
             self.perform(moves[choice]);
             self.check();
         }
+        if let Some((record, _)) = &self.object
+            && record.state == State::Dispatched
+            && self
+                .attempts
+                .iter()
+                .zip(0..)
+                .any(|(a, i)| id(i) == record.attempt && a.claim.is_ended() && a.dispatches == 0)
+        {
+            let left = "an attempt that dispatched nothing left its claim behind";
+            self.violation.get_or_insert(left.to_owned());
+        }
     }
 
     pub fn runs(&self) -> usize {
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -377,7 +377,12 @@
                     self.gone(&sender);
                 }
             }
-            Action::Prove(sender) => self.calls.prove(epoch, sender),
+            Action::Prove(sender) => {
+                let now = self.now();
+                if self.term.as_mut().is_some_and(|t| t.may_ask(&sender, now)) {
+                    self.calls.prove(epoch, sender);
+                }
+            }
             Action::Superseded(newer) => self.step_lease(lease::Event::EpochSeen(newer)),
             Action::Raised => self.next_round = Instant::ZERO,
             Action::Closed(id) => self.closed(id),
--- a/crates/control/src/term.rs
+++ b/crates/control/src/term.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use config::{BackendServer, Deployment, ServiceKind};
-use orders::{Copy, CopyState, Ledger, Limits, Slots, Want};
+use orders::{Copy, CopyState, Ledger, Limits, Sender, Slots, Want};
 use place::{Demand, Held, Input, Move, Worker};
 use store::Revision;
 use types::{
@@ -16,6 +16,9 @@
 /// Time after the start of a term in which records and reports are awaited before anything moves.
 const SETTLE: Micros = Micros::from_secs(5);
 
+/// Time between two questions to a former holder, however many ledgers wait for the answer.
+const ASK_EVERY: Micros = Micros::from_secs(1);
+
 /// Duration of a weight-store slot; a load takes seconds and must end within half of it.
 const SLOT: Micros = Micros::from_secs(120);
 
@@ -28,6 +31,8 @@
     pub(crate) slots: Slots<Revision>,
     /// Starts of model loads that still count against the rate of the weight store.
     pub(crate) recent: Vec<Instant>,
+    /// Former holders that are being asked whether they gave up, and when they were asked.
+    asked: Vec<(Sender, Instant)>,
     pub(crate) workers: Vec<Managed>,
 }
 
@@ -97,10 +102,21 @@
             started: now,
             slots: Slots::new(settings.dc.clone(), attempt, SLOT),
             recent: Vec::new(),
+            asked: Vec::new(),
             workers: Vec::new(),
         }
     }
 
+    /// Tells whether a former holder should be asked now; all ledgers share the answer.
+    pub(crate) fn may_ask(&mut self, sender: &Sender, now: Instant) -> bool {
+        self.asked.retain(|(_, at)| now.since(*at) < ASK_EVERY);
+        let recent = self.asked.iter().any(|(asked, _)| asked == sender);
+        if !recent {
+            self.asked.push((sender.clone(), now));
+        }
+        !recent
+    }
+
     pub(crate) fn find(&self, id: &BackendId) -> Option<usize> {
         self.workers.binary_search_by(|w| w.id.cmp(id)).ok()
     }
@@ -112,7 +128,14 @@
         dc: &DataCentreId,
     ) -> Vec<(usize, Limits)> {
         let wanted: Vec<_> = workers(deployment, dc).collect();
-        self.workers.retain(|w| wanted.iter().any(|b| b.id == w.id));
+        // A backend server that was removed is kept until its recorded orders are closed.
+        let open = |w: &Managed| {
+            w.ledger
+                .record()
+                .is_some_and(|r| r.pending().next().is_some())
+        };
+        self.workers
+            .retain(|w| open(w) || wanted.iter().any(|b| b.id == w.id));
         let mut changed = Vec::new();
         for b in wanted {
             match self.workers.binary_search_by(|w| w.id.cmp(&b.id)) {
