--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -54,7 +54,6 @@
 //! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 //! let (served, ()) = tokio::join!(gate.serve(listener), gate.drain(Duration::from_millis(1)));
 //! served?;
-//! gate.settle().await;
 //! # Ok::<(), gate::Error>(())
 //! # }).unwrap();
 //! ```
@@ -79,7 +78,7 @@
 mod serve;
 
 pub use count::Counters;
-pub use dispatcher::{Dispatcher, Step};
+pub use dispatcher::{Checks, Dispatcher, Step};
 pub use error::{Category, Error, Result};
 pub use operator::Reporter;
 pub use peers::{NoPeers, Peers};
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     message::{Reply, Request},
-    traffic::Counts,
+    traffic::{Counts, reply_size, request_size},
 };
 
 /// Largest message; a full configuration of design size takes under 1 MB.
@@ -37,6 +37,9 @@
 /// Bounds a connection attempt, the first call included.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bounds the wait for the first call, so that strangers do not hold connections open.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 #[tarpc::service]
 pub(crate) trait Wire {
     /// Authenticates the connection; it must be the first call.
@@ -80,10 +83,10 @@
         let client = self.connect(addr, within).await?;
         let mut cx = context::current();
         cx.deadline = Instant::now() + within;
-        self.counts.sent(kind, &req);
+        self.counts.sent(kind, request_size(&req));
         match timeout(within, client.ask(cx, req)).await {
             Ok(Ok(reply)) if reply != Reply::Denied => {
-                self.counts.received(kind, &reply);
+                self.counts.received(kind, reply_size(&reply));
                 Some(reply)
             }
             _ => {
@@ -163,9 +166,9 @@
             return Reply::Denied;
         }
         let kind = req.kind();
-        self.counts.received(kind, &req);
+        self.counts.received(kind, request_size(&req));
         let reply = self.answer.answer(req).await;
-        self.counts.sent(kind, &reply);
+        self.counts.sent(kind, reply_size(&reply));
         reply
     }
 }
@@ -209,12 +212,14 @@
 async fn serve_connection<A: Answer>(stream: TcpStream, connection: Connection<A>) {
     let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
     let mut requests = Box::pin(BaseChannel::with_defaults(transport).requests());
-    while let Some(request) = requests.next().await {
+    let mut next = timeout(HELLO_TIMEOUT, requests.next()).await.ok().flatten();
+    while let Some(request) = next.take() {
         let Ok(request) = request else {
             // The framing is lost, so the connection ends; the peer opens a new one.
             connection.counts.garbage();
             return;
         };
         tokio::spawn(request.execute(connection.clone().serve()));
+        next = requests.next().await;
     }
 }
