Count no refusal for a probe of readiness

Cause: each failing `/readyz` counted as refusal 306, so the report named refusals that no caller got. Change: the answer to the probe carries the code and is not counted. Conclusion: refusals in the report are those of callers.

--- a/crates/gate/src/operator.rs
+++ b/crates/gate/src/operator.rs
@@ -51,7 +51,7 @@
     ) -> Option<Result<Reply, Refusal>> {
         match path {
             "/livez" => Some(Ok(Reply::full(StatusCode::OK, TEXT, "ok\n"))),
-            "/readyz" => Some(readyz(readiness)),
+            "/readyz" => Some(Ok(readyz(readiness))),
             "/metrics" => Some(self.check(headers).map(|()| {
                 let text = "text/plain; version=0.0.4";
                 Reply::full(StatusCode::OK, text, self.metrics.render())
@@ -88,11 +88,12 @@
     }
 }
 
-fn readyz(readiness: Readiness) -> Result<Reply, Refusal> {
+/// Answers the balancer's probe, which is no request of a caller and counts as no refusal.
+fn readyz(readiness: Readiness) -> Reply {
     match readiness {
-        Readiness::Ready => Ok(Reply::full(StatusCode::OK, TEXT, "ok\n")),
-        Readiness::NoConfiguration => Err(Code::NotReady.into()),
-        Readiness::Draining => Err(Code::Draining.into()),
+        Readiness::Ready => Reply::full(StatusCode::OK, TEXT, "ok\n"),
+        Readiness::NoConfiguration => Refusal::from(Code::NotReady).into(),
+        Readiness::Draining => Refusal::from(Code::Draining).into(),
     }
 }
 
--- a/crates/gate/tests/refusals.rs
+++ b/crates/gate/tests/refusals.rs
@@ -175,6 +175,7 @@
     let ready = || host.anonymous(Method::GET, "/readyz").send();
 
     let before = ready().await.unwrap().status();
+    assert_eq!(host.refusals(), [], "a probe is no refused request");
     check(&host, vec![(host.chat(false), Code::NotReady)]).await;
     host.gate
         .dispatcher()
