Keep tokens out of the debug output of the gate's parts

Cause: `Parts` derived `Debug` and would print the tokens of hosts and operators. Measured: clippy and the tests of both crates pass. Conclusion: no token reaches a log through this type.

--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -40,7 +40,6 @@
 };
 
 /// What a [`Gate`] is made of.
-#[derive(Debug)]
 pub struct Parts<R, N, P, W> {
     /// Clock of the process, the same for every crate.
     pub clock: Monotonic,
@@ -64,6 +63,13 @@
     pub operator_token: Option<String>,
 }
 
+/// Shows no part, because some are secret.
+impl<R, N, P, W> fmt::Debug for Parts<R, N, P, W> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Parts").finish_non_exhaustive()
+    }
+}
+
 /// HTTP API of an entry host.
 pub struct Gate<R, N, P, W> {
     runner: Runner<R, N>,
