Test that a claimed stream is kept only when it is complete

Cause: responses to claimed requests are read completely, streams included, which had no test. Change: the test deployment has a non-idempotent model service; a complete stream is replayed, a cut one leaves the outcome unknown. Conclusion: the stored answer of a stream ends with its closing event.

--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -186,6 +186,27 @@
     assert_eq!(backend.seen().len(), 2);
 }
 
+/// Guards against a claimed stream whose cut is stored as its answer.
+#[tokio::test]
+async fn a_claimed_stream_is_kept_only_when_it_is_complete() {
+    let (backend, host) = start([Act::Events(2), Act::Break(2)]).await;
+    let draft = |key: &str| {
+        let req = host.post("/v1/chat/completions", fixture::chat("once", true));
+        req.header("idempotency-key", key.to_owned())
+    };
+
+    let first = draft("k1").send().await.unwrap().text().await.unwrap();
+    let cut = code(draft("k2")).await;
+    settled(&host).await;
+    let again = draft("k1").send().await.unwrap();
+    let unknown = code(draft("k2")).await;
+
+    assert_eq!(again.headers()["content-type"], "text/event-stream");
+    assert_eq!(first, "data: 0\n\ndata: 1\n\ndata: [DONE]\n\n");
+    assert_eq!(first, again.text().await.unwrap());
+    assert_eq!((cut, unknown, backend.seen().len()), (506, 405, 2));
+}
+
 /// Guards against finished claims that fill the platform, and against a sweep that forgets a
 /// request whose outcome is unknown.
 #[tokio::test]
--- a/crates/gate/tests/serving.rs
+++ b/crates/gate/tests/serving.rs
@@ -113,6 +113,6 @@
         .iter()
         .map(|m| &m["id"])
         .collect();
-    assert_eq!(ids, ["m1", "a1"]);
+    assert_eq!(ids, ["m1", "once", "a1"]);
     assert_eq!(other["data"], serde_json::json!([]));
 }
