Make the gate's tests independent of the load of the machine

Cause: deadlines of 200 and 300 ms and a notice of 50 ms could pass on a busy machine before the step that a test is about. No check is dropped. Conclusion: the verdicts come from events, not from the speed of the machine.

--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -105,7 +105,14 @@
     read(&client, &server, call(1)).await.unwrap();
     read(&client, &server, call(2)).await.unwrap_err();
     read(&client, &server, call(3)).await.unwrap();
-    let hang = tokio::time::timeout(Duration::from_millis(100), read(&client, &server, call(4)));
+    let hang = tokio::spawn({
+        let (client, server) = (client.clone(), server.clone());
+        async move { read(&client, &server, call(4)).await.map(drop) }
+    });
+    while backend.seen().len() < 4 {
+        tokio::task::yield_now().await;
+    }
+    hang.abort();
     hang.await.unwrap_err();
     read(&client, &server, call(5)).await.unwrap();
 
--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -57,7 +57,7 @@
 #[tokio::test]
 async fn a_resend_of_a_running_or_unknown_request_is_not_run() {
     let (backend, host) = start([Act::Hang, Act::Cut]).await;
-    let hanging = host.book(Some("k1"), "{}").header("x-deadline-ms", "300");
+    let hanging = host.book(Some("k1"), "{}").header("x-deadline-ms", "1500");
     let hanging = tokio::spawn(code(hanging));
     while backend.seen().is_empty() {
         tokio::task::yield_now().await;
@@ -139,15 +139,14 @@
 #[tokio::test]
 async fn a_claim_that_can_not_be_read_back_is_withdrawn() {
     let (backend, host) = start([]).await;
-    // The claim takes effect, then neither the read-back nor the first withdrawal gets through.
-    host.platform.push_faults([
-        Some(Fault::AnswerLost),
-        Some(Fault::Unavailable),
-        Some(Fault::Unavailable),
-    ]);
+    // The claim takes effect, and the read-back does not get through.
+    let faults = [Fault::AnswerLost, Fault::Unavailable];
+    host.platform.push_faults(faults.map(Some));
 
     let first = code(host.book(Some("k"), "{}")).await;
+    host.platform.set_down(true);
     let meanwhile = code(host.book(Some("k"), "{}")).await;
+    host.platform.set_down(false);
     let before = backend.seen().len();
     settled(&host).await;
     let after = host.book(Some("k"), "{}").send().await.unwrap();
--- a/crates/gate/tests/failures.rs
+++ b/crates/gate/tests/failures.rs
@@ -50,7 +50,8 @@
         let backend = Backend::start([act, Act::Leave]).await;
         let host = Host::start(&[&backend, &backend]).await;
 
-        let req = host.book(None, "{}").header("x-deadline-ms", "300");
+        let limit = if act == Act::Hang { "1500" } else { "10000" };
+        let req = host.book(None, "{}").header("x-deadline-ms", limit);
 
         assert_eq!(code(req).await, expected, "{act:?}");
         assert_eq!(backend.seen().len(), dispatches, "{act:?}");
@@ -160,7 +161,7 @@
     let backend = Backend::start([Act::Stall]).await;
     let host = Host::start(&[&backend]).await;
 
-    let req = host.chat(true).header("x-deadline-ms", "200");
+    let req = host.chat(true).header("x-deadline-ms", "1000");
     let text = req.send().await.unwrap().text().await.unwrap();
 
     assert!(
--- a/crates/gate/tests/router.rs
+++ b/crates/gate/tests/router.rs
@@ -89,7 +89,8 @@
     for (act, expected) in [(Act::Cut, 502), (Act::Truncate, 506), (Act::Hang, 504)] {
         let ([_, _, b3], host) = start([&[], &[], &[act]]).await;
 
-        let refused = code(host.book(None, "{}").header("x-deadline-ms", "200")).await;
+        let limit = if act == Act::Hang { "1500" } else { "10000" };
+        let refused = code(host.book(None, "{}").header("x-deadline-ms", limit)).await;
 
         assert_eq!(refused, expected, "{act:?}");
         assert_eq!(b3.seen().len(), 1);
--- a/crates/gate/tests/shutdown.rs
+++ b/crates/gate/tests/shutdown.rs
@@ -7,34 +7,39 @@
 use fixture::{Backend, Host, backend::Act};
 use reqwest::Method;
 
-/// Guards against requests that are cut by a shutdown, and against a balancer that sends new ones
-/// because the host still looks ready.
+/// Guards against a balancer that sends requests to a host that refuses them already.
+#[tokio::test]
+async fn requests_are_served_while_the_balancer_takes_notice() {
+    let backend = Backend::start([]).await;
+    let host = Host::start(&[&backend]).await;
+    let gate = std::sync::Arc::clone(&host.gate);
+    let draining = tokio::spawn(async move { gate.drain(Duration::from_secs(30)).await });
+    let ready = host.anonymous(Method::GET, "/readyz");
+    while ready.try_clone().unwrap().send().await.unwrap().status() == 200 {
+        tokio::task::yield_now().await;
+    }
+
+    let answer = host.chat(false).send().await.unwrap();
+
+    assert_eq!(answer.status(), 200);
+    draining.abort();
+}
+
+/// Guards against requests that are cut by a shutdown, and against a server that does not end.
 #[tokio::test]
 async fn in_flight_requests_end_before_the_server_does() {
-    let backend = Backend::start([Act::Slow, Act::Complete]).await;
+    let backend = Backend::start([Act::Slow]).await;
     let host = Host::start(&[&backend]).await;
     let in_flight = tokio::spawn(host.chat(false).send());
     while backend.seen().is_empty() {
         tokio::task::yield_now().await;
     }
 
-    let draining = tokio::spawn({
-        let gate = std::sync::Arc::clone(&host.gate);
-        async move { gate.drain(Duration::from_millis(50)).await }
-    });
-    let ready = host.anonymous(Method::GET, "/readyz");
-    while ready.try_clone().unwrap().send().await.unwrap().status() == 200 {
-        tokio::task::yield_now().await;
-    }
-    let within_notice = host.chat(false).send().await.unwrap();
-    draining.await.unwrap();
+    host.gate.drain(Duration::ZERO).await;
     let answer = in_flight.await.unwrap().unwrap();
     host.task.await.unwrap().unwrap();
 
-    assert_eq!(
-        (within_notice.status().as_u16(), answer.status().as_u16()),
-        (200, 200)
-    );
+    assert_eq!(answer.status(), 200);
     assert_eq!(answer.text().await.unwrap(), r#"{"ok":true}"#);
     let connect = tokio::net::TcpStream::connect(host.addr);
     connect.await.unwrap_err();
@@ -59,7 +64,7 @@
 async fn a_stream_runs_to_its_deadline() {
     let backend = Backend::start([Act::Stall]).await;
     let host = Host::start(&[&backend]).await;
-    let req = host.chat(true).header("x-deadline-ms", "300");
+    let req = host.chat(true).header("x-deadline-ms", "1000");
     let stream = req.send().await.unwrap();
 
     host.gate.drain(Duration::ZERO).await;
