--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -37,7 +37,8 @@
     error::{Category, Error, Result},
     facts::Reporter,
     links::{ControlPeers, Elsewhere, Engines, Exchange, GatePeers, Served, Servers},
-    poll, share,
+    poll::{self, Changed},
+    share,
 };
 
 /// Period of the router's clock, which bounds how late a queued request is refused.
@@ -73,6 +74,7 @@
     pub(crate) client: Client,
     pub(crate) servers: Servers,
     pub(crate) elsewhere: Elsewhere,
+    pub(crate) changed: Changed,
     pub(crate) exchange: Exchange,
     pub(crate) control: control::Handle,
     pub(crate) gate: Arc<HostGate>,
@@ -242,6 +244,7 @@
         client,
         servers,
         elsewhere,
+        changed: Changed::default(),
         exchange,
         control,
         gate,
@@ -404,10 +407,20 @@
     hosts.filter_map(|h| h.name.parse().ok()).collect()
 }
 
+/// Has a backend server polled whose residents differ from those that the router knows.
+fn note_residents(host: &Host, backend: &BackendId, told: u16) {
+    let dispatcher = host.gate.dispatcher();
+    let known = dispatcher.with_router(|router| router.residents_check(backend));
+    if told != 0 && known != Some(told) {
+        host.changed.add(backend.clone());
+    }
+}
+
 async fn follow_news(host: Arc<Host>, mut news: mpsc::Receiver<News>) {
     while let Some(item) = news.recv().await {
         match item {
             News::Digest { backend, load, age } => {
+                note_residents(&host, &backend, load.residents);
                 host.gate
                     .dispatcher()
                     .feed(Event::Digest { backend, load, age });
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use metrics::counter;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use types::{Epoch, LoadReport, Order};
@@ -11,6 +12,9 @@
     error::{Category, Error, Result},
 };
 
+/// Counter of bytes of load reports and other control answers, without headers.
+const CONTROL_BYTES: &str = "celerytally_load_report_bytes_total";
+
 /// Bounds the read of a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -107,5 +111,6 @@
 async fn decode<T: serde::de::DeserializeOwned>(server: &Server, answer: Response) -> Result<T> {
     let garbage = |e: String| Error::new(Category::Garbage, &server.id, e);
     let body = answer.bytes().await.map_err(|e| garbage(root(&e)))?;
+    counter!(CONTROL_BYTES).increment(body.len() as u64);
     serde_json::from_slice(&body).map_err(|e| garbage(e.to_string()))
 }
--- a/crates/peer/src/load.rs
+++ b/crates/peer/src/load.rs
@@ -22,14 +22,20 @@
 /// Time for which a new life of a server process is sent in full; afterwards a check byte is.
 const LIFE_NEWS: Micros = Micros::from_secs(30);
 
+/// Time for which new residents are told; a host that misses it polls the server in its turn.
+const RESIDENTS_NEWS: Micros = Micros::from_secs(10);
+
 const LIFE_IN_FULL: u8 = 4;
 
+const RESIDENTS_TOLD: u8 = 8;
+
 #[derive(Clone, Copy, Debug)]
 struct View {
     load: BackendLoad,
     /// When the reporting host saw it.
     seen: Instant,
     life_since: Instant,
+    residents_since: Instant,
 }
 
 /// Newest views of the load of the data centre's backend servers.
@@ -80,10 +86,12 @@
             return false;
         }
         let same_life = view.filter(|v| v.load.incarnation == load.incarnation);
+        let same_residents = view.filter(|v| v.load.residents == load.residents);
         *view = Some(View {
             load,
             seen,
             life_since: same_life.map_or(seen, |v| v.life_since),
+            residents_since: same_residents.map_or(seen, |v| v.residents_since),
         });
         true
     }
@@ -143,7 +151,9 @@
             Liveness::Leaving => 1,
             Liveness::Dead => 2,
         };
-        buf.push(liveness | if in_full { LIFE_IN_FULL } else { 0 });
+        let tell = now.since(self.residents_since) < RESIDENTS_NEWS;
+        let life = if in_full { LIFE_IN_FULL } else { 0 };
+        buf.push(liveness | life | if tell { RESIDENTS_TOLD } else { 0 });
         if in_full {
             codec::put(buf, self.load.incarnation.get());
         } else {
@@ -152,6 +162,9 @@
         codec::put(buf, u64::from(self.load.in_flight));
         codec::put(buf, u64::from(self.load.own));
         codec::put(buf, u64::from(self.load.tokens_per_second));
+        if tell {
+            buf.extend_from_slice(&self.load.residents.to_le_bytes());
+        }
         // Rounding up keeps a view from becoming younger on its way.
         codec::put(buf, now.since(self.seen).get().div_ceil(AGE_UNIT));
     }
@@ -164,7 +177,7 @@
 /// Decodes a view; the load is absent when it is of a life that is not known in full.
 fn decode_view(r: &mut Reader<'_>, known: Option<View>) -> Option<(Option<BackendLoad>, Micros)> {
     let flags = r.byte()?;
-    let liveness = match flags & !LIFE_IN_FULL {
+    let liveness = match flags & !(LIFE_IN_FULL | RESIDENTS_TOLD) {
         0 => Liveness::Live,
         1 => Liveness::Leaving,
         2 => Liveness::Dead,
@@ -181,6 +194,11 @@
     let in_flight = u16::try_from(r.number()?).ok()?;
     let own = u16::try_from(r.number()?).ok()?;
     let tokens_per_second = u32::try_from(r.number()?).ok()?;
+    let residents = if flags & RESIDENTS_TOLD == 0 {
+        known.map(|v| v.load.residents).unwrap_or_default()
+    } else {
+        u16::from_le_bytes([r.byte()?, r.byte()?])
+    };
     let age = Micros::new(r.number()?.checked_mul(AGE_UNIT)?);
     let load = incarnation.map(|incarnation| BackendLoad {
         incarnation,
@@ -188,6 +206,7 @@
         in_flight,
         own,
         tokens_per_second,
+        residents,
     });
     Some((load, age))
 }
--- a/crates/peer/tests/state/knowledge.rs
+++ b/crates/peer/tests/state/knowledge.rs
@@ -22,6 +22,7 @@
         in_flight,
         own: 1,
         tokens_per_second: 900,
+        residents: 7,
     }
 }
 
--- a/crates/peer/tests/state/traffic.rs
+++ b/crates/peer/tests/state/traffic.rs
@@ -46,6 +46,7 @@
                 in_flight: rng.random_range(0..60),
                 own: rng.random_range(0..4),
                 tokens_per_second: rng.random_range(0..3_000),
+                residents: rng.random_range(1..4),
             };
             (id, load, Micros::from_millis(50))
         };
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -64,6 +64,8 @@
     pub residents: Vec<Resident>,
     /// Adapters, sorted.
     pub adapters: Vec<u16>,
+    /// Check value of the last report's residents; zero before the first report.
+    pub residents_check: u16,
     pub prefixes: Prefixes,
     history: Vec<(Instant, u16)>,
 }
@@ -89,6 +91,7 @@
             pace: 1.0,
             residents: Vec::new(),
             adapters: Vec::new(),
+            residents_check: 0,
             prefixes: Prefixes::default(),
             history: Vec::new(),
         }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -99,6 +99,8 @@
     pub own: u16,
     /// Tokens generated a second over all requests.
     pub tokens_per_second: u32,
+    /// Check value of what is resident, as of the reporting host; zero when that is not known.
+    pub residents: u16,
 }
 
 /// Why an attempt failed.
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -8,6 +8,22 @@
     router::{Router, Scope},
 };
 
+/// Returns a check value of residents that is equal on all hosts and never zero.
+fn check_residents(residents: &[types::Resident]) -> u16 {
+    let mut sorted: Vec<_> = residents.iter().collect();
+    sorted.sort_unstable();
+    let mut hasher = blake3::Hasher::new();
+    for resident in sorted {
+        hasher.update(resident.name.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(resident.version.as_str().as_bytes());
+        hasher.update(&[u8::from(resident.adapter)]);
+    }
+    let hash = hasher.finalize();
+    let [low, high, ..] = *hash.as_bytes();
+    u16::from_le_bytes([low, high]).max(1)
+}
+
 impl Router {
     fn backend_index(&self, id: &BackendId) -> Option<u32> {
         self.names.as_ref()?.backend(id)
@@ -41,6 +57,7 @@
         } else if b.leaving_by.is_none() {
             b.liveness = Liveness::Live;
         }
+        b.residents_check = check_residents(&report.residents);
         let (residents, adapters) = self.residents_of(backend, report);
         self.set_residents(backend, residents, adapters);
         self.pump(now, Scope::Backend(backend), out);
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -75,12 +75,20 @@
                         reason = "a float-to-integer cast saturates, which suits a digest"
                     )]
                     tokens_per_second: b.tokens_per_second as u32,
+                    residents: b.residents_check,
                 },
                 age: now.since(b.measured),
                 pace: b.pace,
             })
     }
 
+    /// Returns the check value of a backend server's residents, zero before its first report.
+    #[must_use]
+    pub fn residents_check(&self, backend: &BackendId) -> Option<u16> {
+        let at = self.names.as_ref()?.backend(backend)?;
+        Some(self.backends.get(at as usize)?.residents_check)
+    }
+
     /// Returns the models of which no live backend server of this data centre holds a copy.
     pub fn missing(&self) -> impl Iterator<Item = &ModelId> {
         let models = self.names.iter().flat_map(|n| &n.deployment().models);
--- a/crates/route/tests/behaviour/choice.rs
+++ b/crates/route/tests/behaviour/choice.rs
@@ -63,6 +63,7 @@
             in_flight: 0,
             own: 0,
             tokens_per_second: 0,
+            residents: 0,
         },
         age: Micros::from_millis(900),
     });
