--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -65,7 +65,7 @@
             half_batch: 4.0,
             prompt_weight: 0.05,
             choices: 0,
-            margin: 1.2,
+            margin: 1.4,
             retry_fraction: 0.1,
             retry_burst: 10.0,
             max_attempts: 3,
