--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -26,11 +26,15 @@
 //! struct Report;
 //!
 //! impl Reporter for Report {
-//!     fn text(&self) -> String {
+//!     async fn text(&self) -> String {
 //!         "OK".to_owned()
 //!     }
 //!
-//!     fn json(&self) -> serde_json::Value {
+//!     async fn json(&self) -> serde_json::Value {
+//!         serde_json::json!({})
+//!     }
+//!
+//!     fn local(&self) -> serde_json::Value {
 //!         serde_json::json!({})
 //!     }
 //! }
@@ -54,7 +58,6 @@
 //! let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
 //! let (served, ()) = tokio::join!(gate.serve(listener), gate.drain(Duration::from_millis(1)));
 //! served?;
-//! gate.settle().await;
 //! # Ok::<(), gate::Error>(())
 //! # }).unwrap();
 //! ```
@@ -79,7 +82,7 @@
 mod serve;
 
 pub use count::Counters;
-pub use dispatcher::{Dispatcher, Step};
+pub use dispatcher::{Checks, Dispatcher, Step};
 pub use error::{Category, Error, Result};
 pub use operator::Reporter;
 pub use peers::{NoPeers, Peers};
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -5,7 +5,7 @@
 use config::{Manifest, Snapshot};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::Fingerprint;
-use store::HostRole;
+use store::{HostRole, HostState};
 use types::{BackendId, ConfigVersion, DataCentreId, Deadline, HostId, Instant, Micros};
 
 use crate::{
@@ -28,6 +28,9 @@
 /// Bounds a load from the platform, after which it may be tried again.
 const LOAD_TIMEOUT: Micros = Micros::from_secs(5);
 
+/// Rounds of exchange started at once by a host that drains, which may stop before the next one.
+const FAREWELLS: usize = 3;
+
 /// Hosts of a data centre that watch the platform.
 const RELAYS: usize = 2;
 
@@ -57,6 +60,8 @@
     pub(crate) loading: Option<Deadline>,
     /// Newer manifest and when its chunks are read unless a peer brings it first.
     pub(crate) wanted: Option<(Manifest, Deadline)>,
+    /// Members that the process was told of.
+    pub(crate) told: Vec<Member>,
     pub(crate) live: Vec<HostId>,
     pub(crate) live_since: Instant,
 }
@@ -92,6 +97,7 @@
             pulling: None,
             loading: None,
             wanted: None,
+            told: Vec::new(),
             live: Vec::new(),
             live_since: now,
             params,
@@ -101,7 +107,7 @@
     pub(crate) fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
         match ev {
             Event::Tick => self.tick(now, out),
-            Event::Own(state) => self.members.change_own(now, |row| row.state = state),
+            Event::Own(state) => self.change_state(now, state, out),
             Event::Loads(views) => {
                 for (id, load, age) in views {
                     let seen = now.as_micros().saturating_sub(age.get());
@@ -143,10 +149,24 @@
         }
     }
 
+    fn change_state(&mut self, now: Instant, state: OwnState, out: &mut Vec<Action>) {
+        self.members.change_own(now, |row| row.state = state);
+        if state == OwnState::Draining {
+            let members = self.members.list(now);
+            for _ in 0..FAREWELLS {
+                self.exchange(now, &members, out);
+            }
+        }
+    }
+
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.round += 1;
         self.members.beat(self.versions.version(), now);
         self.members.forget(now);
+        let listed = self.hosts.hosts().iter();
+        let leaving = listed.filter(|h| h.role == HostRole::Entry && h.state == HostState::Leaving);
+        let leaving: Vec<&str> = leaving.map(|h| h.name.as_str()).collect();
+        self.members.set_leaving(&leaving);
         self.choose_relays(now, out);
         if self.next_read.is_past(now) && self.params.spread != Spread::Watch {
             // The random part keeps the reads of a fleet that started together apart.
@@ -161,9 +181,13 @@
             out.push(Action::ReadManifest);
         }
         self.load_wanted(now, out);
-        self.tell_residents(now, out);
-        self.exchange(now, out);
-        out.push(Action::Members(self.members.list(now)));
+        let members = self.members.list(now);
+        self.tell_residents(&members, out);
+        self.exchange(now, &members, out);
+        if members != self.told {
+            self.told.clone_from(&members);
+            out.push(Action::Members(members));
+        }
     }
 
     fn choose_relays(&mut self, now: Instant, out: &mut Vec<Action>) {
@@ -190,9 +214,8 @@
         }
     }
 
-    fn tell_residents(&mut self, now: Instant, out: &mut Vec<Action>) {
+    fn tell_residents(&mut self, members: &[Member], out: &mut Vec<Action>) {
         let mut news = Vec::new();
-        let members = self.members.list(now);
         let reachable = |dc: &DataCentreId| {
             let answers = |m: &Member| m.dc == *dc && m.state != MemberState::Gone;
             members.iter().any(answers)
@@ -259,12 +282,7 @@
         if !changed {
             return;
         }
-        let inventory = self.hosts.inventory();
-        let leaving = inventory.of_role(HostRole::Entry);
-        let leaving = leaving.filter(|h| h.state == store::HostState::Leaving);
-        let leaving: Vec<&str> = leaving.map(|h| h.name.as_str()).collect();
-        self.members.set_leaving(&leaving);
-        out.push(Action::Inventory(inventory));
+        out.push(Action::Inventory(self.hosts.inventory()));
     }
 
     /// Returns the host that grants the suspect slot of a backend server.
