--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -300,6 +300,12 @@
             self.want(now, slot, false, out);
         }
         self.count_demand(now, slot, true);
+        let elsewhere = self.flights.get(slot).is_some_and(|f| f.rounds > 0);
+        let code = if elsewhere {
+            Code::DeadlineUnreachable
+        } else {
+            code
+        };
         self.give_up(rank, slot, code, out)
     }
 
--- a/crates/route/tests/behaviour/choice.rs
+++ b/crates/route/tests/behaviour/choice.rs
@@ -216,3 +216,31 @@
     host.send(|_| {});
     assert_eq!(host.dispatched().len(), 1);
 }
+
+/// Guards against "not resident" for a model that another data centre holds and has no place for.
+#[test]
+fn a_request_refused_elsewhere_is_offered_again_until_its_deadline() {
+    let mut host = Host::new(|_| {});
+    host.step(Event::Remote {
+        dc: "b".parse().expect("a name"),
+        models: vec!["m2".parse().expect("a name")],
+    });
+    let forwards = |host: &Host| {
+        let is = |a: &&Action| matches!(a, Action::Forward { .. });
+        host.out.iter().filter(is).count()
+    };
+    let id = host.send(|t| t.target = model("m2"));
+    let mut sent = forwards(&host);
+    for _ in 0..50 {
+        if forwards(&host) > 0 {
+            host.fail(id, RetryReason::Refused, false);
+        }
+        if !host.refused().is_empty() {
+            break;
+        }
+        host.pass(100);
+        sent += forwards(&host);
+    }
+    assert_eq!(host.refused(), [(id, Code::DeadlineUnreachable)]);
+    assert_eq!(sent, 5, "the pauses of 0.2, 0.4, 0.8 and 1.6 s double");
+}
