--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -35,6 +35,8 @@
     pub posts: usize,
     /// Every how many posts one is lost; none if zero.
     pub lose_every: usize,
+    /// Time that a post takes to arrive.
+    pub slow: Duration,
     /// Most memory that was in use at once.
     pub most: Bytes,
 }
@@ -64,6 +66,11 @@
         self.lock().iter().map(|(_, e)| e.posts).sum()
     }
 
+    /// Sets the time that posts to a backend server take to arrive.
+    pub fn slow(&self, id: &BackendId, time: Duration) {
+        self.with(id, |engine| engine.slow = time);
+    }
+
     fn with<T>(&self, id: &BackendId, f: impl FnOnce(&mut Engine) -> T) -> T {
         let mut fleet = self.lock();
         if !fleet.iter().any(|(known, _)| known == id) {
@@ -98,6 +105,8 @@
 
 impl Engines for Fleet {
     async fn post(&self, backend: &BackendId, order: &Order) -> Answer {
+        let slow = self.with(backend, |engine| engine.slow);
+        tokio::time::sleep(slow).await;
         let new = self.with(backend, |engine| {
             engine.posts += 1;
             if engine.lose_every > 0 && engine.posts.is_multiple_of(engine.lose_every) {
--- a/crates/orders/src/adapters.rs
+++ b/crates/orders/src/adapters.rs
@@ -1,5 +1,7 @@
 //! Batches of adapter orders within the adapter pool of a backend server.
 
+use std::cmp::Reverse;
+
 use types::{Bytes, DataCentreId, Instant, OrderOp, VersionTag, rank};
 
 use crate::copies::{Copy, CopyState};
@@ -43,49 +45,86 @@
     loads: usize,
 ) -> Vec<AdapterMove> {
     let present: Vec<&Copy> = copies.iter().filter(|c| c.adapter).collect();
-    let matches = |c: &Copy, a: &Adapter| c.name == a.name && c.version == a.version;
-    let used_at = |c: &Copy| {
-        let mut wanted = wanted.iter();
-        wanted.find(|a| matches(c, a)).map(|a| a.last_used)
-    };
-    let mut free = pool.saturating_sub(present.iter().map(|c| c.bytes).sum());
-    let mut coming = free + unloading(&present);
-    // Adapters that do not belong here go first, then the least recently used.
-    let mut victims: Vec<&Copy> = present.clone();
-    victims.retain(|c| c.state == CopyState::Ready);
-    victims.sort_by_key(|c| used_at(c));
-    let mut victims = victims.into_iter().peekable();
-    let mut moves = Vec::new();
-    while let Some(copy) = victims.next_if(|c| used_at(c).is_none()) {
-        coming += copy.bytes;
-        moves.push(unload(copy));
-    }
     let mut missing: Vec<&Adapter> = wanted.iter().collect();
-    missing.retain(|a| !present.iter().any(|c| matches(c, a)));
+    missing.retain(|a| !present.iter().any(|c| is_copy_of(c, a)));
     missing.sort_by(|a, b| b.last_used.cmp(&a.last_used).then(a.name.cmp(&b.name)));
-    let mut started = 0;
+    let mut batch = Batch::new(&present, pool, wanted, loads);
     for adapter in missing {
-        if adapter.bytes <= free {
-            if started < loads {
-                started += 1;
-                free = free.saturating_sub(adapter.bytes);
-                coming = coming.saturating_sub(adapter.bytes);
-                moves.push(load(adapter));
+        batch.place(adapter);
+    }
+    batch.moves
+}
+
+fn is_copy_of(copy: &Copy, adapter: &Adapter) -> bool {
+    copy.name == adapter.name && copy.version == adapter.version
+}
+
+/// Moves of one round while they are being chosen.
+struct Batch<'a> {
+    /// Memory that a load may take now.
+    free: Bytes,
+    /// Free memory and that of copies which are being unloaded.
+    coming: Bytes,
+    /// Copies that may be evicted and when they were last used, the first to go at the end.
+    victims: Vec<(Instant, &'a Copy)>,
+    loads: usize,
+    moves: Vec<AdapterMove>,
+}
+
+impl<'a> Batch<'a> {
+    fn new(present: &[&'a Copy], pool: Bytes, wanted: &[Adapter], loads: usize) -> Self {
+        let free = pool.saturating_sub(present.iter().map(|c| c.bytes).sum());
+        let mut batch = Self {
+            free,
+            coming: free + unloading(present),
+            victims: Vec::new(),
+            loads,
+            moves: Vec::new(),
+        };
+        for copy in present.iter().filter(|c| c.state == CopyState::Ready) {
+            match wanted.iter().find(|a| is_copy_of(copy, a)) {
+                Some(adapter) => batch.victims.push((adapter.last_used, copy)),
+                // What does not belong here goes whether or not its memory is needed.
+                None => batch.evict(copy),
             }
-            continue;
         }
-        let older = |c: &&Copy| used_at(c) < Some(adapter.last_used);
-        while adapter.bytes > coming
-            && let Some(copy) = victims.next_if(older)
+        batch.victims.sort_by_key(|(used, _)| Reverse(*used));
+        batch
+    }
+
+    fn evict(&mut self, copy: &Copy) {
+        self.coming += copy.bytes;
+        self.moves.push(unload(copy));
+    }
+
+    /// Loads an adapter if there is room, or else makes room for it.
+    fn place(&mut self, adapter: &Adapter) {
+        if adapter.bytes <= self.free {
+            if self.loads > 0 {
+                self.loads -= 1;
+                self.free = self.free.saturating_sub(adapter.bytes);
+                self.coming = self.coming.saturating_sub(adapter.bytes);
+                self.moves.push(load(adapter));
+            }
+            return;
+        }
+        let older = self
+            .victims
+            .iter()
+            .filter(|(used, _)| *used < adapter.last_used);
+        let reach: Bytes = older.map(|(_, copy)| copy.bytes).sum();
+        if adapter.bytes > self.coming + reach {
+            return;
+        }
+        while adapter.bytes > self.coming
+            && let Some((_, copy)) = self.victims.pop_if(|(used, _)| *used < adapter.last_used)
         {
-            coming += copy.bytes;
-            moves.push(unload(copy));
+            self.evict(copy);
         }
-        coming = coming.saturating_sub(adapter.bytes);
-        // Nothing smaller may take the room that was made for this one.
-        free = Bytes::ZERO;
+        self.coming = self.coming.saturating_sub(adapter.bytes);
+        // Nothing smaller may take the room that is made for this one.
+        self.free = Bytes::ZERO;
     }
-    moves
 }
 
 /// Returns a data centre's part of a limit: even parts, the rest by rendezvous hash.
--- a/crates/orders/tests/adapters.rs
+++ b/crates/orders/tests/adapters.rs
@@ -58,6 +58,18 @@
     assert_eq!(plan_adapters(&copies, Bytes::new(10), &wanted, 4), []);
 }
 
+#[test]
+fn an_adapter_that_can_not_fit_evicts_nothing_and_blocks_nobody() {
+    let copies = [copy("a", 4, CopyState::Ready)];
+    let wanted = [
+        adapter("a", 4, 1),
+        adapter("big", 12, 3),
+        adapter("small", 2, 2),
+    ];
+    let moves = plan_adapters(&copies, Bytes::new(10), &wanted, 4);
+    assert_eq!(names(&moves), [(OrderOp::LoadAdapter, "small")]);
+}
+
 #[test]
 fn loads_in_flight_are_capped() {
     let wanted = [adapter("a", 1, 2), adapter("b", 1, 3), adapter("c", 1, 1)];
