Tell the router of residents only when they changed

Change: a record remembers what the router was told; heartbeat lists, which are sorted like the members, are walked.

--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -271,7 +271,9 @@
         dc: Option<&DataCentreId>,
         now: Instant,
     ) -> Result<(), Garbage> {
-        self.heard(&msg.host, msg.counter, msg.version, now);
+        if let Ok(at) = self.find(&msg.host) {
+            self.heard(at, msg.counter, msg.version, now);
+        }
         let Some((_, table)) = self.tables.iter().find(|(hash, _)| *hash == msg.table) else {
             return Ok(());
         };
@@ -284,6 +286,8 @@
             .sparse(included().count())
             .ok_or(Garbage)?;
         let mut beats = Reader::new(&msg.beats);
+        // Both lists are sorted, so one walk over them replaces a search for each host.
+        let mut at = 0;
         for ((id, _), lag) in included().zip(lags) {
             let behind = beats.signed().ok_or(Garbage)?;
             if behind.unsigned_abs() > MAX_LAG {
@@ -291,7 +295,12 @@
             }
             let counter = msg.counter.wrapping_sub(behind.cast_unsigned());
             let version = msg.version.get().wrapping_sub(lag.cast_unsigned());
-            self.heard(id, counter, ConfigVersion::new(version), now);
+            while self.known.get(at).is_some_and(|k| k.row.id < *id) {
+                at += 1;
+            }
+            if self.known.get(at).is_some_and(|k| k.row.id == *id) {
+                self.heard(at, counter, ConfigVersion::new(version), now);
+            }
         }
         if beats.is_empty() {
             Ok(())
@@ -300,14 +309,13 @@
         }
     }
 
-    fn heard(&mut self, id: &HostId, counter: u64, version: ConfigVersion, now: Instant) {
-        let Ok(at) = self.find(id) else { return };
+    fn heard(&mut self, at: usize, counter: u64, version: ConfigVersion, now: Instant) {
         let known = &mut self.known[at];
         if counter <= known.counter {
             return;
         }
         known.counter = counter;
-        if *id == self.own {
+        if known.row.id == self.own {
             // A former life of this host counted further; the next heartbeat continues from there.
             return;
         }
--- a/crates/peer/src/residents.rs
+++ b/crates/peer/src/residents.rs
@@ -17,13 +17,19 @@
 const BITMAP: u8 = 0;
 const GAPS: u8 = 1;
 
+#[derive(Debug)]
+struct Record {
+    residents: Residents,
+    hash: u64,
+    /// Hash of the record that the router was told, zero when it was told of none.
+    told: Option<u64>,
+}
+
 /// Models that are resident in each data centre, as its first-ranked host publishes them.
 #[derive(Debug, Default)]
 pub(crate) struct AllResidents {
     /// Sorted by data centre.
-    records: Vec<Residents>,
-    /// What the router was told, sorted by data centre.
-    told: Vec<(DataCentreId, Vec<ModelId>)>,
+    records: Vec<Record>,
     /// Sorted.
     table: Vec<ModelId>,
     hash: u32,
@@ -47,7 +53,7 @@
     }
 
     fn find(&self, dc: &DataCentreId) -> Result<usize, usize> {
-        self.records.binary_search_by(|r| r.dc.cmp(dc))
+        self.records.binary_search_by(|r| r.residents.dc.cmp(dc))
     }
 
     /// Publishes the own residents if they changed and the last change is long enough ago.
@@ -60,7 +66,7 @@
         }
         let models = encode(&self.table, &self.own);
         let found = self.find(dc);
-        let known = found.ok().map(|at| &self.records[at]);
+        let known = found.ok().map(|at| &self.records[at].residents);
         if known.is_some_and(|r| r.table == self.hash && r.models == models) {
             return;
         }
@@ -75,16 +81,31 @@
     }
 
     fn put(&mut self, new: Residents) {
+        let stamp = new.stamp.to_le_bytes();
+        let hash = crate::hash(&[new.dc.as_str().as_bytes(), &stamp, &new.models]).max(1);
         match self.find(&new.dc) {
-            Ok(at) => self.records[at] = new,
-            Err(at) => self.records.insert(at, new),
+            Ok(at) => {
+                self.records[at].residents = new;
+                self.records[at].hash = hash;
+            }
+            Err(at) => self.records.insert(
+                at,
+                Record {
+                    residents: new,
+                    hash,
+                    told: None,
+                },
+            ),
         }
     }
 
     /// Takes over records that are newer.
     pub(crate) fn merge(&mut self, records: Vec<Residents>) {
         for new in records {
-            let known = self.find(&new.dc).ok().map(|at| &self.records[at]);
+            let known = self
+                .find(&new.dc)
+                .ok()
+                .map(|at| &self.records[at].residents);
             let order = |r: &Residents| (r.stamp, r.table, r.models.clone());
             if known.is_none_or(|k| order(k) < order(&new)) {
                 self.put(new);
@@ -93,19 +114,14 @@
     }
 
     pub(crate) fn digest_hash(&self) -> u32 {
-        let parts = self.records.iter().map(|r| {
-            let stamp = r.stamp.to_le_bytes();
-            crate::hash(&[r.dc.as_str().as_bytes(), &stamp, &r.models])
-        });
+        let parts = self.records.iter().map(|r| r.hash);
         let sum = parts.fold(0_u64, u64::wrapping_add).to_le_bytes();
         u32::from_le_bytes([sum[0], sum[1], sum[2], sum[3]])
     }
 
     pub(crate) fn stamps(&self) -> Vec<(DataCentreId, u64)> {
-        self.records
-            .iter()
-            .map(|r| (r.dc.clone(), r.stamp))
-            .collect()
+        let records = self.records.iter().map(|r| &r.residents);
+        records.map(|r| (r.dc.clone(), r.stamp)).collect()
     }
 
     /// Returns the records that are not older than a peer's stamps.
@@ -114,7 +130,8 @@
             let theirs = stamps.iter().find(|(dc, _)| *dc == r.dc);
             theirs.is_none_or(|(_, stamp)| *stamp < r.stamp)
         };
-        self.records.iter().filter(newer).cloned().collect()
+        let records = self.records.iter().map(|r| &r.residents);
+        records.filter(newer).cloned().collect()
     }
 
     /// Tells the router what changed; a data centre that can't be reached holds nothing.
@@ -125,26 +142,25 @@
         out: &mut Vec<Outgoing>,
     ) -> Result<(), Garbage> {
         let mut garbage = false;
-        for r in self.records.iter().filter(|r| r.dc != *own) {
-            let models = if !reachable(&r.dc) {
-                Vec::new()
-            } else if r.table != self.hash {
-                // Published under another list of models; a new record follows.
+        let others = self.records.iter_mut();
+        for r in others.filter(|r| r.residents.dc != *own) {
+            let reachable = reachable(&r.residents.dc);
+            let state = Some(if reachable { r.hash } else { 0 });
+            // A record of another list of models can't be read; a new one follows.
+            if state == r.told || (reachable && r.residents.table != self.hash) {
                 continue;
-            } else if let Some(models) = decode(&self.table, &r.models) {
-                models
+            }
+            r.told = state;
+            let models = if reachable {
+                decode(&self.table, &r.residents.models)
             } else {
-                garbage = true;
-                continue;
+                Some(Vec::new())
             };
-            let found = self.told.binary_search_by(|(dc, _)| dc.cmp(&r.dc));
-            match found {
-                Ok(at) if self.told[at].1 == models => continue,
-                Ok(at) => self.told[at].1.clone_from(&models),
-                Err(at) => self.told.insert(at, (r.dc.clone(), models.clone())),
+            let dc = r.residents.dc.clone();
+            match models {
+                Some(models) => out.push(Outgoing::Remote { dc, models }),
+                None => garbage = true,
             }
-            let dc = r.dc.clone();
-            out.push(Outgoing::Remote { dc, models });
         }
         if garbage { Err(Garbage) } else { Ok(()) }
     }
