Measure a full copy of the configuration

Cause: a host that starts or lags far behind pulls all entries in one message, whose size at design size was not known.

--- a/crates/peer/tests/state/traffic.rs
+++ b/crates/peer/tests/state/traffic.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeMap;
 
+use config::{Adapter, Delta, Priority, Snapshot};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use route::{BackendLoad, Liveness};
-use types::{BackendId, Incarnation, Micros, ModelId};
+use types::{AttemptId, BackendId, Bytes, Incarnation, Micros, ModelId};
 
 use super::{
-    fixture::Size,
+    fixture::{self, Size},
     sim::{PERIOD, Sim, SimHost},
 };
-use crate::event::{Event, Spread};
+use crate::{
+    event::{Event, Spread},
+    message::Reply,
+    traffic,
+};
 
 const DESIGN: Size = Size {
     hosts: 390,
@@ -123,3 +128,22 @@
     println!("| news of one host | {digests} |");
     assert!(mean < BYTES_PER_SECOND, "{mean} B/s");
 }
+
+/// Guards against a full copy that exceeds the largest frame of a connection.
+#[test]
+fn a_full_copy_at_design_size_is_small() {
+    let mut d = fixture::deployment(DESIGN);
+    let adapter = |i: usize| Adapter {
+        id: format!("adapter-with-a-long-name-{i:04}").parse().unwrap(),
+        version: "2026.12".parse().unwrap(),
+        model: d.models[i % DESIGN.models].id.clone(),
+        bytes: Bytes::new(300 << 20),
+        priority: Priority::new(1),
+    };
+    d.adapters = (0..3_400).map(adapter).collect();
+    let snapshot = Snapshot::next(None, &d, "ana", AttemptId::new(1));
+    let delta = Delta::between(None, &snapshot);
+    let size = traffic::reply_size(&Reply::Config(Some(Box::new(delta))));
+    println!("| full copy at design size | {size} B |");
+    assert!(size < 1_000_000, "{size} B");
+}
