--- a/crates/celerytally/src/lib.rs
+++ b/crates/celerytally/src/lib.rs
@@ -20,11 +20,13 @@
 pub mod cli;
 mod error;
 mod facts;
+mod hints;
 mod links;
 mod operator;
 mod poll;
 mod serve;
 mod share;
+mod sweep;
 
 use std::process::ExitCode;
 
--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -85,7 +85,9 @@
         match self.client.order(&server, order).await {
             Ok(()) => Answer::Accepted,
             Err(e) => match e.category() {
-                engine::Category::Fenced => Answer::Stale(order.fence.next()),
+                engine::Category::Fenced => {
+                    Answer::Stale(e.fence().unwrap_or_else(|| order.fence.next()))
+                }
                 engine::Category::OutOfMemory => Answer::NoMemory,
                 _ => Answer::Lost,
             },
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -36,9 +36,10 @@
 use crate::{
     error::{Category, Error, Result},
     facts::Reporter,
+    hints,
     links::{ControlPeers, Elsewhere, Engines, Exchange, GatePeers, Served, Servers},
     poll::{self, Changed},
-    share,
+    share, sweep,
 };
 
 /// Period of the router's clock, which bounds how late a queued request is refused.
@@ -124,6 +125,8 @@
     tasks.spawn(follow_news(Arc::clone(&host), news));
     tasks.spawn(poll::run(Arc::clone(&host)));
     tasks.spawn(share::run(Arc::clone(&host)));
+    tasks.spawn(hints::run(Arc::clone(&host)));
+    tasks.spawn(sweep::run(Arc::clone(&host)));
     tasks.spawn(tick(Arc::clone(&host)));
     let gate = Arc::clone(&host.gate);
     let server = tokio::spawn(async move { gate.serve(listener).await });
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -91,7 +91,7 @@
     401 ClaimStoreAway "claim_store_away" 503 No true "the platform can not record the claim";
     402 KeyReused "key_reused" 422 No false "the idempotency key was used with another body";
     403 AlreadyRan "already_ran" 409 Yes false "the keyed request ran; its answer was not kept";
-    404 StillRunning "still_running" 409 Yes true "the keyed request is running";
+    404 StillRunning "still_running" 409 Unknown true "the keyed request is running";
     405 OutcomeUnknown "outcome_unknown" 409 Unknown false "the keyed request was dispatched and its outcome is unknown";
     406 ClaimUnresolved "claim_unresolved" 503 No true "an earlier claim of the key is not resolved yet";
     501 Unreachable "unreachable" 502 No true "no connection to the backend server";
