--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -20,8 +20,10 @@
 /// Time over which each run is measured.
 const SPAN: Duration = Duration::from_secs(15);
 
-/// Time after the first `OK` before the idle measurement, in which loads and deltas end.
-const SETTLE: Duration = Duration::from_secs(5);
+/// Time for the models to load before the idle measurement.
+///
+/// Two hosts leave two data centres without a controller, so the report would never say `OK`.
+const SETTLE: Duration = Duration::from_secs(20);
 
 /// Pause between two requests of one sender under load.
 const PACE: Duration = Duration::from_millis(20);
@@ -70,7 +72,8 @@
 
 async fn measure(text: &str, hosts: usize) {
     let cluster = Cluster::start(Layout::of(text, hosts, "demo-counter")).await;
-    cluster.serve(text).await;
+    cluster.apply(text).await;
+    cluster.wait_ready().await;
     sleep(SETTLE).await;
     span(&cluster, "idle", 0.0).await;
     let load = tokio::join!(span(&cluster, "loaded", offered()), send(&cluster)).1;
