--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -22,7 +22,9 @@
 
 /// Runs every test of the workspace.
 pub(crate) fn run() -> Result<(), Failure> {
-    let red = known_red::read()?;
+    let mut red = known_red::read()?;
+    // Goals of the policy bench are no tests; `bench --check` reads and prints their entries.
+    red.retain(|entry| entry.package != "bench");
     // The integration tests start the stand-ins and the program.
     steps::check(&[
         "build",
