Compare three random candidates, drawn by speed

The setting for the number of choices had no effect: all candidates were compared, and hosts with the same old reports all sent to the same servers.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,6 +1,6 @@
 //! Estimates of finish times and the choice of a backend server.
 
-use rand::RngExt;
+use rand::{RngExt, rngs::Xoshiro256PlusPlus};
 use types::{Code, Instant};
 
 use crate::{
@@ -12,6 +12,8 @@
 
 /// Random variation of estimates, which spreads hosts that see the same digests.
 const JITTER: f64 = 0.05;
+/// Draws per compared candidate; slow candidates are often drawn in vain.
+const DRAWS: usize = 8;
 /// Seconds that an adapter load adds.
 const ADAPTER_SECONDS: f64 = 0.02;
 /// Seconds that a request to a plain service takes before anything is learned.
@@ -41,27 +43,81 @@
 
 impl Router {
     /// Finds the backend server with the earliest estimated finish.
+    ///
+    /// A few random candidates are compared, so that hosts which see the same old loads do not
+    /// all choose the same server. If none of them has a free place, all candidates are compared,
+    /// and also if the prompt may be cached, since only few workers hold its prefix.
     pub(crate) fn choose(&mut self, slot: u32, now: Instant, suspect: bool) -> Choice {
+        // The generator is set aside while the rest of the state is only read.
+        let mut rng = self.rng.clone();
+        let choice = self.choose_with(&mut rng, slot, now, suspect);
+        self.rng = rng;
+        choice
+    }
+
+    fn choose_with(
+        &self,
+        rng: &mut Xoshiro256PlusPlus,
+        slot: u32,
+        now: Instant,
+        suspect: bool,
+    ) -> Choice {
         let Some(flight) = self.flights.get(slot) else {
             return Choice::None(Code::Internal);
         };
-        let mut best: Option<(f64, u32, f64)> = None;
-        let mut soonest: Option<f64> = None;
-        let candidates = match flight.model {
+        let all = match flight.model {
             Some(m) => &self.holders[usize::from(m)],
             None => &self.members[usize::from(flight.service)],
         };
+        let few = self.cfg.choices as usize;
+        if few > 0 && all.len() > few && flight.ticket.prefixes.is_empty() {
+            let sample = self.sample(rng, all, few);
+            let choice = self.best_of(rng, flight, &sample, now, suspect);
+            if matches!(choice, Choice::Place { .. }) {
+                return choice;
+            }
+        }
+        self.best_of(rng, flight, all, now, suspect)
+    }
+
+    /// Draws candidates with a chance in proportion to their speed.
+    fn sample(&self, rng: &mut Xoshiro256PlusPlus, all: &[u32], few: usize) -> Vec<u32> {
+        let speed = |b: u32| self.backends[b as usize].speed;
+        let fastest = all.iter().map(|&b| speed(b)).fold(0.0, f32::max);
+        let mut sample = Vec::with_capacity(few);
+        for _ in 0..few * DRAWS {
+            let candidate = all[rng.random_range(0..all.len())];
+            let taken = rng.random::<f32>() * fastest <= speed(candidate);
+            if taken && !sample.contains(&candidate) {
+                sample.push(candidate);
+            }
+            if sample.len() == few {
+                break;
+            }
+        }
+        sample
+    }
+
+    fn best_of(
+        &self,
+        rng: &mut Xoshiro256PlusPlus,
+        flight: &Flight,
+        candidates: &[u32],
+        now: Instant,
+        suspect: bool,
+    ) -> Choice {
+        let mut best: Option<(f64, u32, f64)> = None;
+        let mut soonest: Option<f64> = None;
         for &backend in candidates {
             if !self.may_serve(flight, backend, now) {
                 continue;
             }
             let (seconds, predicted) = self.estimate(flight, backend);
-            let free = self.has_place(backend, suspect);
-            if !free {
+            if !self.has_place(backend, suspect) {
                 soonest = Some(soonest.map_or(seconds, |s| s.min(seconds)));
                 continue;
             }
-            let varied = seconds * (1.0 + JITTER * self.rng.random::<f64>());
+            let varied = seconds * (1.0 + JITTER * rng.random::<f64>());
             if best.is_none_or(|b| varied < b.0) {
                 best = Some((varied, backend, predicted));
             }
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -17,7 +17,7 @@
     pub half_batch: f64,
     /// Work of a prompt token relative to an output token.
     pub prompt_weight: f64,
-    /// Candidates that are compared; zero compares all.
+    /// Random candidates that are compared, drawn by speed; zero compares all.
     pub choices: u32,
     /// Share of its estimated finish time that a request must have left to be admitted.
     pub margin: f64,
@@ -64,7 +64,7 @@
             base_tokens_per_second: 1_000.0,
             half_batch: 4.0,
             prompt_weight: 0.05,
-            choices: 0,
+            choices: 3,
             margin: 1.4,
             retry_fraction: 0.1,
             retry_burst: 10.0,
--- a/crates/route/tests/behaviour/choice.rs
+++ b/crates/route/tests/behaviour/choice.rs
@@ -245,3 +245,43 @@
     assert_eq!(host.refused(), [(id, Code::DeadlineUnreachable)]);
     assert_eq!(sent, 5, "the pauses of 0.2, 0.4, 0.8 and 1.6 s double");
 }
+
+/// Mean batch of a new request after 16 hosts with the same old reports sent ten each.
+///
+/// The reports show a quarter of 48 workers with two requests and the others with more.
+fn mean_batch(choices: u32) -> f64 {
+    const LOADS: [u32; 4] = [2, 5, 9, 5];
+    let mut file = deployment();
+    let names: Vec<String> = (0..48).map(|at| format!("x{at:02}")).collect();
+    file.backends.clear();
+    for name in &names {
+        let mut worker = crate::fixture::server(name, "a", "chat");
+        worker.max_in_flight = 64;
+        file.backends.push(worker);
+    }
+    let mut total: BTreeMap<String, usize> = BTreeMap::new();
+    for seed in 0..16 {
+        let mut host = Host::seeded(seed, |cfg| cfg.choices = choices);
+        host.configure(2, file.clone());
+        for (name, load) in names.iter().zip(LOADS.into_iter().cycle()) {
+            host.report(name, 1, load, &["m1"]);
+        }
+        for (server, n) in spread(&mut host, 10) {
+            *total.entry(server).or_insert(0) += n;
+        }
+    }
+    let loads = names.iter().zip(LOADS.into_iter().cycle());
+    let met = loads.map(|(name, load)| {
+        let sent = total.get(name).copied().unwrap_or_default();
+        sent * (sent + load as usize)
+    });
+    met.sum::<usize>() as f64 / 160.0
+}
+
+/// Guards against hosts that all send to the servers which the last reports show as idle.
+#[test]
+fn a_few_random_choices_spread_the_hosts() {
+    let (few, all) = (mean_batch(2), mean_batch(0));
+    println!("mean batch {few} with two choices, {all} with all");
+    assert!(few < 0.8 * all);
+}
--- a/crates/route/tests/behaviour/fixture.rs
+++ b/crates/route/tests/behaviour/fixture.rs
@@ -101,13 +101,17 @@
 
     /// Host that has heard of no worker.
     pub fn empty(change: impl FnOnce(&mut Settings)) -> Self {
+        Self::seeded(1, change)
+    }
+
+    pub fn seeded(seed: u64, change: impl FnOnce(&mut Settings)) -> Self {
         let mut cfg = Settings {
             dc: Some("a".parse().expect("a name")),
             ..Settings::default()
         };
         change(&mut cfg);
         let mut host = Self {
-            router: Router::new(cfg, 1),
+            router: Router::new(cfg, seed),
             now: Instant::from_micros(1_000_000),
             out: Vec::new(),
             next: 0,
