Test the bound of two crashes across hosts and among innocent requests

Two hosts share suspects and one slot table; a crashing request is resent through either of them while others run.

--- a/crates/route/tests/behaviour/fixture.rs
+++ b/crates/route/tests/behaviour/fixture.rs
@@ -86,6 +86,7 @@
     pub router: Router,
     pub now: Instant,
     pub out: Vec<Action>,
+    sent: Vec<(RequestId, Fingerprint)>,
     next: u128,
 }
 
@@ -114,6 +115,7 @@
             router: Router::new(cfg, seed),
             now: Instant::from_micros(1_000_000),
             out: Vec::new(),
+            sent: Vec::new(),
             next: 0,
         };
         host.configure(1, deployment());
@@ -174,10 +176,15 @@
         let mut ticket = self.ticket();
         change(&mut ticket);
         let id = ticket.id;
+        self.sent.push((id, ticket.fingerprint));
         self.step(Event::Arrive(ticket));
         id
     }
 
+    pub fn fingerprint(&self, id: RequestId) -> Option<Fingerprint> {
+        self.sent.iter().find(|s| s.0 == id).map(|s| s.1)
+    }
+
     pub fn finish(&mut self, id: RequestId) {
         self.step(Event::Finished {
             id,
--- a/crates/route/tests/behaviour/properties.rs
+++ b/crates/route/tests/behaviour/properties.rs
@@ -4,7 +4,7 @@
 
 use config::Priority;
 use proptest::prelude::*;
-use route::{Action, Event, Liveness};
+use route::{Action, Event, Fingerprint, Liveness, SlotTable};
 use types::{Deadline, Micros, Ran, RequestId, RetryReason};
 
 use crate::fixture::{Host, LIMIT, LOCAL};
@@ -203,3 +203,135 @@
         }
     }
 }
+
+/// Hosts that share suspects, and one table of slots, around three workers that restart at once.
+struct Fleet {
+    hosts: [Host; 2],
+    slots: SlotTable,
+    lives: [u64; 3],
+    crashes: usize,
+    /// Requests that run: host, id, worker, and whether the request crashes its worker.
+    running: Vec<(usize, RequestId, usize, bool)>,
+}
+
+impl Fleet {
+    fn new(suspects: bool) -> Self {
+        let host = || Host::new(|cfg| cfg.suspects = suspects);
+        Self {
+            hosts: [host(), host()],
+            slots: SlotTable::new(Micros::from_secs(600)),
+            lives: [1; 3],
+            crashes: 0,
+            running: Vec::new(),
+        }
+    }
+
+    /// Carries out the actions of a host's last step and of the steps that follow from it.
+    fn act(&mut self, at: usize, killer: Fingerprint) {
+        for action in std::mem::take(&mut self.hosts[at].out) {
+            match action {
+                Action::Dispatch { id, backend, .. } => {
+                    let server = LOCAL.iter().position(|w| *w == backend.as_str());
+                    let kills = self.hosts[at].fingerprint(id) == Some(killer);
+                    self.running
+                        .push((at, id, server.expect("a local worker"), kills));
+                }
+                Action::AskSlot {
+                    id,
+                    fingerprint,
+                    backend,
+                } => {
+                    let now = self.hosts[at].now;
+                    let granted = self.slots.grant(now, fingerprint, &backend);
+                    self.hosts[at].step(Event::Slot { id, granted });
+                    self.act(at, killer);
+                }
+                Action::ShareSuspects(marks) => {
+                    self.slots.hear(&marks);
+                    self.hosts[1 - at].step(Event::Suspects(marks));
+                    self.act(1 - at, killer);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Crashes the worker of the first crashing request that runs.
+    fn crash(&mut self, killer: Fingerprint) -> bool {
+        let Some(&(.., server, _)) = self.running.iter().find(|r| r.3) else {
+            return false;
+        };
+        self.crashes += 1;
+        let there = |r: &&(usize, RequestId, usize, bool)| r.2 == server;
+        let lost: Vec<_> = self.running.iter().filter(there).copied().collect();
+        self.running.retain(|r| r.2 != server);
+        for at in 0..2 {
+            self.hosts[at].crash(LOCAL[server], self.lives[server]);
+            self.act(at, killer);
+        }
+        for (at, id, ..) in lost {
+            self.hosts[at].fail(id, RetryReason::Crash, true);
+            self.act(at, killer);
+        }
+        self.lives[server] += 1;
+        for at in 0..2 {
+            self.hosts[at].now = self.hosts[at].now + Micros::from_millis(60);
+            self.hosts[at].report(LOCAL[server], self.lives[server], 0, &["m1"]);
+            self.act(at, killer);
+        }
+        true
+    }
+}
+
+/// Crashes caused by one request that its caller resends through the given hosts, among others.
+fn crashes(suspects: bool, sends: &[(usize, bool)], finish: &[usize]) -> usize {
+    let killer = Fingerprint::new(u128::MAX);
+    let mut fleet = Fleet::new(suspects);
+    for (step, &(at, kills)) in sends.iter().enumerate() {
+        fleet.hosts[at].send(|t| {
+            t.id = RequestId::new(step as u128 + 1);
+            t.fingerprint = if kills {
+                killer
+            } else {
+                Fingerprint::new(step as u128 + 1)
+            };
+            t.output_tokens = 5;
+        });
+        fleet.act(at, killer);
+        // The caller resends only after an error, so its earlier request has ended.
+        while fleet.crash(killer) {}
+        let done = finish
+            .get(step)
+            .and_then(|f| fleet.running.get(f % 8).copied());
+        if let Some((at, id, ..)) = done {
+            fleet.running.retain(|r| r.1 != id);
+            fleet.hosts[at].finish(id);
+            fleet.act(at, killer);
+        }
+        for at in 0..2 {
+            fleet.hosts[at].pass(60);
+            fleet.act(at, killer);
+        }
+        while fleet.crash(killer) {}
+    }
+    fleet.crashes
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a request that takes down a third server, among innocent requests and
+    /// through whichever host it is sent.
+    #[test]
+    fn a_crashing_request_is_bounded_in_any_traffic(
+        sends in prop::collection::vec((0..2_usize, prop::bool::weighted(0.3)), 1..40),
+        finish in prop::collection::vec(any::<usize>(), 40),
+    ) {
+        prop_assert!(crashes(true, &sends, &finish) <= 2);
+    }
+}
+
+#[test]
+fn without_suspects_resends_take_down_server_after_server() {
+    assert!(crashes(false, &[(0, true), (1, true), (0, true)], &[]) > 2);
+}
