--- a/crates/place/src/floor.rs
+++ b/crates/place/src/floor.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 
 use config::{Deployment, Model};
-use types::{Bytes, DataCentreId, score};
+use types::{Bytes, DataCentreId, ModelId, score};
 
 use crate::{
     error::{Error, Result, Shortage},
@@ -42,6 +42,21 @@
     Ok(copies)
 }
 
+/// Tells whether a data centre may unload its last copy of a model because another one holds it.
+///
+/// The other copy must stay meanwhile: either it is of the version in force, or the other data
+/// centre ranks before this one for the model and therefore replaces its own copy later.
+#[must_use]
+pub fn may_rely(
+    model: &ModelId,
+    own: &DataCentreId,
+    other: &DataCentreId,
+    other_is_current: bool,
+) -> bool {
+    let rank = |dc: &DataCentreId| score(model.as_str(), dc.as_str(), 1.0);
+    other != own && (other_is_current || rank(other) > rank(own))
+}
+
 fn pack(sites: &mut Sites<'_>, models: &[&Model]) -> Result<Vec<Slot>> {
     models
         .iter()
--- a/crates/place/src/input.rs
+++ b/crates/place/src/input.rs
@@ -75,6 +75,10 @@
     /// The floor's copies in this data centre, sorted.
     pub floor: Vec<Copy>,
     /// Models that have a ready copy in another data centre, sorted.
+    ///
+    /// A data centre may unload its own last copy of a model that is listed here, to make room for
+    /// a new version. Two data centres must not rely on each other's copy at the same time, so the
+    /// list should hold a model only if [`may_rely`](crate::may_rely) allows it.
     pub ready_elsewhere: Vec<ModelId>,
     /// Tokens a second that a worker of speed one generates at full load.
     pub base_tokens_per_second: f64,
--- a/crates/place/tests/behaviour/floor.rs
+++ b/crates/place/tests/behaviour/floor.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use config::Deployment;
-use place::{Copy, floor};
+use place::{Copy, floor, may_rely};
 use types::Bytes;
 
 use crate::fixture::{GIB, deployment, model};
@@ -85,3 +85,17 @@
         "beyond the {lost} copies of the lost worker"
     );
 }
+
+/// Guards against two data centres that both unload, each because of the other's copy.
+#[test]
+fn two_data_centres_never_rely_on_each_other() {
+    let [a, b] = ["dc0", "dc1"].map(|dc| dc.parse().expect("a name"));
+    for m in 0..50 {
+        assert_ne!(
+            may_rely(&model(m), &a, &b, false),
+            may_rely(&model(m), &b, &a, false)
+        );
+        assert!(may_rely(&model(m), &a, &b, true));
+        assert!(!may_rely(&model(m), &a, &a, true));
+    }
+}
