Leave the own pause out of the silence of others

Cause: a process that was paused for 20 periods took all others for gone when it resumed, would watch as the only relay and grant suspect slots alone; platform objects that do not fit were not counted by the exchange. Conclusion: a paused host rejoins without acting on what it did not hear.

--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -386,6 +386,13 @@
         self.known.iter().map(member).collect()
     }
 
+    /// Leaves a time out of the silence of every host.
+    pub(crate) fn forgive(&mut self, gap: Micros) {
+        for k in &mut self.known {
+            k.heard = k.heard + gap;
+        }
+    }
+
     /// Notes which hosts the platform's list says are leaving; the list is sorted.
     pub(crate) fn set_leaving(&mut self, leaving: &[&str]) {
         for k in &mut self.known {
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use config::{InForce, Manifest};
+use config::{InForce, Manifest, Snapshot};
 use futures::StreamExt;
 use route::{BackendLoad, SuspectMark};
 use store::{Category, Change, HostEntry, Kind, Platform, Revision};
@@ -105,12 +105,7 @@
                 Action::Call { to, req } => self.spawn(Self::call(Arc::clone(self), to, req)),
                 Action::ReadManifest => self.spawn(Self::read_manifest(Arc::clone(self))),
                 Action::Load { manifest, known } => {
-                    let node = Arc::clone(self);
-                    self.spawn(async move {
-                        let known = known.as_deref();
-                        let loaded = config::load_manifest(&node.platform, *manifest, known).await;
-                        node.step(Event::Loaded(loaded.ok().map(Arc::new)));
-                    });
+                    self.spawn(Self::load(Arc::clone(self), *manifest, known));
                 }
                 Action::Watch(on) => self.set_watching(on),
                 Action::InForce(new) => drop(self.in_force.send_replace(Some(new))),
@@ -154,11 +149,23 @@
     }
 
     async fn read_manifest(self: Arc<Self>) {
-        if let Ok(Some(read)) = self.platform.get::<Manifest>(Manifest::CURRENT).await {
-            self.step(Event::Read(read.value));
+        match self.platform.get::<Manifest>(Manifest::CURRENT).await {
+            Ok(Some(read)) => self.step(Event::Read(read.value)),
+            Err(e) if e.category() == Category::Garbage => platform_garbage(),
+            Ok(None) | Err(_) => {}
         }
     }
 
+    async fn load(self: Arc<Self>, manifest: Manifest, known: Option<Arc<Snapshot>>) {
+        let loaded = config::load_manifest(&self.platform, manifest, known.as_deref()).await;
+        if let Err(e) = &loaded
+            && e.category() == config::Category::Garbage
+        {
+            platform_garbage();
+        }
+        self.step(Event::Loaded(loaded.ok().map(Arc::new)));
+    }
+
     fn set_watching(self: &Arc<Self>, on: bool) {
         let mut watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(old) = watches.take() {
@@ -242,6 +249,12 @@
     }
 }
 
+/// Counts an object of the platform that can't be decoded or does not fit the others.
+fn platform_garbage() {
+    let code = types::Code::PlatformGarbage.label();
+    metrics::counter!("celerytally_platform_garbage_total", "code" => code).increment(1);
+}
+
 /// What a watch has seen.
 #[derive(Debug)]
 enum Seen<T> {
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -42,6 +42,9 @@
 /// Exchange periods after the start before a host grants, since it forgot what it granted before.
 const SLOT_HOLD_PERIODS: u64 = 5;
 
+/// Exchange periods between two ticks beyond which this process was paused.
+const PAUSE_PERIODS: u64 = 3;
+
 /// Duration of a suspect slot while no service gives its longest deadline.
 const SLOT_DURATION: Micros = Micros::from_secs(60);
 
@@ -65,7 +68,9 @@
     pub(crate) wanted: Option<(Manifest, Deadline)>,
     /// Members that the process was told of.
     pub(crate) told: Vec<Member>,
+    /// Start of the process or end of its last pause.
     pub(crate) started: Instant,
+    pub(crate) last_tick: Instant,
 }
 
 impl State {
@@ -101,6 +106,7 @@
             wanted: None,
             told: Vec::new(),
             started: now,
+            last_tick: now,
             params,
         }
     }
@@ -162,6 +168,7 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.round += 1;
+        self.notice_pause(now);
         self.members.beat(self.versions.version(), now);
         self.members.forget(now);
         let listed = self.hosts.hosts().iter();
@@ -191,6 +198,16 @@
         }
     }
 
+    /// After a pause of this process the others are not silent; it has not listened.
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap > Micros::new(self.params.period.get() * PAUSE_PERIODS) {
+            self.members.forgive(gap);
+            self.started = now;
+        }
+    }
+
     fn choose_relays(&mut self, now: Instant, out: &mut Vec<Action>) {
         let dc = &self.params.dc;
         let ranked = self.members.ranked(&format!("relay/{dc}"), dc, now);
--- a/crates/peer/tests/state/failures.rs
+++ b/crates/peer/tests/state/failures.rs
@@ -1,6 +1,7 @@
 //! Failures of hosts, links and the platform.
 
 use config::Snapshot;
+use route::Fingerprint;
 use types::{ConfigVersion, Deadline, Micros};
 
 use super::{
@@ -184,6 +185,35 @@
     sim.run_until(TARGET, |sim| all_see(sim, 4, MemberState::Draining));
 }
 
+/// Guards against a paused process that takes all others for gone and acts alone.
+#[test]
+fn a_paused_host_does_not_take_the_others_for_gone() {
+    let mut sim = met(Size::of(12, 3), 14);
+    sim.hosts[3].frozen = true;
+    sim.run(LONG);
+    sim.hosts[3].frozen = false;
+    let worker = "w-0000".parse().unwrap();
+    for _ in 0..20 {
+        sim.run(Micros::from_millis(100));
+        let now = sim.now;
+        let state = &mut sim.hosts[3].state;
+        if state.last_tick + Micros::from_secs(2) < now {
+            // It has not run since.
+            continue;
+        }
+        let gone = state
+            .members(now)
+            .into_iter()
+            .filter(|m| m.state == MemberState::Gone);
+        assert_eq!(gone.count(), 0);
+        assert_eq!(state.granters(now, &worker).len(), 2);
+        assert!(
+            !state.grant(now, Fingerprint::new(1), &worker),
+            "it may have granted before"
+        );
+    }
+}
+
 /// Guards against a silent host that counts as alive, and a living one that does not.
 #[test]
 fn a_silent_host_is_suspected_then_gone_then_back() {
