--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -13,7 +13,7 @@
     time::{Instant, sleep},
 };
 
-use crate::{Failure, steps};
+use crate::{Failure, design_size, steps};
 
 /// Entry hosts of the runs.
 const SIZES: [usize; 4] = [2, 4, 7, 14];
@@ -82,9 +82,35 @@
     for hosts in SIZES {
         runtime.block_on(measure(&text, hosts));
     }
+    runtime.block_on(measure_design_size());
     Ok(())
 }
 
+/// Measures hosts that hold the configuration of the design size, without its servers.
+async fn measure_design_size() {
+    let host = |i: usize| (format!("e-{i}"), format!("dc-{:02}", i / 2));
+    let layout = Layout {
+        hosts: (0..4).map(host).collect(),
+        token: "unused".to_owned(),
+        default_timing: true,
+        ..Layout::default()
+    };
+    let cluster = Cluster::start(layout).await;
+    cluster.apply(&design_size::file(1)).await;
+    cluster.wait_ready().await;
+    sleep(SETTLE).await;
+    span(&cluster, "design-size file, idle").await;
+    let mut version = 1;
+    let changes = async {
+        for _ in 0..3 {
+            version += 1;
+            cluster.apply(&design_size::file(version)).await;
+            sleep(SPAN / 3).await;
+        }
+    };
+    tokio::join!(span(&cluster, "design-size file, a change in 5 s"), changes);
+}
+
 async fn measure(text: &str, hosts: usize) {
     let mut layout = Layout::of(text, hosts, "demo-counter");
     layout.default_timing = true;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod demo;
+mod design_size;
 mod known_red;
 mod steps;
 mod test;
