--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -4,16 +4,14 @@
 use types::{Bytes, Instant, Micros, ModelId};
 
 use crate::{
-    spec::{BASE_TOKENS, GIB},
+    spec::BASE_TOKENS,
     world::{Pending, World, dc_id, index},
 };
 
-/// Memory that second copies of the floor leave free on a worker, for replicas and new versions.
-const SPARE: Bytes = Bytes::new(16 * GIB);
-
 impl World<'_> {
     pub(crate) fn floor(&self) -> Vec<place::Copy> {
-        place::floor(&self.deployment, SPARE).expect("the reference deployments fit")
+        place::floor(&self.deployment, place::spare(&self.deployment))
+            .expect("the reference deployments fit")
     }
 
     pub(crate) fn place(&mut self) {
--- a/crates/place/src/floor.rs
+++ b/crates/place/src/floor.rs
@@ -42,6 +42,17 @@
     Ok(copies)
 }
 
+/// Returns the memory that second copies should leave free on each worker.
+///
+/// It is the size that three of four models do not exceed, so that one replica of most models, or
+/// a new version beside the old one, fits every worker.
+#[must_use]
+pub fn spare(deployment: &Deployment) -> Bytes {
+    let mut sizes: Vec<Bytes> = deployment.models.iter().map(|m| m.bytes).collect();
+    sizes.sort_unstable();
+    sizes.get(sizes.len() * 3 / 4).copied().unwrap_or_default()
+}
+
 /// Tells whether a data centre may unload its last copy of a model because another one holds it.
 ///
 /// The other copy must stay meanwhile: either it is of the version in force, or the other data
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -46,6 +46,6 @@
 mod round;
 
 pub use error::{Category, Error, Result};
-pub use floor::{floor, may_rely};
+pub use floor::{floor, may_rely, spare};
 pub use input::{Copy, CopyState, Demand, Held, Input, Move, Worker};
 pub use plan::plan;
