--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -12,6 +12,15 @@
     (backend, host)
 }
 
+/// Starts another entry host of the same deployment, which sees the first one alive.
+async fn second(backend: &Backend, host: &Host) -> Host {
+    let platform = host.platform.clone();
+    let other = Host::unconfigured(TestPeers::default(), &[backend], platform).await;
+    let in_force = fixture::in_force();
+    other.gate.dispatcher().feed(Event::Config(in_force));
+    other
+}
+
 async fn settled(host: &Host) {
     while host.gate.pending_claims() > 0 {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
@@ -22,11 +31,7 @@
 #[tokio::test]
 async fn a_resend_gets_the_stored_answer_on_every_host() {
     let (backend, host) = start([]).await;
-    let other = Host::unconfigured(TestPeers::default(), &[&backend], host.platform.clone()).await;
-    other
-        .gate
-        .dispatcher()
-        .feed(Event::Config(fixture::in_force()));
+    let other = second(&backend, &host).await;
 
     let first = json(host.book(Some("k"), "{}").send().await.unwrap()).await;
     settled(&host).await;
@@ -52,24 +57,28 @@
 #[tokio::test]
 async fn a_resend_of_a_running_or_unknown_request_is_not_run() {
     let (backend, host) = start([Act::Hang, Act::Cut]).await;
-    let hanging = host.book(Some("k1"), "{}").header("x-deadline-ms", "300");
+    let hanging = host.book(Some("k1"), "{}").header("x-deadline-ms", "1500");
     let hanging = tokio::spawn(code(hanging));
     while backend.seen().is_empty() {
         tokio::task::yield_now().await;
     }
 
-    let running = code(host.book(Some("k1"), "{}")).await;
+    let other = second(&backend, &host).await;
+    let running = [
+        code(host.book(Some("k1"), "{}")).await,
+        code(other.book(Some("k1"), "{}")).await,
+    ];
     let timed_out = hanging.await.unwrap();
     let cut = code(host.book(Some("k2"), "{}")).await;
     settled(&host).await;
     let unknown = [
-        code(host.book(Some("k1"), "{}")).await,
+        code(other.book(Some("k1"), "{}")).await,
         code(host.book(Some("k2"), "{}")).await,
     ];
 
     assert_eq!(
         (running, timed_out, cut, unknown),
-        (404, 504, 502, [405, 405])
+        ([404, 404], 504, 502, [405, 405])
     );
     assert_eq!(backend.seen().len(), 2);
 }
@@ -130,15 +139,14 @@
 #[tokio::test]
 async fn a_claim_that_can_not_be_read_back_is_withdrawn() {
     let (backend, host) = start([]).await;
-    // The claim takes effect, then neither the read-back nor the first withdrawal gets through.
-    host.platform.push_faults([
-        Some(Fault::AnswerLost),
-        Some(Fault::Unavailable),
-        Some(Fault::Unavailable),
-    ]);
+    // The claim takes effect, and the read-back does not get through.
+    let faults = [Fault::AnswerLost, Fault::Unavailable];
+    host.platform.push_faults(faults.map(Some));
 
     let first = code(host.book(Some("k"), "{}")).await;
+    host.platform.set_down(true);
     let meanwhile = code(host.book(Some("k"), "{}")).await;
+    host.platform.set_down(false);
     let before = backend.seen().len();
     settled(&host).await;
     let after = host.book(Some("k"), "{}").send().await.unwrap();
@@ -177,6 +185,27 @@
     assert_eq!(backend.seen().len(), 2);
 }
 
+/// Guards against a claimed stream whose cut is stored as its answer.
+#[tokio::test]
+async fn a_claimed_stream_is_kept_only_when_it_is_complete() {
+    let (backend, host) = start([Act::Events(2), Act::Break(2)]).await;
+    let draft = |key: &str| {
+        let req = host.post("/v1/chat/completions", fixture::chat("once", true));
+        req.header("idempotency-key", key.to_owned())
+    };
+
+    let first = draft("k1").send().await.unwrap().text().await.unwrap();
+    let cut = code(draft("k2")).await;
+    settled(&host).await;
+    let again = draft("k1").send().await.unwrap();
+    let unknown = code(draft("k2")).await;
+
+    assert_eq!(again.headers()["content-type"], "text/event-stream");
+    assert_eq!(first, "data: 0\n\ndata: 1\n\ndata: [DONE]\n\n");
+    assert_eq!(first, again.text().await.unwrap());
+    assert_eq!((cut, unknown, backend.seen().len()), (506, 405, 2));
+}
+
 /// Guards against finished claims that fill the platform, and against a sweep that forgets a
 /// request whose outcome is unknown.
 #[tokio::test]
