--- a/crates/route/tests/behaviour/fixture.rs
+++ b/crates/route/tests/behaviour/fixture.rs
@@ -86,6 +86,7 @@
     pub router: Router,
     pub now: Instant,
     pub out: Vec<Action>,
+    sent: Vec<(RequestId, Fingerprint)>,
     next: u128,
 }
 
@@ -101,15 +102,20 @@
 
     /// Host that has heard of no worker.
     pub fn empty(change: impl FnOnce(&mut Settings)) -> Self {
+        Self::seeded(1, change)
+    }
+
+    pub fn seeded(seed: u64, change: impl FnOnce(&mut Settings)) -> Self {
         let mut cfg = Settings {
             dc: Some("a".parse().expect("a name")),
             ..Settings::default()
         };
         change(&mut cfg);
         let mut host = Self {
-            router: Router::new(cfg, 1),
+            router: Router::new(cfg, seed),
             now: Instant::from_micros(1_000_000),
             out: Vec::new(),
+            sent: Vec::new(),
             next: 0,
         };
         host.configure(1, deployment());
@@ -170,10 +176,15 @@
         let mut ticket = self.ticket();
         change(&mut ticket);
         let id = ticket.id;
+        self.sent.push((id, ticket.fingerprint));
         self.step(Event::Arrive(ticket));
         id
     }
 
+    pub fn fingerprint(&self, id: RequestId) -> Option<Fingerprint> {
+        self.sent.iter().find(|s| s.0 == id).map(|s| s.1)
+    }
+
     pub fn finish(&mut self, id: RequestId) {
         self.step(Event::Finished {
             id,
