Cover older versions and former lives by tests that can fail

Cause: disabling the check for strictly newer versions, or the outbidding of a former life, failed no test. Change: a test feeds an older version from the platform, a watch, the backstop and a peer; a restarted host has a clock behind its former life and must be seen as ready.

--- a/crates/peer/tests/state/failures.rs
+++ b/crates/peer/tests/state/failures.rs
@@ -1,6 +1,8 @@
 //! Failures of hosts, links and the platform.
 
-use config::Snapshot;
+use std::sync::Arc;
+
+use config::{Delta, Manifest, Snapshot};
 use route::Fingerprint;
 use types::{ConfigVersion, Deadline, Micros};
 
@@ -9,9 +11,9 @@
     sim::{Network, Sim, SimHost},
 };
 use crate::{
-    event::{Event, Outgoing, Spread},
+    event::{Event, Outgoing, Spread, Target},
     member::{Member, MemberState},
-    message::OwnState,
+    message::{OwnState, Reply},
 };
 
 /// Every change must be in force everywhere within this time.
@@ -57,6 +59,32 @@
     }
 }
 
+/// Guards against an older version that is taken from the platform, a watch or a peer.
+#[test]
+fn an_older_version_is_never_taken() {
+    let mut sim = met(Size::of(2, 1), 15);
+    let old = Arc::clone(&sim.platform);
+    sim.apply();
+    let version = sim.apply();
+    sim.run_until(TARGET, |sim| sim.all_have(version));
+    let from = Target {
+        host: None,
+        addr: "127.0.0.1:1".parse().unwrap(),
+    };
+    let full = Reply::Config(Some(Box::new(Delta::between(None, &old))));
+    for ev in [
+        Event::Loaded(Some(Arc::clone(&old))),
+        Event::Watched(Manifest::clone(&old.manifest)),
+        Event::Read(Manifest::clone(&old.manifest)),
+        Event::Replied { from, reply: full },
+    ] {
+        sim.event(0, ev);
+        sim.run(TARGET);
+    }
+    sim.check_order();
+    assert_eq!(sim.hosts[0].state.versions.version(), version);
+}
+
 /// Guards against a host that stays without configuration and host list during an outage.
 #[test]
 fn a_host_starts_from_its_peers_while_the_platform_is_away() {
@@ -226,14 +254,18 @@
 fn a_restarted_host_outbids_its_former_life() {
     let size = Size::of(9, 3);
     let mut sim = met(size, 7);
+    sim.event(3, Event::Own(OwnState::Draining));
+    sim.run_until(TARGET, |sim| all_see(sim, 3, MemberState::Draining));
     sim.restart(3, size);
+    sim.event(3, Event::Own(OwnState::Ready));
     // The new life counts from the simulation's clock, far below the former life's counter.
     let version = sim.apply();
     sim.run_until(TARGET, |sim| sim.all_have(version));
     sim.run(LONG);
     assert!(all_see(&sim, 3, MemberState::Alive));
-    let known = (0..9).all(|i| state_of(&sim, 3, i).is_some_and(|m| m.version == version));
-    assert!(known, "its version is seen by all");
+    let known =
+        (0..9).all(|i| state_of(&sim, 3, i).is_some_and(|m| m.version == version && m.ready));
+    assert!(known, "its version and readiness are seen by all");
 }
 
 /// Guards against a host that others keep sending work to although the platform's list says so.
--- a/crates/peer/tests/state/sim.rs
+++ b/crates/peer/tests/state/sim.rs
@@ -329,7 +329,8 @@
         let mut new = host(i, size, spread, seed, self.now);
         new.state = {
             let mut params = new.state.params.clone();
-            params.incarnation = Incarnation::new(self.now.as_micros());
+            // The clock of the new life is behind that of the former one.
+            params.incarnation = Incarnation::new(0);
             params.counter = self.now.as_micros() / PERIOD.get();
             State::new(params, self.now)
         };
