Measure idle hosts after the first loads have ended

Cause: the first loads take 36 s at the example's weight-store rate, so the idle row of the capacity run contained the controller's polls of open orders (7.1 KB/s of load reports). Measured: before, 2 hosts: 0.47 % of a core, 34.1 MB, exchange 386 B/s, load reports 7,060 B/s.

--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -72,6 +72,11 @@
     let path = steps::root().join("examples").join("te-awa.toml");
     let text = fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
     let build = ["build", "--release", "--locked", "--package"];
+    // The weight store's own rate would spread the first loads over 36 s of the measurement.
+    let text = text.replace(
+        r#"weight_store_rate = "1.4/s""#,
+        r#"weight_store_rate = "50/s""#,
+    );
     steps::check(&[&build[..], &["standin", "--package", "celerytally"]].concat())?;
     let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
     println!(
