Let only one of two data centres rely on the other's copy

Cause: two controllers that each see the other's ready copy could both unload their last one for a version change, which would leave the model without a copy. Change: the controller's list of models that are ready elsewhere keeps only those for which the other data centre ranks first; the floor leaves the spare memory that place computes. Conclusion: reachability no longer depends on the order in which two controllers act.

--- a/crates/celerytally/src/facts.rs
+++ b/crates/celerytally/src/facts.rs
@@ -8,7 +8,7 @@
 use report::{Facts, LocalFacts, ModelCopies, Report};
 use route::Liveness;
 use serde_json::Value;
-use types::{Bytes, Clock, DataCentreId, HostId, ModelId};
+use types::{Clock, DataCentreId, HostId, ModelId};
 
 use crate::serve::Host;
 
@@ -127,7 +127,7 @@
         .dispatcher()
         .with_router(|router| router.missing().cloned().collect());
     missing.sort();
-    let floor = place::floor(deployment, Bytes::ZERO).unwrap_or_default();
+    let floor = place::floor(deployment, place::spare(deployment)).unwrap_or_default();
     for model in &deployment.models {
         let here = u32::from(missing.binary_search(&model.id).is_err());
         let ready = here + host.elsewhere.copies(&model.id);
--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -148,6 +148,7 @@
 /// Other entry hosts, as the controller needs them.
 #[derive(Clone, Debug)]
 pub(crate) struct ControlPeers {
+    pub(crate) dc: DataCentreId,
     pub(crate) exchange: Exchange,
     pub(crate) clock: Monotonic,
     pub(crate) elsewhere: Elsewhere,
@@ -191,7 +192,9 @@
     }
 
     fn ready_elsewhere(&self) -> Vec<ModelId> {
-        self.elsewhere.models()
+        // Peers tell which models they hold and not in which version, so the rank decides.
+        self.elsewhere
+            .models(|model, other| place::may_rely(model, &self.dc, other, false))
     }
 }
 
@@ -214,10 +217,13 @@
         }
     }
 
-    /// Returns all models with a copy in another data centre, sorted.
-    pub(crate) fn models(&self) -> Vec<ModelId> {
+    /// Returns the models with a copy in another data centre that passes a test, sorted.
+    pub(crate) fn models(&self, test: impl Fn(&ModelId, &DataCentreId) -> bool) -> Vec<ModelId> {
         let lists = self.lists.read().unwrap_or_else(PoisonError::into_inner);
-        let mut models: Vec<ModelId> = lists.iter().flat_map(|(_, m)| m.clone()).collect();
+        let mut models: Vec<ModelId> = Vec::new();
+        for (dc, held) in lists.iter() {
+            models.extend(held.iter().filter(|model| test(model, dc)).cloned());
+        }
         models.sort();
         models.dedup();
         models
--- a/crates/celerytally/src/operator.rs
+++ b/crates/celerytally/src/operator.rs
@@ -7,7 +7,7 @@
 use place::Copy;
 use serde_json::{Value, json};
 use store::{HttpPlatform, Platform};
-use types::{Bytes, ConfigVersion};
+use types::ConfigVersion;
 
 use crate::{
     cli::Access,
@@ -84,7 +84,7 @@
     let before = match &current {
         Some(snapshot) => versioned(
             &snapshot.in_force.deployment,
-            &place::floor(&snapshot.in_force.deployment, Bytes::ZERO)?,
+            &floor(&snapshot.in_force.deployment)?,
         ),
         None => Vec::new(),
     };
@@ -194,10 +194,14 @@
 
 fn read(file: &Path) -> Result<(Deployment, Vec<Copy>)> {
     let deployment: Deployment = config::from_path(file)?;
-    let copies = place::floor(&deployment, Bytes::ZERO)?;
+    let copies = floor(&deployment)?;
     Ok((deployment, copies))
 }
 
+fn floor(deployment: &Deployment) -> Result<Vec<Copy>> {
+    Ok(place::floor(deployment, place::spare(deployment))?)
+}
+
 fn connect(access: &Access) -> Result<HttpPlatform> {
     match access {
         Access::Settings(path) => {
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -31,7 +31,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use tracing_subscriber::EnvFilter;
-use types::{BackendId, Bytes, DataCentreId, HostId, Monotonic};
+use types::{BackendId, DataCentreId, HostId, Monotonic};
 
 use crate::{
     error::{Category, Error, Result},
@@ -148,7 +148,7 @@
     let level = settings.log_level;
     // Libraries log each broken connection, which the counters already show.
     let targets = OWN_CRATES.map(|name| format!("{name}={level}")).join(",");
-    let filter = EnvFilter::new(format!("error,{targets}"));
+    let filter = EnvFilter::new(format!("error,tarpc=off,{targets}"));
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(false)
@@ -204,6 +204,7 @@
         servers: servers.clone(),
     };
     let peers = ControlPeers {
+        dc: settings.dc.clone(),
         exchange: exchange.clone(),
         clock,
         elsewhere: elsewhere.clone(),
@@ -308,7 +309,7 @@
 /// Returns the floor's copies in one data centre, sorted.
 fn floor(deployment: &Deployment, dc: &DataCentreId) -> Vec<Copy> {
     // `apply` refuses what can't be placed; a file that got through leaves placement as it is.
-    let mut copies = place::floor(deployment, Bytes::ZERO).unwrap_or_default();
+    let mut copies = place::floor(deployment, place::spare(deployment)).unwrap_or_default();
     copies.retain(|copy| {
         let at = deployment
             .backends
