--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -17,6 +17,12 @@
 /// Entry hosts of both reference deployments.
 const HOSTS: usize = 7;
 
+/// Pace of the weight store in both example files.
+const WEIGHT_STORE_RATE: &str = r#"weight_store_rate = "1.4/s""#;
+
+/// Pace of the weight store in the demo, whose engines load in milliseconds.
+const DEMO_WEIGHT_STORE_RATE: &str = r#"weight_store_rate = "14/s""#;
+
 /// Bounds the wait for the report to say that the intended state holds.
 const OK_LIMIT: Duration = Duration::from_mins(1);
 
@@ -37,6 +43,9 @@
         .join("examples")
         .join(format!("{deployment}.toml"));
     let text = fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    // At the pace of the reference deployments the first loads alone take up to a minute.
+    let text = text.replace(WEIGHT_STORE_RATE, DEMO_WEIGHT_STORE_RATE);
+    println!("for the demo: {DEMO_WEIGHT_STORE_RATE} in place of {WEIGHT_STORE_RATE}");
     steps::check(&[
         "build",
         "--locked",
