--- a/crates/celerytally/src/error.rs
+++ b/crates/celerytally/src/error.rs
@@ -98,3 +98,8 @@
         Self::usage(e)
     }
 }
+
+/// Makes an error of a failure that leaves the program unable to go on.
+pub(crate) fn internal(e: impl fmt::Display) -> Error {
+    Error::new(Category::Internal, e)
+}
--- a/crates/celerytally/src/facts.rs
+++ b/crates/celerytally/src/facts.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use types::{Clock, DataCentreId, HostId, ModelId};
 
-use crate::serve::Host;
+use crate::host::Host;
 
 /// Hosts of a data centre that are asked in turn before it counts as cut off.
 const ASKED: usize = 2;
--- a/crates/celerytally/src/hints.rs
+++ b/crates/celerytally/src/hints.rs
@@ -16,7 +16,7 @@
 };
 use types::BackendId;
 
-use crate::serve::Host;
+use crate::host::Host;
 
 /// Time between two looks at which workers fall to this host.
 const PERIOD: Duration = Duration::from_secs(5);
--- a/crates/celerytally/src/lib.rs
+++ b/crates/celerytally/src/lib.rs
@@ -20,7 +20,9 @@
 pub mod cli;
 mod error;
 mod facts;
+mod follow;
 mod hints;
+mod host;
 mod links;
 mod operator;
 mod poll;
--- a/crates/celerytally/src/poll.rs
+++ b/crates/celerytally/src/poll.rs
@@ -15,7 +15,7 @@
 };
 use types::{BackendId, Clock, HostId, Instant, LoadReport, Micros};
 
-use crate::serve::Host;
+use crate::host::Host;
 
 const PERIOD: Duration = Duration::from_secs(1);
 
--- a/crates/celerytally/src/share.rs
+++ b/crates/celerytally/src/share.rs
@@ -7,7 +7,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use types::{BackendId, Clock, Epoch, Micros, ModelId};
 
-use crate::serve::Host;
+use crate::host::Host;
 
 const PERIOD: Duration = Duration::from_secs(1);
 
--- a/crates/celerytally/src/sweep.rs
+++ b/crates/celerytally/src/sweep.rs
@@ -5,7 +5,7 @@
 use peer::MemberState;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::serve::Host;
+use crate::host::Host;
 
 /// Time between two sweeps; a claim goes at the second sweep after its retention at the latest.
 const PERIOD: Duration = Duration::from_mins(10);
