Convict a request whose mark arrived after its dispatch, and hold forwards for the marks

A suspect that was forwarded could reach the other data centre before its mark; it then ran there as an ordinary request, and its second crash convicted nobody. Ruled out: the slot table and the resend path; both convict when the mark comes first. Change: the only request that was in flight at both crashes is the cause even if it did not run as a suspect; forwards wait for the marks, as refusals do. Also: tests with two failures at a time, and the router gets the load reports that the controller reads. Conclusion: the bound of two crashes no longer depends on which message arrives first.

--- a/crates/celerytally/src/follow.rs
+++ b/crates/celerytally/src/follow.rs
@@ -12,7 +12,7 @@
     sync::{mpsc, watch},
     time::{MissedTickBehavior, interval},
 };
-use types::BackendId;
+use types::{BackendId, LoadReport};
 
 use crate::host::Host;
 
@@ -60,7 +60,6 @@
         if inventory.changed().await.is_err() {
             return;
         }
-        inventory.mark_unchanged();
     }
 }
 
@@ -134,3 +133,16 @@
         }
     }
 }
+
+/// Feeds the router the load reports that the controller read.
+pub(crate) async fn reports(
+    host: Arc<Host>,
+    mut reported: mpsc::Receiver<(BackendId, LoadReport)>,
+) {
+    while let Some((backend, report)) = reported.recv().await {
+        host.gate.dispatcher().feed(Event::Report {
+            backend,
+            report: Arc::new(report),
+        });
+    }
+}
--- a/crates/celerytally/src/host.rs
+++ b/crates/celerytally/src/host.rs
@@ -21,7 +21,7 @@
 use route::Router;
 use store::HttpPlatform;
 use tokio::{net::TcpListener, sync::mpsc};
-use types::{DataCentreId, HostId, Monotonic};
+use types::{BackendId, DataCentreId, HostId, LoadReport, Monotonic};
 
 use crate::{
     error::{Error, Result, internal},
@@ -33,6 +33,9 @@
 /// Tokens a second that a worker of speed one generates at full load, until it is measured.
 const BASE_TOKENS_PER_SECOND: f64 = 400.0;
 
+/// Reports of the controller that may wait for the router.
+const REPORT_BACKLOG: usize = 256;
+
 /// Bounds the question for another data centre's facts, so that a report comes within seconds.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(750);
 
@@ -77,12 +80,23 @@
 
 pub(crate) type HostController = Controller<HttpPlatform, Monotonic, Engines, ControlPeers>;
 
+/// Parts of an entry host that is ready to run.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    pub(crate) host: Arc<Host>,
+    pub(crate) controller: HostController,
+    /// News of peers for the router.
+    pub(crate) news: mpsc::Receiver<News>,
+    /// Load reports that the controller read.
+    pub(crate) reported: mpsc::Receiver<(BackendId, LoadReport)>,
+}
+
 /// Makes every part of an entry host; nothing runs yet but the exchange.
 pub(crate) async fn assemble(
     settings: &HostSettings,
     listener: &TcpListener,
     metrics: PrometheusHandle,
-) -> Result<(Arc<Host>, mpsc::Receiver<News>, HostController)> {
+) -> Result<Assembly> {
     let clock = Monotonic::start();
     let platform = HttpPlatform::new(&settings.platform_url, settings.platform_token.expose())?;
     let client = Client::new().map_err(internal)?;
@@ -94,9 +108,11 @@
     let (exchange, news) = peer::start(options, platform.clone(), clock, served.clone())
         .await
         .map_err(Error::usage)?;
+    let (reports, from_controller) = mpsc::channel(REPORT_BACKLOG);
     let engines = Engines {
         client: client.clone(),
         servers: servers.clone(),
+        reports,
     };
     let peers = ControlPeers {
         dc: settings.dc.clone(),
@@ -153,7 +169,12 @@
         draining: AtomicBool::new(false),
     });
     reporter.set(Arc::clone(&host));
-    Ok((host, news, controller))
+    Ok(Assembly {
+        host,
+        controller,
+        news,
+        reported: from_controller,
+    })
 }
 
 fn report_client() -> Result<reqwest::Client> {
--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -10,6 +10,7 @@
 use peer::{Handle, MemberState};
 use route::{Fingerprint, SuspectMark};
 use store::HttpPlatform;
+use tokio::sync::mpsc;
 use types::{
     AdapterId, BackendId, Clock, DataCentreId, Epoch, HostId, Incarnation, Instant, LoadReport,
     Micros, ModelId, Monotonic, Order,
@@ -75,6 +76,8 @@
 pub(crate) struct Engines {
     pub(crate) client: Client,
     pub(crate) servers: Servers,
+    /// Passes the controller's reports on to the router, which then knows of a load at once.
+    pub(crate) reports: mpsc::Sender<(BackendId, LoadReport)>,
 }
 
 impl control::Engines for Engines {
@@ -96,7 +99,10 @@
 
     async fn load(&self, backend: &BackendId) -> Option<LoadReport> {
         let server = self.servers.find(backend)?;
-        self.client.load(&server).await.ok()
+        let report = self.client.load(&server).await.ok()?;
+        // A router that lags gets the next report.
+        drop(self.reports.try_send((backend.clone(), report.clone())));
+        Some(report)
     }
 }
 
--- a/crates/celerytally/src/serve.rs
+++ b/crates/celerytally/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::{
     error::{Error, Result, internal},
     follow, hints,
-    host::assemble,
+    host::{Assembly, assemble},
     poll, share, sweep,
 };
 
@@ -46,7 +46,12 @@
     let listener = bind(&settings).await?;
     let addr = listener.local_addr().map_err(internal)?;
     let stop = CancellationToken::new();
-    let (host, news, controller) = assemble(&settings, &listener, metrics).await?;
+    let Assembly {
+        host,
+        controller,
+        news,
+        reported,
+    } = assemble(&settings, &listener, metrics).await?;
     println!("listening http={addr} peer={}", host.exchange.listening());
     tracing::info!(host = %host.id, dc = %host.dc, http = %addr, "entry host started");
 
@@ -55,6 +60,7 @@
     tasks.spawn(follow::config(Arc::clone(&host)));
     tasks.spawn(follow::inventory(Arc::clone(&host)));
     tasks.spawn(follow::news(Arc::clone(&host), news));
+    tasks.spawn(follow::reports(Arc::clone(&host), reported));
     tasks.spawn(poll::run(Arc::clone(&host)));
     tasks.spawn(share::run(Arc::clone(&host)));
     tasks.spawn(hints::run(Arc::clone(&host)));
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -228,16 +228,17 @@
     }
 
     fn share_then(&self, marks: Vec<route::SuspectMark>, later: Vec<Action>) {
-        // Only refusals wait: the caller could resend as soon as it has its refusal.
+        // The caller could resend as soon as it has its refusal, and a forwarded suspect could reach
+        // its entry host before the marks do; everything else goes on.
         let share_first = self.0.checks.share_first;
-        let (refusals, others): (Vec<_>, Vec<_>) = later
-            .into_iter()
-            .partition(|action| share_first && matches!(action, Action::Refuse { .. }));
+        let waits = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Forward { .. });
+        let (held, others): (Vec<_>, Vec<_>) =
+            later.into_iter().partition(|a| share_first && waits(a));
         self.perform(others);
         let this = self.clone();
         tokio::spawn(async move {
             this.0.peers.share_suspects(marks).await;
-            this.perform(refusals);
+            this.perform(held);
         });
     }
 
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -88,8 +88,8 @@
 
     /// Marks the requests that were in flight, and shares the marks.
     ///
-    /// If a request that ran as a suspect was among them, it is the cause and the others are
-    /// innocent.
+    /// A request that was in flight at an earlier crash as well is the cause if it ran as a suspect
+    /// or is the only such request; the others are innocent.
     fn mark(
         &mut self,
         now: Instant,
@@ -104,11 +104,9 @@
             return;
         };
         let ran = self.ran_on(backend, incarnation);
-        let cause = ran
-            .iter()
-            .find(|r| r.1 && self.suspects.suspected_before(r.0, &id, incarnation));
+        let cause = self.cause(&ran, &id, incarnation);
         let marks: Vec<SuspectMark> = match cause {
-            Some(&(fingerprint, _)) => {
+            Some(fingerprint) => {
                 self.counts.convicted += 1;
                 vec![(fingerprint, SuspectState::Convicted)]
             }
@@ -135,6 +133,29 @@
         }
     }
 
+    /// Returns the request that was in flight at this crash and alone at an earlier one.
+    ///
+    /// A request that was dispatched before the mark of the earlier crash arrived did not run as a
+    /// suspect and still counts.
+    fn cause(
+        &self,
+        ran: &[(Fingerprint, bool)],
+        backend: &BackendId,
+        incarnation: Incarnation,
+    ) -> Option<Fingerprint> {
+        let before =
+            |r: &&(Fingerprint, bool)| self.suspects.suspected_before(r.0, backend, incarnation);
+        let mut twice = ran.iter().filter(before);
+        let first = twice.next()?;
+        let alone = twice.clone().next().is_none();
+        let cause = if alone || first.1 {
+            Some(first)
+        } else {
+            twice.find(|r| r.1)
+        };
+        cause.map(|r| r.0)
+    }
+
     /// Fingerprints that ran in one life of a backend server, each with whether as a suspect.
     fn ran_on(&self, backend: u32, incarnation: Incarnation) -> Vec<(Fingerprint, bool)> {
         let same = |f: &Flight| match f.phase {
--- /dev/null
+++ b/crates/route/tests/regression/late_mark.rs
@@ -0,0 +1,65 @@
+//! A request that was dispatched before the mark of its first crash arrived.
+//!
+//! It did not run as a suspect, so its second crash convicted nobody and it took down a third
+//! server.
+
+use route::{Action, Event, Fingerprint, SuspectMark, SuspectState};
+use types::{Code, Incarnation, RetryReason};
+
+use crate::fixture::Host;
+
+const KILLER: Fingerprint = Fingerprint::new(666);
+
+/// Returns the mark that another host shares after the first crash.
+fn first_crash() -> SuspectMark {
+    SuspectMark {
+        fingerprint: KILLER,
+        state: SuspectState::Suspected,
+        backend: "w9".parse().expect("a name"),
+        incarnation: Incarnation::new(1),
+    }
+}
+
+#[test]
+fn a_request_whose_mark_came_late_is_convicted_at_its_second_crash() {
+    let mut host = Host::new(|_| {});
+    let id = host.send(|t| t.fingerprint = KILLER);
+    let (_, backend) = host.dispatched().remove(0);
+
+    host.step(Event::Suspects(vec![first_crash()]));
+    host.crash(&backend, 1);
+
+    let convicted = host.out.iter().any(|action| {
+        matches!(action, Action::ShareSuspects(marks)
+            if marks.iter().any(|m| m.state == SuspectState::Convicted))
+    });
+    assert!(convicted, "{:?}", host.out);
+    host.fail(id, RetryReason::Crash, true);
+    host.send(|t| t.fingerprint = KILLER);
+    let refused = host.out.iter().any(
+        |action| matches!(action, Action::Refuse { code, .. } if *code == Code::CrashingRequest),
+    );
+    assert!(refused, "{:?}", host.out);
+}
+
+#[test]
+fn of_two_requests_that_ran_unmarked_none_is_convicted() {
+    let mut host = Host::new(|_| {});
+    for worker in ["w2", "w3"] {
+        host.report(worker, 1, 4, &["m1"]);
+    }
+    let other = Fingerprint::new(667);
+    host.send(|t| t.fingerprint = KILLER);
+    host.send(|t| t.fingerprint = other);
+
+    let mut second = first_crash();
+    second.fingerprint = other;
+    host.step(Event::Suspects(vec![first_crash(), second]));
+    host.crash("w1", 1);
+
+    let marks = host
+        .out
+        .iter()
+        .filter(|a| matches!(a, Action::ShareSuspects(_)));
+    assert_eq!(marks.count(), 0, "{:?}", host.out);
+}
