Load first copies before second ones and pace the controller's idle polls

Cause: after a first apply the last models had no copy for up to a minute while others got their second; the controller read 108 idle workers every 20 s, 14.6 KB/s at 2.7 KB a report against 7 KB/s; a report searched the floor once a model. Change: the floor's copies of models that are ready elsewhere go last; idle workers are read 2.5 s apart, at the earliest every 20 s each, and one with open orders within a second; the floor is sorted once. Conclusion: idle reads of the controller cost 1.1 KB/s at the design size instead of 14.6.

--- a/crates/celerytally/src/facts.rs
+++ b/crates/celerytally/src/facts.rs
@@ -127,12 +127,14 @@
         .dispatcher()
         .with_router(|router| router.missing().cloned().collect());
     missing.sort();
-    let floor = place::floor(deployment, place::spare(deployment)).unwrap_or_default();
+    let copies = place::floor(deployment, place::spare(deployment)).unwrap_or_default();
+    let mut floor: Vec<&ModelId> = copies.iter().map(|copy| &copy.model).collect();
+    floor.sort();
     for model in &deployment.models {
         let here = u32::from(missing.binary_search(&model.id).is_err());
         let ready = here + host.elsewhere.copies(&model.id);
-        let wanted = floor.iter().filter(|copy| copy.model == model.id).count();
-        let wanted = count(wanted);
+        let first = floor.partition_point(|id| **id < model.id);
+        let wanted = count(floor[first..].partition_point(|id| **id == model.id));
         if ready == 0 {
             facts.unreachable_models.push(model.id.clone());
         } else if ready < wanted {
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -29,9 +29,14 @@
 /// Time between two load reports of a backend server with open orders.
 const BUSY_POLL: Micros = Micros::from_secs(1);
 
-/// Time between two load reports of any other; 108 workers at this rate cost about 2 KB/s.
+/// Time between two load reports of any other backend server, at least.
+///
+/// The process also passes on the reports that it reads for the router.
 const IDLE_POLL: Micros = Micros::from_secs(20);
 
+/// Time between two load reports of idle backend servers; one of 36 residents has 2.7 KB.
+const IDLE_PACE: Micros = Micros::from_millis(2_500);
+
 /// Events that may wait for the controller.
 const BACKLOG: usize = 256;
 
@@ -287,14 +292,19 @@
     fn poll_loads(&mut self) {
         let now = self.now();
         let Some(term) = &mut self.term else { return };
+        let paced = Micros::new(IDLE_PACE.get() * term.workers.len() as u64);
+        let idle = IDLE_POLL.max(paced);
         for worker in &mut term.workers {
-            if worker.asking || now < worker.next_load || !worker.ledger.is_ready() {
-                continue;
-            }
             let record = worker.ledger.record();
             let busy = !worker.ledger.is_reported()
                 || record.is_some_and(|r| r.pending().next().is_some());
-            worker.next_load = now + if busy { BUSY_POLL } else { IDLE_POLL };
+            if busy {
+                worker.next_load = worker.next_load.min(now + BUSY_POLL);
+            }
+            if worker.asking || now < worker.next_load || !worker.ledger.is_ready() {
+                continue;
+            }
+            worker.next_load = now + if busy { BUSY_POLL } else { idle };
             worker.asking = true;
             self.calls.load(worker.id.clone());
         }
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -19,7 +19,8 @@
     let mut round = Round::new(input);
     unload_unconfigured(&mut round);
     let mut order: Vec<usize> = (0..input.demand.len()).collect();
-    order.sort_by_key(|&m| input.demand[m].priority);
+    // A model without a copy anywhere goes before the second copy of another.
+    order.sort_by_key(|&m| (round.ready_elsewhere(m), input.demand[m].priority));
     for &m in &order {
         restore_floor(&mut round, m);
     }
