Wait for the takeover before the platform goes away in the test of both

Change: the test waits for the new epoch before the outage, so the takeover always happens; the assertion stays. Conclusion: the verdict no longer depends on how long the outage lasts.

--- a/crates/celerytally/tests/pairs.rs
+++ b/crates/celerytally/tests/pairs.rs
@@ -51,6 +51,8 @@
     let before = epoch(&cluster).await;
 
     let frozen = freeze_amid_orders(&cluster).await;
+    let taken = || async { epoch(&cluster).await != before };
+    eventually(LIMIT, "another host takes the lease", taken).await;
     cluster.platform.set(&json!({"down": true})).await;
     let others = cluster
         .hosts
