--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -364,7 +364,12 @@
             flight.2 += 1;
         }
         self.retries += u64::from(retry.is_some());
-        out.push(Action::Dispatch { id, backend, retry });
+        out.push(Action::Dispatch {
+            id,
+            backend,
+            retry,
+            first_byte: types::Micros::ZERO,
+        });
         true
     }
 
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -467,6 +467,7 @@
         reason,
         may_have_run,
         answered: false,
+        resumes: false,
     };
     Event::Failed { id, failure }
 }
--- a/crates/celerytally/src/cli.rs
+++ b/crates/celerytally/src/cli.rs
@@ -18,6 +18,8 @@
         /// Settings of the host.
         settings: PathBuf,
     },
+    /// Run an entry host on the platform that the environment describes.
+    Entry,
     /// Check a deployment file.
     Check {
         /// The file.
@@ -88,6 +90,7 @@
 
 Commands:
   serve --settings FILE   run an entry host
+  entry                   run an entry host on the users' platform
   check FILE              check a deployment file
   plan FILE               say what applying a file would move
   apply FILE              put a file in force, as a whole
@@ -114,6 +117,14 @@
 Prints `listening http=ADDR peer=ADDR` once both addresses are bound.
 ";
 
+const HELP_ENTRY: &str = "\
+Runs an entry host on the users' platform until SIGTERM or SIGINT, then drains it.
+The platform passes the settings in a file that an environment variable names;
+SIGHUP reads them again.
+
+Usage: celerytally entry
+";
+
 const HELP_CHECK: &str = "\
 Checks a deployment file and prints every fault with its line and field.
 
@@ -199,6 +210,7 @@
 fn command(name: &str, parser: &mut Parser) -> Result<Command> {
     let (help, allowed): (_, &[&str]) = match name {
         "serve" => (HELP_SERVE, &["settings"]),
+        "entry" => (HELP_ENTRY, &[]),
         "check" => (HELP_CHECK, &["FILE", "json"]),
         "plan" => (
             HELP_PLAN,
@@ -255,6 +267,7 @@
         "serve" => Ok(Command::Serve {
             settings: required(options.settings, "--settings FILE")?,
         }),
+        "entry" => Ok(Command::Entry),
         "check" => Ok(Command::Check {
             file: required(options.file, "FILE")?,
             json,
--- /dev/null
+++ b/crates/celerytally/src/entry/peers.rs
@@ -0,0 +1,169 @@
+//! Other entry hosts: the lease holder, suspects, and facts read from the platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use config::Secret;
+use control::FleetHandle;
+use peer::{Facts, Handle, MemberState, News, OwnState};
+use platform::Objects;
+use route::{Event, Fingerprint, SuspectMark};
+use tokio::{sync::mpsc::Receiver, time::sleep};
+use types::{
+    AdapterId, BackendId, BootTime, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation,
+    ModelId,
+};
+
+use crate::entry::{RETRY_RESERVE, beliefs::Beliefs};
+
+/// Token of the exchange; the network between hosts is closed and the settings carry no secret.
+const CLOSED_NETWORK: &str = "closed-network";
+
+/// Time between two questions for facts while the platform does not answer.
+const ASK_FACTS: Duration = Duration::from_millis(500);
+
+/// Exchange with the other entry hosts.
+pub(crate) type Exchange = Handle<Objects, BootTime, Served>;
+
+/// Returns the token of the exchange.
+pub(crate) fn token() -> Secret {
+    Secret::new(CLOSED_NETWORK)
+}
+
+/// What peers may ask of this process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Served {
+    /// Set once the controller exists; the exchange starts earlier.
+    parts: Arc<OnceLock<(FleetHandle, Arc<Beliefs>)>>,
+}
+
+impl Served {
+    pub(crate) fn set(&self, control: FleetHandle, beliefs: Arc<Beliefs>) {
+        // The process starts one controller, so the cell is empty.
+        drop(self.parts.set((control, beliefs)));
+    }
+}
+
+impl peer::Served for Served {
+    async fn want(&self, _model: ModelId, _adapter: Option<AdapterId>) {}
+
+    async fn yielded(&self, _epoch: Epoch) -> bool {
+        false
+    }
+
+    async fn place(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
+        match self.parts.get() {
+            Some((control, _)) => control.place(model, adapter).await,
+            None => Vec::new(),
+        }
+    }
+
+    async fn facts(&self, known: ConfigVersion) -> Option<Facts> {
+        self.parts.get()?.1.facts(known)
+    }
+}
+
+/// Other entry hosts, as the gate needs them.
+#[derive(Clone, Debug)]
+pub(crate) struct EntryPeers {
+    pub(crate) exchange: Exchange,
+    pub(crate) control: FleetHandle,
+}
+
+impl gate::Peers for EntryPeers {
+    async fn share_suspects(&self, marks: Vec<SuspectMark>) {
+        let shared = self.exchange.share_suspects(marks).await;
+        if !shared.missed.is_empty() {
+            tracing::warn!(missed = ?shared.missed, "suspects not acknowledged");
+        }
+    }
+
+    async fn ask_slot(&self, _fingerprint: Fingerprint, _backend: BackendId) -> bool {
+        false
+    }
+
+    fn entry_host(&self, _dc: &DataCentreId) -> Option<SocketAddr> {
+        None
+    }
+
+    fn is_live(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        let members = self.exchange.members().borrow().clone();
+        let member = members.iter().find(|m| m.id == *host);
+        member.is_some_and(|m| m.incarnation == incarnation && m.state != MemberState::Gone)
+    }
+
+    async fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
+        let Some(holder) = self.control.holder() else {
+            return Vec::new();
+        };
+        self.exchange.place(&holder, model, adapter).await
+    }
+}
+
+/// Passes news of suspects on to the router.
+pub(crate) async fn news(mut news: Receiver<News>, beliefs: Arc<Beliefs>) {
+    while let Some(news) = news.recv().await {
+        if let News::Suspects { marks, heard } = news {
+            beliefs.proxy().dispatcher().feed(Event::Suspects(marks));
+            drop(heard);
+        }
+    }
+}
+
+/// Follows the members: candidates for the lease, targets of beacons, shares of the retry budget.
+pub(crate) async fn members(
+    exchange: Exchange,
+    control: FleetHandle,
+    beliefs: Arc<Beliefs>,
+    retry_slack: f64,
+) {
+    let mut members = exchange.members();
+    loop {
+        let alive: Vec<HostId> = {
+            let current = members.borrow_and_update();
+            let alive = current.iter().filter(|m| m.state == MemberState::Alive);
+            alive.map(|m| m.id.clone()).collect()
+        };
+        tracing::info!(belief = "members", alive = alive.len(), "entry hosts changed");
+        let share = retry_slack * RETRY_RESERVE / alive.len().max(1) as f64;
+        beliefs.proxy().dispatcher().feed(Event::RetrySlack(share));
+        beliefs.set_peers(alive.len().saturating_sub(1));
+        control.members(alive);
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells peers of the lease that this host holds and whether it serves callers.
+pub(crate) async fn own_state(exchange: Exchange, control: FleetHandle, beliefs: Arc<Beliefs>) {
+    let mut epoch = control.epoch();
+    loop {
+        let held = *epoch.borrow_and_update();
+        exchange.set_lease(held);
+        if beliefs.proxy().is_ready() {
+            exchange.set_state(OwnState::Ready);
+        }
+        tokio::select! {
+            changed = epoch.changed() => if changed.is_err() { return },
+            () = sleep(Duration::from_secs(1)) => {}
+        }
+    }
+}
+
+/// Learns of the platform from peers while it does not answer this host.
+pub(crate) async fn facts(exchange: Exchange, beliefs: Arc<Beliefs>) {
+    loop {
+        sleep(ASK_FACTS).await;
+        if !beliefs.is_away() {
+            continue;
+        }
+        let known = beliefs.version().unwrap_or_default();
+        if let Some(facts) = exchange.facts(known).await {
+            beliefs.told(facts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerytally/src/entry/stop.rs
@@ -0,0 +1,69 @@
+//! Signals: reload of the settings, and the orderly end.
+
+use std::{path::Path, time::Duration};
+
+use config::EntrySettings;
+use peer::OwnState;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{Instant, sleep, timeout_at},
+};
+
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    entry::{EntryProxy, peers::Exchange},
+    error::{Result, internal},
+};
+
+/// Time that the balancer needs to see that the host is not ready.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+
+/// Time before the kill at which the process ends whatever is still open.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time in which the last responses leave the process.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Waits for SIGTERM or SIGINT, and ends what is open within the grace time.
+pub(crate) async fn when_told(
+    path: &Path,
+    settings: &EntrySettings,
+    proxy: &EntryProxy,
+    exchange: &Exchange,
+    controller: &CancellationToken,
+) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(internal)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(internal)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path, settings),
+        }
+    }
+    let grace: Duration = settings.bounds.grace.into();
+    let end = Instant::now() + grace.saturating_sub(KILL_MARGIN);
+    tracing::info!(open = proxy.open_requests(), "stopping: not ready");
+    proxy.leave();
+    controller.cancel();
+    exchange.set_state(OwnState::Draining);
+    sleep(BALANCER_NOTICE.min(grace / 3)).await;
+    tracing::info!(open = proxy.open_requests(), "stopping: closed for new connections");
+    proxy.close();
+    if timeout_at(end, proxy.drained()).await.is_err() {
+        tracing::warn!(open = proxy.dispatcher().in_flight(), "stopping with open requests");
+    }
+    sleep(FLUSH).await;
+    Ok(())
+}
+
+/// Reads the settings again; addresses stay as they are for the life of the process.
+fn reload(path: &Path, settings: &EntrySettings) {
+    match platform::settings(path) {
+        Ok(new) if new == *settings => tracing::info!("settings reloaded, nothing changed"),
+        Ok(_) => tracing::info!("settings reloaded; changes are used from the next start"),
+        Err(e) => tracing::error!(error = %e, "settings not reloaded"),
+    }
+}
--- a/crates/celerytally/src/lib.rs
+++ b/crates/celerytally/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod cli;
+mod entry;
 mod error;
 mod facts;
 mod follow;
@@ -44,6 +45,7 @@
 pub async fn run(command: Command) -> Result<ExitCode> {
     match command {
         Command::Serve { settings } => serve::serve(&settings).await,
+        Command::Entry => entry::run().await,
         Command::Check { file, json } => operator::check(&file, json),
         Command::Plan { file, access, json } => operator::plan(&file, &access, json).await,
         Command::Apply {
--- a/crates/celerytally/src/links.rs
+++ b/crates/celerytally/src/links.rs
@@ -146,8 +146,10 @@
         member.is_some_and(|m| m.incarnation == incarnation && m.state != MemberState::Gone)
     }
 
-    async fn want(&self, model: ModelId, adapter: Option<AdapterId>) {
+    /// Passes the want on; the backend servers' reports tell when it is fulfilled.
+    async fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
         self.exchange.want(model, adapter).await;
+        Vec::new()
     }
 }
 
--- a/crates/celerytally/src/main.rs
+++ b/crates/celerytally/src/main.rs
@@ -2,20 +2,32 @@
 
 use std::{env, process::ExitCode};
 
-use celerytally::{cli, run};
+use celerytally::{
+    Category, Error, Result,
+    cli::{self, Command},
+    run,
+};
 use mimalloc::MiMalloc;
 
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    let result = match cli::parse(env::args_os().skip(1)) {
-        Ok(command) => run(command).await,
-        Err(e) => Err(e),
-    };
+fn main() -> ExitCode {
+    let result = cli::parse(env::args_os().skip(1)).and_then(start);
     result.unwrap_or_else(|e| {
         eprintln!("celerytally: {e}");
         ExitCode::from(e.category().exit_code())
     })
 }
+
+/// Runs a command on a runtime that fits its machine.
+fn start(command: Command) -> Result<ExitCode> {
+    // An entry host on the platform has a part of one core, on which threads only cost.
+    let mut builder = match command {
+        Command::Entry => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.map_err(|e| Error::new(Category::Internal, e))?;
+    runtime.block_on(run(command))
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,7 +27,9 @@
 mod deployment;
 mod document;
 mod entry;
+mod entry_host;
 mod error;
+mod routes;
 mod secret;
 mod settings;
 mod version;
@@ -40,7 +42,11 @@
 };
 pub use document::{Checked, Document, from_path, from_str};
 pub use entry::{Entry, Header};
+pub use entry_host::{Bounds, EntrySettings, Machine};
 pub use error::{Category, Error, Fault, Result};
+pub use routes::{
+    CallerLimits, EngineSpec, ModelSpec, Repeat, Route, RouteTable, RoutedService, Share,
+};
 pub use secret::Secret;
 pub use settings::{HostSettings, LogFormat, LogLevel, Tuning};
 pub use version::{Base, Chunk, ChunkHash, Manifest, Past, Retired, Snapshot};
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -91,19 +91,8 @@
 impl<P: Platform, C: Clock, E: Engines, N: Peers> Calls<P, C, E, N> {
     pub(crate) fn lease(&mut self, name: String, action: lease::Action<Revision>) {
         let platform = self.platform.clone();
-        self.tasks.spawn(async move {
-            use lease::{Action, Event};
-            Done::Lease(match action {
-                Action::Create(record) => create::<LeaseObject, _>(&platform, &name, record).await,
-                Action::Update(record, at) => {
-                    update::<LeaseObject, _>(&platform, &name, record, at).await
-                }
-                _ => match get::<LeaseObject, _>(&platform, &name).await {
-                    Some(object) => Event::Read(object),
-                    None => Event::ReadFailed,
-                },
-            })
-        });
+        self.tasks
+            .spawn(async move { Done::Lease(lease_call(&platform, &name, action).await) });
     }
 
     pub(crate) fn ledger(
@@ -207,6 +196,23 @@
     }
 }
 
+/// Performs the call that a lease asks for.
+pub(crate) async fn lease_call(
+    platform: &impl Platform,
+    name: &str,
+    action: lease::Action<Revision>,
+) -> lease::Event<Revision> {
+    use lease::{Action, Event};
+    match action {
+        Action::Create(record) => create::<LeaseObject, _>(platform, name, record).await,
+        Action::Update(record, at) => update::<LeaseObject, _>(platform, name, record, at).await,
+        _ => match get::<LeaseObject, _>(platform, name).await {
+            Some(object) => Event::Read(object),
+            None => Event::ReadFailed,
+        },
+    }
+}
+
 async fn create<K, E>(platform: &impl Platform, name: &str, value: impl Into<K> + Send) -> E
 where
     K: Kind,
--- /dev/null
+++ b/crates/control/src/fleet/driver.rs
@@ -0,0 +1,395 @@
+//! The loop of the fleet's controller: events in, calls out.
+
+use std::time::Duration;
+
+use config::RoutedService;
+use engine::Server;
+use lease::{Checks, Lease, Params};
+use metrics::counter;
+use orders::Outcome;
+use store::{Platform, Revision};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+use types::{
+    AdapterId, AttemptId, BackendId, BootTime, Clock, Epoch, HostId, Instant, Micros, ModelId,
+    Registration, WorkerState,
+};
+
+use crate::{
+    calls::lease_call,
+    fleet::machine::{Fleet, FleetAction, FleetEvent, WantId, WorkerOrder},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+
+/// Events that may wait for the controller.
+const BACKLOG: usize = 512;
+
+/// Bounds an order and a report; a worker answers both at once.
+const WORKER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time beyond the gap between two holders, for the way of the last order.
+const GAP_MARGIN: Micros = Micros::from_millis(500);
+
+/// Time between two reads of the lease by the hosts that come first, and by the others.
+const CANDIDATE_POLL: Micros = Micros::from_millis(700);
+const RESERVE_POLL: Micros = Micros::from_secs(4);
+
+/// Hosts that look at the lease often.
+const CANDIDATES: usize = 2;
+
+/// Time for which a stopping process tries to hand its lease over.
+const HAND_OVER: Micros = Micros::from_secs(2);
+
+/// Name of the lease object.
+const LEASE: &str = "placement";
+
+/// What the controller asks of workers.
+pub trait WorkerCalls: Clone + Send + Sync + 'static {
+    /// Sends an order.
+    fn order(
+        &self,
+        worker: &Server,
+        order: &WorkerOrder,
+    ) -> impl Future<Output = Outcome> + Send;
+
+    /// Asks for a report.
+    fn report(&self, worker: &Server) -> impl Future<Output = Option<WorkerState>> + Send;
+}
+
+/// What a controller is made with.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Duration of the lease.
+    pub lease: Micros,
+    /// Time that must pass between the orders of two holders.
+    pub holder_gap: Micros,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Micros,
+    /// Random id of the process.
+    pub attempt: AttemptId,
+}
+
+#[derive(Debug)]
+enum Input {
+    Fleet(FleetEvent),
+    Want(ModelId, Option<AdapterId>, oneshot::Sender<Vec<BackendId>>),
+    Members(Vec<HostId>),
+}
+
+/// Access to a running controller.
+#[derive(Clone, Debug)]
+pub struct FleetHandle {
+    input: mpsc::Sender<Input>,
+    holder: watch::Receiver<Option<HostId>>,
+    epoch: watch::Receiver<Option<Epoch>>,
+}
+
+impl FleetHandle {
+    fn send(&self, input: Input) {
+        // A controller that lags gets the next news; what it missed is counted.
+        if self.input.try_send(input).is_err() {
+            counter!("celerytally_controller_input_dropped_total").increment(1);
+        }
+    }
+
+    /// Tells the services of the configuration in force.
+    pub fn services(&self, services: Vec<RoutedService>) {
+        self.send(Input::Fleet(FleetEvent::Services(services)));
+    }
+
+    /// Tells the registered backend servers.
+    pub fn registered(&self, registrations: Vec<Registration>) {
+        self.send(Input::Fleet(FleetEvent::Registered(registrations)));
+    }
+
+    /// Tells the demand of a host's callers.
+    pub fn needs(&self, host: HostId, needs: Vec<(ModelId, f64)>) {
+        self.send(Input::Fleet(FleetEvent::Needs(host, needs)));
+    }
+
+    /// Tells the adapters that a host's callers used lately.
+    pub fn used(&self, adapters: Vec<AdapterId>) {
+        self.send(Input::Fleet(FleetEvent::Used(adapters)));
+    }
+
+    /// Tells the live hosts, sorted.
+    pub fn members(&self, hosts: Vec<HostId>) {
+        self.send(Input::Members(hosts));
+    }
+
+    /// Places a model or adapter and returns the workers that hold it then.
+    pub async fn place(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Want(model, adapter, tx));
+        rx.await.unwrap_or_default()
+    }
+
+    /// Returns the holder of the lease as this host last read it.
+    #[must_use]
+    pub fn holder(&self) -> Option<HostId> {
+        self.holder.borrow().clone()
+    }
+
+    /// Follows the epoch of the lease while this host holds it.
+    #[must_use]
+    pub fn epoch(&self) -> watch::Receiver<Option<Epoch>> {
+        self.epoch.clone()
+    }
+}
+
+#[derive(Debug)]
+enum Worked {
+    Lease(lease::Event<Revision>),
+    Order {
+        worker: BackendId,
+        expect: u64,
+        outcome: Outcome,
+    },
+    Report(BackendId, Option<WorkerState>),
+}
+
+/// Controller of the placement over all workers.
+#[derive(Debug)]
+pub struct FleetController<P, W> {
+    platform: P,
+    workers: W,
+    work: JoinSet<Worked>,
+    settings: FleetSettings,
+    lease: Lease<Revision>,
+    fleet: Fleet,
+    input: mpsc::Receiver<Input>,
+    wants: Vec<(WantId, oneshot::Sender<Vec<BackendId>>)>,
+    next_want: WantId,
+    holder: watch::Sender<Option<HostId>>,
+    epoch: watch::Sender<Option<Epoch>>,
+    /// Last holder that was read, and its epoch.
+    former: Option<(HostId, Epoch)>,
+}
+
+impl<P: Platform, W: WorkerCalls> FleetController<P, W> {
+    /// Makes a controller and the handle through which the process uses it.
+    pub fn new(platform: P, workers: W, settings: FleetSettings) -> (Self, FleetHandle) {
+        let (tx, input) = mpsc::channel(BACKLOG);
+        let (holder, holder_rx) = watch::channel(None);
+        let (epoch, epoch_rx) = watch::channel(None);
+        let lease = Lease::new(Params {
+            host: settings.host.clone(),
+            attempt: settings.attempt,
+            duration: settings.lease,
+            poll: CANDIDATE_POLL,
+            checks: Checks::default(),
+        });
+        let controller = Self {
+            platform,
+            workers,
+            work: JoinSet::new(),
+            fleet: Fleet::new(settings.host.clone(), settings.load_window),
+            lease,
+            settings,
+            input,
+            wants: Vec::new(),
+            next_want: 0,
+            holder,
+            epoch,
+            former: None,
+        };
+        let handle = FleetHandle {
+            input: tx,
+            holder: holder_rx,
+            epoch: epoch_rx,
+        };
+        (controller, handle)
+    }
+
+    /// Runs until `stop` is cancelled and the lease is handed over.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stop_by: Option<Instant> = None;
+        loop {
+            tokio::select! {
+                () = stop.cancelled(), if stop_by.is_none() => {
+                    stop_by = Some(BootTime.now() + HAND_OVER);
+                    self.step_lease(lease::Event::HandOver);
+                }
+                Some(input) = self.input.recv() => self.take(input),
+                Some(worked) = self.work.join_next() => self.worked(worked),
+                _ = ticks.tick() => {
+                    self.step_lease(lease::Event::Tick);
+                    self.step(FleetEvent::Tick);
+                }
+            }
+            self.publish();
+            if stop_by.is_some_and(|by| self.lease.is_released() || BootTime.now() >= by) {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Fleet(ev) => self.step(ev),
+            Input::Want(model, adapter, reply) => {
+                let id = self.next_want;
+                self.next_want += 1;
+                if self.lease.authority(BootTime.now()).is_none() {
+                    // The asker learns of the holder and asks it.
+                    drop(reply);
+                    return;
+                }
+                self.wants.push((id, reply));
+                self.step(FleetEvent::Want(id, model, adapter));
+            }
+            Input::Members(hosts) => {
+                let rank = hosts.iter().position(|h| *h == self.settings.host);
+                let first = rank.is_none_or(|rank| rank < CANDIDATES);
+                self.lease
+                    .set_poll(if first { CANDIDATE_POLL } else { RESERVE_POLL });
+            }
+        }
+    }
+
+    fn worked(&mut self, worked: Result<Worked, tokio::task::JoinError>) {
+        match worked {
+            Ok(Worked::Lease(ev)) => self.step_lease(ev),
+            Ok(Worked::Report(worker, state)) => self.step(FleetEvent::Report(worker, state)),
+            Ok(Worked::Order {
+                worker,
+                expect,
+                outcome,
+            }) => {
+                tracing::info!(decision = "order_answered", %worker, expect, ?outcome);
+                self.step(FleetEvent::Answered {
+                    worker,
+                    expect,
+                    outcome,
+                });
+            }
+            Err(e) => tracing::error!(error = %e, "call of the controller failed"),
+        }
+    }
+
+    fn step_lease(&mut self, ev: lease::Event<Revision>) {
+        let now = BootTime.now();
+        if let Some((host, epoch)) = self.lease.holder() {
+            self.former = Some((host.clone(), epoch));
+        }
+        let mut out = Vec::new();
+        self.lease.step(now, ev, &mut out);
+        for action in out {
+            match action {
+                lease::Action::Became(epoch) => self.begin(now, epoch),
+                lease::Action::Lost(epoch) => {
+                    tracing::warn!(belief = "authority", %epoch, "lease given up or lost");
+                    self.step(FleetEvent::Ended);
+                }
+                call => {
+                    let platform = self.platform.clone();
+                    self.work.spawn(async move {
+                        Worked::Lease(lease_call(&platform, LEASE, call).await)
+                    });
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Instant, epoch: Epoch) {
+        // Orders of another machine may still be on their way for the whole gap.
+        let own = |(host, e): &(HostId, Epoch)| *host == self.settings.host && e.next() == epoch;
+        let alone = epoch == Epoch::new(1) || self.former.as_ref().is_some_and(own);
+        let gap = Micros::new(self.settings.holder_gap.get() + GAP_MARGIN.get());
+        let from = if alone { now } else { now + gap };
+        counter!("celerytally_lease_terms_total").increment(1);
+        tracing::info!(belief = "authority", %epoch, alone, "lease taken");
+        self.step(FleetEvent::Began(epoch, from));
+    }
+
+    fn step(&mut self, ev: FleetEvent) {
+        let now = BootTime.now();
+        let mut out = Vec::new();
+        self.fleet.step(now, ev, &mut out);
+        for action in out {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: FleetAction) {
+        match action {
+            FleetAction::Order(worker, order) => self.send_order(worker, order),
+            FleetAction::Report(worker) => {
+                let workers = self.workers.clone();
+                self.work.spawn(async move {
+                    let report = timeout(WORKER_TIMEOUT, workers.report(&worker)).await;
+                    Worked::Report(worker.id, report.ok().flatten())
+                });
+            }
+            FleetAction::Placed(id, backends, after) => self.placed(id, backends, after),
+        }
+    }
+
+    fn send_order(&mut self, worker: Server, order: WorkerOrder) {
+        let expect = order.expect;
+        // Authority is checked again right before each order leaves.
+        if self.lease.authority(BootTime.now()) != Some(order.fence) {
+            self.work.spawn(async move {
+                Worked::Order {
+                    worker: worker.id,
+                    expect,
+                    outcome: Outcome::Conflict,
+                }
+            });
+            return;
+        }
+        let (op, model) = (order.task.op, &order.task.model);
+        let adapter = order.task.adapter.as_ref().map_or("", AdapterId::as_str);
+        tracing::info!(
+            decision = "order", worker = %worker.id, ?op, %model, adapter, expect, epoch = %order.fence
+        );
+        counter!("celerytally_orders_total").increment(1);
+        let workers = self.workers.clone();
+        self.work.spawn(async move {
+            let sent = timeout(WORKER_TIMEOUT, workers.order(&worker, &order)).await;
+            Worked::Order {
+                worker: worker.id,
+                expect,
+                outcome: sent.unwrap_or(Outcome::Lost),
+            }
+        });
+    }
+
+    fn placed(&mut self, id: WantId, backends: Vec<BackendId>, after: Micros) {
+        let Some(at) = self.wants.iter().position(|(want, _)| *want == id) else {
+            return;
+        };
+        let (_, reply) = self.wants.swap_remove(at);
+        tokio::spawn(async move {
+            if after > Micros::ZERO {
+                sleep(after.into()).await;
+            }
+            // The asker may have given up since.
+            drop(reply.send(backends));
+        });
+    }
+
+    fn publish(&self) {
+        let held = self.lease.holder().map(|(host, _)| host.clone());
+        self.holder.send_if_modified(|old| {
+            let changed = *old != held;
+            old.clone_from(&held);
+            changed
+        });
+        let epoch = self.lease.authority(BootTime.now());
+        self.epoch.send_if_modified(|old| {
+            let changed = *old != epoch;
+            *old = epoch;
+            changed
+        });
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -51,6 +51,7 @@
 mod calls;
 mod controller;
 mod event;
+mod fleet;
 mod kinds;
 mod round;
 mod term;
@@ -58,4 +59,8 @@
 
 pub use controller::{Controller, Handle};
 pub use event::{Engines, Event, ModelDemand, Peers, Planner, Settings, Status};
+pub use fleet::{
+    Fleet, FleetAction, FleetController, FleetEvent, FleetHandle, FleetSettings, WantId,
+    WorkerCalls, WorkerOrder,
+};
 pub use kinds::{LeaseObject, RecordObject, SlotObject};
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,9 +27,11 @@
 mod control;
 mod error;
 mod lives;
+mod pool;
 mod sse;
 
 pub use answer::{Answer, Events, LoadHint, Whole};
 pub use cache::{CacheEvent, CacheEvents, CacheNews, prefix_key};
 pub use client::{Call, Checks, Client, Protocol, Server};
 pub use error::{Category, Error, Result};
+pub use pool::{Connection, NotSent, Pool, Sent};
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -285,6 +285,7 @@
             reason,
             may_have_run,
             answered: self.delivered.is_some(),
+            resumes: false,
         });
     }
 
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -11,7 +11,8 @@
 use route::{Action, Event, Failure, Ticket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use types::{
-    BackendId, Clock, Code, DataCentreId, Instant, Micros, Monotonic, RequestId, RetryReason,
+    AdapterId, BackendId, Clock, Code, DataCentreId, Instant, Micros, ModelId, Monotonic,
+    RequestId, RetryReason,
 };
 
 use crate::{count::Counters, peers::Peers};
@@ -55,6 +56,8 @@
     Dispatch {
         backend: BackendId,
         retry: Option<RetryReason>,
+        /// Estimated time to the first byte of the answer.
+        first_byte: Micros,
     },
     Forward(DataCentreId),
     Refuse {
@@ -244,11 +247,21 @@
 
     fn perform_one(&self, action: Action) {
         match action {
-            Action::Dispatch { id, backend, retry } => {
+            Action::Dispatch {
+                id,
+                backend,
+                retry,
+                first_byte,
+            } => {
                 if let Some(reason) = retry {
                     self.0.counters.retry(reason);
                 }
-                self.decide(id, Decision::Dispatch { backend, retry });
+                let decision = Decision::Dispatch {
+                    backend,
+                    retry,
+                    first_byte,
+                };
+                self.decide(id, decision);
             }
             Action::Forward { id, dc } => self.decide(id, Decision::Forward(dc)),
             Action::Refuse {
@@ -269,12 +282,29 @@
             }
             Action::Want { model, adapter } => {
                 let this = self.clone();
-                tokio::spawn(async move { this.0.peers.want(model, adapter).await });
+                tokio::spawn(async move {
+                    let placed = this.0.peers.want(model.clone(), adapter.clone()).await;
+                    for backend in placed {
+                        this.placed(backend, &model, adapter.as_ref());
+                    }
+                });
             }
             Action::ShareSuspects(marks) => self.share_then(marks, Vec::new()),
         }
     }
 
+    /// Tells the router that a backend server holds a model, and an adapter of it if one is named.
+    fn placed(&self, backend: BackendId, model: &ModelId, adapter: Option<&AdapterId>) {
+        let parts = [Some(None), adapter.map(|a| Some(a.clone()))];
+        for adapter in parts.into_iter().flatten() {
+            self.feed(Event::Resident {
+                backend: backend.clone(),
+                model: model.clone(),
+                adapter,
+            });
+        }
+    }
+
     fn decide(&self, id: RequestId, decision: Decision) {
         let flights = lock(&self.0.flights);
         if let Ok(at) = flights.binary_search_by_key(&id, |(id, _)| *id) {
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -25,8 +25,14 @@
     /// Tells whether an entry host is known to be alive in a given life.
     fn is_live(&self, host: &HostId, incarnation: Incarnation) -> bool;
 
-    /// Tells the controller of the data centre that a model or adapter is wanted.
-    fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> impl Future<Output = ()> + Send;
+    /// Tells the controller that a model or adapter is wanted.
+    ///
+    /// Returns the backend servers that hold it now, as far as the controller says so.
+    fn want(
+        &self,
+        model: ModelId,
+        adapter: Option<AdapterId>,
+    ) -> impl Future<Output = Vec<BackendId>> + Send;
 }
 
 /// A deployment of a single entry host, which has no peers.
@@ -49,5 +55,7 @@
         false
     }
 
-    async fn want(&self, _model: ModelId, _adapter: Option<AdapterId>) {}
+    async fn want(&self, _model: ModelId, _adapter: Option<AdapterId>) -> Vec<BackendId> {
+        Vec::new()
+    }
 }
--- /dev/null
+++ b/crates/gate/src/proxy/connection.rs
@@ -0,0 +1,177 @@
+//! Connections of callers and of the balancer.
+
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::atomic::Ordering,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    dispatcher::Step,
+    peers::Peers,
+    proxy::{CLOSING, Proxy, dialect::Dialect},
+};
+
+/// Time for which a connection of a caller may be idle before a configuration says so.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Largest head of a request before a configuration says so.
+const DEFAULT_HEAD: usize = 16 << 10;
+
+/// Smallest buffer that the HTTP library accepts.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// Pause after a failed accept, which happens when no socket is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Path of the metrics page.
+const METRICS: &str = "/metrics";
+
+impl<R: Step, N: Peers, D: Dialect> Proxy<R, N, D> {
+    /// Accepts connections of callers until the proxy closes.
+    pub async fn serve_callers(&self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.0.closing.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let proxy = self.clone();
+                    tokio::spawn(async move { proxy.serve_connection(stream).await });
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "accept failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) {
+        if let Err(e) = stream.set_nodelay(true) {
+            tracing::debug!(error = %e, "socket option not set");
+        }
+        let limits = self.table().map(|t| t.limits);
+        let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout.into());
+        let head = limits.and_then(|l| usize::try_from(l.head.get()).ok());
+        let proxy = self.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let proxy = proxy.clone();
+            async move {
+                let open = OpenRequest::new(proxy.clone());
+                let response = proxy.answer(req).await;
+                drop(open);
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(head.unwrap_or(DEFAULT_HEAD).max(MIN_BUFFER));
+        let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let ended = tokio::select! {
+            ended = served.as_mut() => ended,
+            () = self.0.closing.cancelled() => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
+        };
+        if let Err(e) = ended {
+            tracing::debug!(error = %e, "connection of a caller ended");
+        }
+    }
+
+    /// Answers the balancer's questions for readiness until the process ends.
+    pub async fn serve_readiness(&self, listener: TcpListener) {
+        let proxy = self.clone();
+        serve_pages(listener, move |path| {
+            let status = match path {
+                p if p != D::READINESS => StatusCode::NOT_FOUND,
+                _ if proxy.is_ready() => StatusCode::OK,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            (status, Bytes::new())
+        })
+        .await;
+    }
+
+    /// Serves the metrics page until the process ends.
+    pub async fn serve_metrics(&self, listener: TcpListener, metrics: PrometheusHandle) {
+        serve_pages(listener, move |path| match path {
+            METRICS => (StatusCode::OK, Bytes::from(metrics.render())),
+            _ => (StatusCode::NOT_FOUND, Bytes::new()),
+        })
+        .await;
+    }
+
+    /// Waits until no request is being answered.
+    pub async fn drained(&self) {
+        const POLL: Duration = Duration::from_millis(20);
+        while self.open_requests() > 0 || self.0.dispatcher.in_flight() > 0 {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Tells whether connections are closed after their requests.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.0.phase.load(Ordering::Relaxed) == CLOSING
+    }
+}
+
+/// Counts a request until it has the head of its response.
+struct OpenRequest<R: Step, N: Peers, D: Dialect>(Proxy<R, N, D>);
+
+impl<R: Step, N: Peers, D: Dialect> OpenRequest<R, N, D> {
+    fn new(proxy: Proxy<R, N, D>) -> Self {
+        proxy.0.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(proxy)
+    }
+}
+
+impl<R: Step, N: Peers, D: Dialect> Drop for OpenRequest<R, N, D> {
+    fn drop(&mut self) {
+        self.0.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves pages that depend on the path only.
+async fn serve_pages(
+    listener: TcpListener,
+    page: impl Fn(&str) -> (StatusCode, Bytes) + Clone + Send + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let page = page.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req: Request<Incoming>| {
+                let (status, body) = page(req.uri().path());
+                let mut response = Response::new(Full::new(body));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let mut builder = http1::Builder::new();
+            builder
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE);
+            let served = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = served.await {
+                tracing::debug!(error = %e, "connection to a page ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/proxy/dialect.rs
@@ -0,0 +1,75 @@
+//! What an installation's conventions must tell the proxy.
+
+use http::{HeaderMap, request, response};
+use route::Target;
+use types::{BackendId, Micros, RetryReason};
+
+use crate::refusal::Refusal;
+
+/// What the head of a caller's request asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// Id that the caller gave the request; backend servers echo it.
+    pub id: String,
+    /// Time that the caller waits, if it says so.
+    pub remaining: Option<Micros>,
+    /// What is needed from a backend server.
+    pub target: Target,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Expected tokens of the output.
+    pub output_tokens: u32,
+    /// Hashes of the growing prefixes of the prompt, shortest first.
+    pub prefixes: Vec<u64>,
+    /// Tokens of these prefixes.
+    pub prefix_tokens: Vec<u32>,
+    /// Event after which the caller resumes a stream.
+    pub resume_after: Option<String>,
+}
+
+/// What the head of an attempt says besides the caller's own headers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Attempt<'a> {
+    /// Backend server that must run the request, and no other at its address.
+    pub backend: &'a BackendId,
+    /// Time until the deadline.
+    pub remaining: Micros,
+    /// Rank among the requests of a worker, if it is a model's; lower goes first.
+    pub urgency: Option<u8>,
+    /// Event after which the stream goes on.
+    pub resume_after: Option<&'a str>,
+}
+
+/// What the head of a backend server's response is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The server's response to this request.
+    Answer,
+    /// The server certainly did not run the request.
+    NotRun(RetryReason),
+    /// Not a response of this server to this request.
+    Foreign,
+}
+
+/// Conventions of an installation for the heads of requests and responses.
+///
+/// An implementation translates and decides nothing.
+pub trait Dialect: Send + Sync + 'static {
+    /// Path at which the balancer asks for readiness.
+    const READINESS: &'static str;
+
+    /// Decodes the head of a caller's request.
+    ///
+    /// # Errors
+    /// A code of the group 1xx when the head can't be decoded.
+    fn asked(&self, head: &request::Parts) -> Result<Asked, types::Code>;
+
+    /// Makes the headers of an attempt from those of the caller, without hop-by-hop headers.
+    fn forward(&self, caller: &HeaderMap, attempt: &Attempt<'_>) -> HeaderMap;
+
+    /// Judges the head of a response to an attempt at a request.
+    fn judge(&self, id: &str, backend: &BackendId, head: &response::Parts) -> Verdict;
+
+    /// Makes the head of a refusal.
+    fn refuse(&self, refusal: &Refusal) -> response::Parts;
+}
--- /dev/null
+++ b/crates/gate/src/proxy/log.rs
@@ -0,0 +1,63 @@
+//! Log lines of decisions that touch a request.
+//!
+//! Every line has the field `request` with the caller's id and the field `decision`; the page for
+//! operators lists them.
+
+use route::Failure;
+use types::{BackendId, Micros, RetryReason};
+
+use crate::{proxy::inbound::Inbound, refusal::Refusal};
+
+fn millis(time: Micros) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+/// A request was sent to a backend server.
+pub(crate) fn dispatched(
+    inbound: &Inbound,
+    backend: &BackendId,
+    retry: Option<RetryReason>,
+    waited: Micros,
+    first_byte: Micros,
+) {
+    let request = inbound.asked.id.as_str();
+    let service = &inbound.ticket.service;
+    let retry = retry.map_or("", RetryReason::label);
+    let (waited_ms, expected_ms) = (millis(waited), millis(first_byte));
+    tracing::info!(
+        decision = "sent", request, %service, %backend, retry, waited_ms, expected_ms,
+        prompt_tokens = inbound.ticket.prompt_tokens
+    );
+}
+
+/// An attempt failed.
+pub(crate) fn attempt_failed(request: &str, backend: &BackendId, failure: &Failure, attempt: u8) {
+    let reason = failure.reason.label();
+    let may_have_run = failure.may_have_run;
+    tracing::warn!(decision = "attempt_failed", request, %backend, reason, may_have_run, attempt);
+}
+
+/// A request was refused or failed.
+pub(crate) fn refused(request: &str, refusal: &Refusal, status: u16, held: Micros) {
+    let (code, ran) = (refusal.code, refusal.ran);
+    let retry_after_ms = refusal.retry_after.map(millis);
+    let held_ms = millis(held);
+    tracing::warn!(decision = "refused", request, %code, status, %ran, retry_after_ms, held_ms);
+}
+
+/// A response is complete.
+pub(crate) fn answered(request: &str, backend: &str, status: u16, held: Micros, events: u64) {
+    let held_ms = millis(held);
+    tracing::info!(decision = "answered", request, backend, status, held_ms, events);
+}
+
+/// A response broke off after a part of it was passed on.
+pub(crate) fn broken_off(request: &str, reason: &str, held: Micros, events: u64) {
+    let held_ms = millis(held);
+    tracing::warn!(decision = "broken_off", request, reason, held_ms, events);
+}
+
+/// The caller left before its request ended.
+pub(crate) fn cancelled(request: &str, attempts: u8, answered: bool) {
+    tracing::info!(decision = "cancelled", request, attempts, answered);
+}
--- /dev/null
+++ b/crates/gate/tests/proxy/events.rs
@@ -0,0 +1,36 @@
+//! Guards against a resumed stream that repeats or loses part of an event.
+
+use super::WholeEvents;
+
+#[test]
+fn a_partial_event_is_held_back() {
+    let mut events = WholeEvents::default();
+
+    let taken = events.push(b"id: 1\ndata: a\n\nid: 2\nda");
+
+    assert_eq!(&taken.bytes[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(taken.last_id.as_deref(), Some("1"));
+}
+
+#[test]
+fn an_event_in_two_parts_is_passed_on_once_it_is_whole() {
+    let mut events = WholeEvents::default();
+    events.push(b"id: 2\r\nda");
+
+    let taken = events.push(b"ta: b\r\n\r\n");
+
+    assert_eq!(&taken.bytes[..], b"id: 2\r\ndata: b\r\n\r\n");
+    assert_eq!(taken.last_id.as_deref(), Some("2"));
+}
+
+#[test]
+fn a_discarded_event_leaves_no_trace() {
+    let mut events = WholeEvents::default();
+    events.push(b"id: 1\n\nid: 2\ndata");
+
+    events.discard();
+    let taken = events.push(b"id: 2\n\n");
+
+    assert_eq!(&taken.bytes[..], b"id: 2\n\n");
+    assert!(events.finish().is_empty());
+}
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -30,6 +30,7 @@
 mod event;
 mod ledger;
 mod record;
+mod sequenced;
 mod slots;
 mod track;
 
@@ -38,4 +39,5 @@
 pub use event::{Action, Answer, Event, Limits, Want};
 pub use ledger::{Checks, Ledger};
 pub use record::{Pending, Record, Sender};
+pub use sequenced::{Outcome, Sequenced, Task};
 pub use slots::{SlotAction, SlotEvent, SlotRecord, Slots};
--- a/crates/peer/src/event.rs
+++ b/crates/peer/src/event.rs
@@ -26,6 +26,8 @@
     Watch,
     /// Every host polls the platform; for comparison only.
     Poll,
+    /// The process follows the configuration itself.
+    Process,
 }
 
 /// News for the router.
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -151,7 +151,11 @@
             Request::Residents(stamps) => Reply::Residents(self.residents.beyond(stamps)),
             Request::Hosts(from) => Reply::Hosts(self.hosts.delta(*from, now)),
             Request::Slot(suspect, backend) => Reply::Told(self.grant(now, *suspect, backend)),
-            Request::Suspects(_) | Request::Want(..) | Request::Yielded(_) => return None,
+            Request::Suspects(_)
+            | Request::Want(..)
+            | Request::Yielded(_)
+            | Request::Place(..)
+            | Request::Facts(_) => return None,
         })
     }
 
@@ -241,7 +245,7 @@
                 self.hosts_changed(changed, out);
                 Ok(())
             }),
-            Reply::Told(_) | Reply::Denied => Ok(()),
+            Reply::Told(_) | Reply::Placed(_) | Reply::Facts(_) | Reply::Denied => Ok(()),
         };
         if taken == Err(Garbage) {
             out.push(Action::Garbage);
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -26,7 +26,7 @@
     event::{Event, Params, Spread},
     hosts::Inventory,
     member::{Member, MemberState},
-    message::{OwnState, Reply, Request},
+    message::{Facts, OwnState, Reply, Request},
     node::{Answers, News, Node},
     serve::Served,
     state::State,
@@ -43,6 +43,13 @@
 /// Bounds the question for a suspect slot.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Bounds the wait for a placement, within which a model is loaded.
+const PLACE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Bounds the question for facts, and the peers that are asked one after the other.
+const FACTS_TIMEOUT: Duration = Duration::from_millis(300);
+const MAX_ASKED: u64 = 3;
+
 /// Bounds the other questions.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -378,6 +385,45 @@
         reply == Some(Reply::Told(true))
     }
 
+    /// Asks a holder of the lease to place a model or adapter; returns where it is then.
+    pub async fn place(
+        &self,
+        holder: &HostId,
+        model: ModelId,
+        adapter: Option<AdapterId>,
+    ) -> Vec<BackendId> {
+        if *holder == self.host {
+            return self.node.served.place(model, adapter).await;
+        }
+        let members = self.current_members();
+        let Some(member) = members.into_iter().find(|m| m.id == *holder) else {
+            return Vec::new();
+        };
+        let req = Request::Place(model, adapter);
+        match self.node.clients.ask(member.peer_addr, req, PLACE_TIMEOUT).await {
+            Some(Reply::Placed(backends)) => backends,
+            _ => Vec::new(),
+        }
+    }
+
+    /// Asks live peers, one after the other, for what they read from the platform.
+    pub async fn facts(&self, known: ConfigVersion) -> Option<Facts> {
+        let mut peers = self.current_members();
+        peers.retain(|m| m.id != self.host && m.state == MemberState::Alive);
+        let start = rand::rng().next_u64();
+        let count = peers.len() as u64;
+        let order = (0..count.min(MAX_ASKED)).map(|at| (start.wrapping_add(at)) % count);
+        for at in order {
+            let peer = &peers[usize::try_from(at).unwrap_or_default()];
+            let req = Request::Facts(known);
+            let reply = self.node.clients.ask(peer.peer_addr, req, FACTS_TIMEOUT).await;
+            if let Some(Reply::Facts(Some(facts))) = reply {
+                return Some(*facts);
+            }
+        }
+        None
+    }
+
     /// Stops the exchange.
     pub fn stop(&self) {
         self.node.cancel.cancel();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -42,6 +42,7 @@
 //! # }).unwrap();
 //! ```
 
+mod beacon;
 mod codec;
 mod error;
 mod event;
@@ -60,12 +61,13 @@
 mod version;
 mod wire;
 
+pub use beacon::{Beacon, Beacons, Load, Need, key};
 pub use error::{Category, Error, Result};
 pub use event::Spread;
 pub use handle::{Convergence, Handle, Options, Shared, start};
 pub use hosts::{Host, Inventory};
 pub use member::{Member, MemberState};
-pub use message::{MessageKind, OwnState};
+pub use message::{Facts, MessageKind, OwnState};
 pub use node::{Heard, News};
 pub use serve::Served;
 pub use traffic::Traffic;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use types::{
     AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, ModelId,
+    Registration,
 };
 
 use crate::hosts::Host;
@@ -96,6 +97,15 @@
     pub(crate) removed: Vec<String>,
 }
 
+/// What a host read from the platform, for a peer that does not reach it.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Facts {
+    /// The operator's configuration as it was read, if it is newer than the asker's.
+    pub config: Option<Vec<u8>>,
+    /// Registered backend servers.
+    pub registrations: Vec<Registration>,
+}
+
 /// Question to a peer.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(crate) enum Request {
@@ -117,6 +127,10 @@
     Want(ModelId, Option<AdapterId>),
     /// Asks whether the host gave up an epoch.
     Yielded(Epoch),
+    /// Asks the holder of the lease to place a model or adapter.
+    Place(ModelId, Option<AdapterId>),
+    /// Asks for what the peer read from the platform, given the version that the asker has.
+    Facts(ConfigVersion),
 }
 
 /// Answer of a peer.
@@ -134,6 +148,10 @@
     Hosts(Option<HostsDelta>),
     /// Yes or no.
     Told(bool),
+    /// Backend servers that hold the model or adapter now.
+    Placed(Vec<BackendId>),
+    /// What the peer read from the platform, absent when it does not reach it either.
+    Facts(Option<Box<Facts>>),
     /// The connection is not authenticated.
     Denied,
 }
@@ -159,11 +177,15 @@
     Want,
     /// Yield.
     Yielded,
+    /// Placement.
+    Place,
+    /// What was read from the platform.
+    Facts,
 }
 
 impl MessageKind {
     /// All kinds.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::Exchange,
         Self::Config,
         Self::Rows,
@@ -173,6 +195,8 @@
         Self::Slot,
         Self::Want,
         Self::Yielded,
+        Self::Place,
+        Self::Facts,
     ];
 
     /// Returns the label used in counters.
@@ -188,6 +212,8 @@
             Self::Slot => "slot",
             Self::Want => "want",
             Self::Yielded => "yielded",
+            Self::Place => "place",
+            Self::Facts => "facts",
         }
     }
 }
@@ -204,6 +230,8 @@
             Self::Slot(..) => MessageKind::Slot,
             Self::Want(..) => MessageKind::Want,
             Self::Yielded(_) => MessageKind::Yielded,
+            Self::Place(..) => MessageKind::Place,
+            Self::Facts(_) => MessageKind::Facts,
         }
     }
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -338,6 +338,12 @@
                 Reply::Told(true)
             }
             Request::Yielded(epoch) => Reply::Told(node.served.yielded(epoch).await),
+            Request::Place(model, adapter) => {
+                Reply::Placed(node.served.place(model, adapter).await)
+            }
+            Request::Facts(known) => {
+                Reply::Facts(node.served.facts(known).await.map(Box::new))
+            }
             _ => Reply::Told(false),
         }
     }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -1,6 +1,8 @@
 //! What a peer may ask of the process.
 
-use types::{AdapterId, Epoch, ModelId};
+use types::{AdapterId, BackendId, ConfigVersion, Epoch, ModelId};
+
+use crate::message::Facts;
 
 /// What a peer may ask of the process; the binary implements it.
 pub trait Served: Clone + Send + Sync + 'static {
@@ -9,4 +11,18 @@
 
     /// Tells whether this host gave up an epoch and will send no more orders under it.
     fn yielded(&self, epoch: Epoch) -> impl Future<Output = bool> + Send;
+
+    /// Places a model or adapter if this host holds the lease, and returns where it is then.
+    fn place(
+        &self,
+        _model: ModelId,
+        _adapter: Option<AdapterId>,
+    ) -> impl Future<Output = Vec<BackendId>> + Send {
+        std::future::ready(Vec::new())
+    }
+
+    /// Returns what this host reads from the platform, unless it does not reach it.
+    fn facts(&self, _known: ConfigVersion) -> impl Future<Output = Option<Facts>> + Send {
+        std::future::ready(None)
+    }
 }
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -176,7 +176,8 @@
         let leaving: Vec<&str> = leaving.map(|h| h.name.as_str()).collect();
         self.members.set_leaving(&leaving);
         self.choose_relays(now, out);
-        if self.next_read.is_past(now) && self.params.spread != Spread::Watch {
+        let reads = matches!(self.params.spread, Spread::Relay | Spread::Poll);
+        if self.next_read.is_past(now) && reads {
             // The random part keeps the reads of a fleet that started together apart.
             let first = self.round == 1;
             let span = if first {
@@ -215,7 +216,7 @@
         let watch = match self.params.spread {
             Spread::Relay => rank.is_some_and(|rank| rank < RELAYS),
             Spread::Watch => true,
-            Spread::Poll => false,
+            Spread::Poll | Spread::Process => false,
         };
         if rank == Some(0) {
             self.residents.publish(dc, now);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -39,6 +39,7 @@
 
 mod balance;
 mod error;
+mod fleet;
 mod floor;
 mod input;
 mod plan;
@@ -46,6 +47,7 @@
 mod round;
 
 pub use error::{Category, Error, Result};
+pub use fleet::{Change, FleetInput, FleetWorker, Need, changes};
 pub use floor::{floor, may_rely, spare};
 pub use input::{Copy, CopyState, Demand, Held, Input, Move, Worker};
 pub use plan::plan;
--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,21 @@
+//! What an entry host believes of the registered backend servers.
+//!
+//! Backend servers register themselves on the platform, and their entries lapse when they are
+//! silent, also because the platform was away. A [`Registry`] takes what is read of the entries and
+//! keeps a server whose entry lapsed during an outage until it had time to register again.
+//! [`deployment`] joins the registry with the operator's routes into what the router works on.
+//!
+//! ```
+//! use registry::Registry;
+//! use types::Instant;
+//!
+//! let mut registry = Registry::default();
+//! assert!(!registry.listed(Instant::ZERO, Vec::new()));
+//! assert!(registry.entries().is_empty());
+//! ```
+
+mod deployment;
+mod entries;
+
+pub use deployment::deployment;
+pub use entries::Registry;
--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -117,6 +117,7 @@
         output_tokens: 100,
         prefixes: vec![1, 2, 3, 4],
         forwarded: false,
+        needs: route::Needs::default(),
     }
 }
 
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -1,19 +1,22 @@
 //! Arrival, admission queue and dispatch.
 
+use rand::RngExt;
 use types::{Code, Deadline, Instant, Micros};
 
 use crate::{
-    choose::{Choice, work},
+    choose::{Choice, Estimate, work},
     event::{Action, SuspectState, Target, Ticket},
     flight::{Flight, Phase},
     queue::Rank,
     router::{Router, Scope},
+    settings::Estimates,
 };
 
 /// Time after which a refused caller is told to come back.
 const RETRY_AFTER: Micros = Micros::from_secs(1);
-/// Time after which a model or adapter that is still missing is asked for again.
-const WANT_AGAIN: Micros = Micros::from_secs(1);
+/// Bounds of the time after which a refused caller is told to come back, where it is estimated.
+const MIN_RETRY_AFTER: Micros = Micros::from_millis(200);
+const MAX_RETRY_AFTER: Micros = Micros::from_secs(3);
 /// Load of another data centre below which requests are forwarded that find no place here.
 const FORWARD_BELOW: f64 = 0.8;
 /// First pause before a request is offered again to data centres that refused it.
@@ -94,6 +97,8 @@
             not_before: Deadline::at(Instant::ZERO),
             dispatched: now,
             predicted: 0.0,
+            expected: 0.0,
+            work: 0.0,
             ticket,
         }))
     }
@@ -207,24 +212,20 @@
         if deadline.is_past(now) {
             return self.give_up(rank, slot, Code::DeadlineUnreachable, out);
         }
-        let suspect = state.is_some();
+        let suspect = state.is_some() && self.cfg.suspect_slots;
         if suspect && (!flight.not_before.is_past(now) || self.suspect_runs(slot)) {
             return Offer::Waits;
         }
         match self.choose(slot, now, suspect) {
-            Choice::Place {
-                backend,
-                seconds,
-                predicted,
-            } => {
-                if self.too_late(deadline, seconds, now) {
+            Choice::Place { backend, estimate } => {
+                if self.too_late(deadline, estimate.finish, now) {
                     return self.divert(now, rank, slot, Code::DeadlineUnreachable, out);
                 }
                 self.unqueue(rank, slot);
                 if suspect {
-                    self.ask_slot(now, slot, backend, predicted, out);
+                    self.ask_slot(now, slot, backend, estimate.predicted, out);
                 } else {
-                    self.dispatch(now, slot, backend, predicted, out);
+                    self.dispatch(now, slot, backend, estimate, out);
                 }
                 Offer::Left
             }
@@ -252,11 +253,41 @@
     fn give_up(&mut self, rank: Rank, slot: u32, code: Code, out: &mut Vec<Action>) -> Offer {
         self.unqueue(rank, slot);
         self.count_starved(rank);
-        let retry_after = code.may_resend().then_some(RETRY_AFTER);
+        let retry_after = code.may_resend().then(|| self.retry_after(slot));
         self.refuse(slot, code, retry_after, out);
         Offer::Left
     }
 
+    /// Returns the time after which a request that is refused now may find a place.
+    ///
+    /// It is the time in which the prompts that its servers already have are read, spread so that
+    /// callers who are refused together do not return together.
+    fn retry_after(&mut self, slot: u32) -> Micros {
+        if self.cfg.estimates == Estimates::Finish {
+            return RETRY_AFTER;
+        }
+        let Some(flight) = self.flights.get(slot) else {
+            return RETRY_AFTER;
+        };
+        let servers = match flight.model {
+            Some(m) => &self.holders[usize::from(m)],
+            None => &self.members[usize::from(flight.service)],
+        };
+        let backlog = |b: &u32| {
+            let b = &self.backends[*b as usize];
+            b.own_work + b.others_work
+        };
+        let soonest = servers.iter().map(backlog).fold(f32::INFINITY, f32::min);
+        let load = self.cfg.load_on_demand.unwrap_or(RETRY_AFTER).as_secs_f64();
+        let wait = if soonest.is_finite() {
+            f64::from(soonest)
+        } else {
+            load
+        };
+        let spread = 1.0 + self.rng.random::<f64>();
+        micros(wait * spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
     /// Forwards a request that is too late here if another data centre has room, or refuses it.
     fn divert(
         &mut self,
@@ -298,6 +329,9 @@
                 return Offer::Waits;
             }
             self.want(now, slot, false, out);
+            if self.awaits_load(now, slot) {
+                return Offer::Waits;
+            }
         }
         self.count_demand(now, slot, true);
         let elsewhere = self.flights.get(slot).is_some_and(|f| f.rounds > 0);
@@ -309,6 +343,15 @@
         self.give_up(rank, slot, code, out)
     }
 
+    /// Tells whether a request should wait until its model is loaded.
+    fn awaits_load(&self, now: Instant, slot: u32) -> bool {
+        let Some(load) = self.cfg.load_on_demand else {
+            return false;
+        };
+        let flight = self.flights.get(slot);
+        flight.is_some_and(|f| f.ticket.deadline.remaining(now) > load)
+    }
+
     /// Lets a request wait that all data centres with its model have refused for lack of places.
     ///
     /// The pauses double, so an overload sees few repeated requests.
@@ -357,7 +400,7 @@
             .is_none_or(|w| w.2.is_past(now))
         {
             self.wanted.retain(|w| w.0 != model || w.1 != adapter);
-            let again = Deadline::after(now, WANT_AGAIN);
+            let again = Deadline::after(now, self.cfg.want_again);
             self.wanted.push((model, adapter, again));
             if let Some(names) = &self.names {
                 out.push(Action::Want {
@@ -374,7 +417,7 @@
         now: Instant,
         slot: u32,
         backend: u32,
-        predicted: f64,
+        estimate: Estimate,
         out: &mut Vec<Action>,
     ) {
         let b = &mut self.backends[backend as usize];
@@ -391,8 +434,12 @@
             clippy::cast_possible_truncation,
             reason = "single precision suffices for an estimate"
         )]
-        let predicted = predicted as f32;
+        let [predicted, expected, work] =
+            [estimate.predicted, estimate.first, estimate.work].map(|s| s as f32);
         flight.predicted = predicted;
+        flight.expected = expected;
+        flight.work = work;
+        b.own_work += work;
         flight.dispatched = now;
         flight.attempts += 1;
         if self.cfg.prefix_hints {
@@ -400,6 +447,11 @@
                 b.prefixes.insert(prefix);
             }
         }
+        if let Some(adapter) = flight.adapter
+            && let Some(used) = self.adapter_uses.get_mut(usize::from(adapter))
+        {
+            *used = now;
+        }
         let (id, retry) = (flight.ticket.id, flight.retry.take());
         let (priority, seq, first) = (
             flight.ticket.priority,
@@ -413,12 +465,14 @@
         }
         if first {
             self.count_demand(now, slot, false);
+            self.count_first(now, slot);
         }
         if let Some(names) = &self.names {
             out.push(Action::Dispatch {
                 id,
                 backend: names.backend_id(backend).clone(),
                 retry,
+                first_byte: micros(estimate.first),
             });
         }
     }
@@ -442,9 +496,18 @@
             clippy::cast_possible_truncation,
             reason = "single precision suffices for a smoothed rate"
         )]
-        let tokens = work(&self.cfg, &flight.ticket, flight.ticket.output_tokens) as f32;
+        let amount = match self.cfg.estimates {
+            Estimates::Finish => work(&self.cfg, &flight.ticket, flight.ticket.output_tokens),
+            Estimates::FirstToken => self.demand_seconds(flight, model),
+        } as f32;
         let half_life = self.cfg.demand_half_life;
         let missed = f32::from(u8::from(missed));
-        self.demand[usize::from(model)].add(tokens, missed, now, half_life);
+        self.demand[usize::from(model)].add(amount, missed, now, half_life);
     }
 }
+
+/// Turns estimated seconds into a time.
+fn micros(seconds: f64) -> Micros {
+    let time = std::time::Duration::try_from_secs_f64(seconds).unwrap_or_default();
+    Micros::new(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -24,12 +24,27 @@
         self.renumber_remotes(&map, &new);
         let models = new.deployment().models.len();
         self.demand = renumbered(&map.models, std::mem::take(&mut self.demand), models);
+        self.model_paces = renumbered(&map.models, std::mem::take(&mut self.model_paces), models);
+        let adapters = new.deployment().adapters.len();
+        let uses = std::mem::take(&mut self.adapter_uses);
+        self.adapter_uses = renumbered(&map.adapters, uses, adapters);
+        let services = new.deployment().services.len();
+        let windows = std::mem::take(&mut self.retry_windows);
+        self.retry_windows = renumbered(&map.services, windows, services);
         self.wanted.clear();
         self.names = Some(new);
         self.rebuild_lists();
+        self.sum_if_heard();
         self.renumber_flights(&map, out);
     }
 
+    /// Adds up the requests of peers again, if there are any; digests count otherwise.
+    fn sum_if_heard(&mut self) {
+        if !self.peer_loads.is_empty() {
+            self.sum_peer_loads();
+        }
+    }
+
     fn renumber_backends(&mut self, map: &Renumbering, new: &Names) {
         let servers = &new.deployment().backends;
         let mut backends: Vec<Backend> = servers.iter().map(|_| Backend::new()).collect();
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -10,6 +10,10 @@
 const HISTORY_STEP: Micros = Micros::from_millis(100);
 /// Weight of one finished request in the learned pace.
 const LEARNING: f32 = 0.1;
+/// Weight of one attempt in the share of failed attempts.
+const FAILING_WEIGHT: f32 = 0.2;
+/// Time in which that share halves while no request is sent.
+const FAILING_HALF_LIFE: Micros = Micros::from_secs(3);
 /// Bounds of the learned pace relative to the configured speed.
 const PACE_RANGE: (f32, f32) = (0.02, 50.0);
 
@@ -53,6 +57,13 @@
     pub suspects: u16,
     /// Requests of other hosts, at the instant of the last measurement.
     pub others: u16,
+    /// Seconds that the server needs to read the prompts of own requests that wait.
+    pub own_work: f32,
+    /// The same for requests of other hosts.
+    pub others_work: f32,
+    /// Share of recent attempts that failed, as of `failed_at`.
+    failing: f32,
+    failed_at: Instant,
     /// Total of the last measurement.
     pub measured_total: u16,
     /// Instant of the last measurement.
@@ -85,6 +96,10 @@
             own: 0,
             suspects: 0,
             others: 0,
+            own_work: 0.0,
+            others_work: 0.0,
+            failing: 0.0,
+            failed_at: Instant::ZERO,
             measured_total: 0,
             measured: Instant::ZERO,
             tokens_per_second: 0.0,
@@ -177,6 +192,24 @@
         true
     }
 
+    /// Returns the share of recent attempts that failed; it halves while nothing fails.
+    pub(crate) fn failing(&self, now: Instant) -> f32 {
+        let halvings = now.since(self.failed_at).as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64();
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for a share"
+        )]
+        let factor = (-halvings).exp2() as f32;
+        self.failing * factor
+    }
+
+    /// Counts the end of an attempt.
+    pub(crate) fn note_attempt(&mut self, failed: bool, now: Instant) {
+        let outcome = f32::from(u8::from(failed));
+        self.failing = self.failing(now) * (1.0 - FAILING_WEIGHT) + outcome * FAILING_WEIGHT;
+        self.failed_at = now;
+    }
+
     pub(crate) fn leave(&mut self, by: LeavingBy) {
         self.liveness = Liveness::Leaving;
         self.leaving_by = Some(by);
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -7,7 +7,7 @@
     event::{Liveness, Ticket},
     flight::Flight,
     router::Router,
-    settings::Settings,
+    settings::{Estimates, Settings},
 };
 
 /// Random variation of estimates, which spreads hosts that see the same digests.
@@ -18,6 +18,21 @@
 const ADAPTER_SECONDS: f64 = 0.02;
 /// Seconds that a request to a plain service takes before anything is learned.
 const PLAIN_SECONDS: f64 = 0.02;
+/// Seconds that count against a backend server all of whose recent attempts failed.
+const FAILURE_SECONDS: f64 = 2.0;
+
+/// Estimated times of a request on a backend server, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Estimate {
+    /// Until the first byte of the answer.
+    pub first: f64,
+    /// Until the answer is complete.
+    pub finish: f64,
+    /// Prediction for a pace of one.
+    pub predicted: f64,
+    /// Needed by the server to read the prompt.
+    pub work: f64,
+}
 
 /// Result of looking for a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,10 +40,8 @@
     /// The best one with a free place.
     Place {
         backend: u32,
-        /// Estimated seconds until the answer is complete.
-        seconds: f64,
-        /// Seconds predicted for a pace of one.
-        predicted: f64,
+        /// How long it takes there.
+        estimate: Estimate,
     },
     /// All are full; the estimate is for the first place that frees.
     Full { seconds: f64 },
@@ -41,6 +54,18 @@
     f64::from(output) + cfg.prompt_weight * f64::from(ticket.prompt_tokens)
 }
 
+impl Estimate {
+    /// Makes the estimate of a request whose answer comes as a whole.
+    fn whole(seconds: f64, predicted: f64) -> Self {
+        Self {
+            first: seconds,
+            finish: seconds,
+            predicted,
+            work: 0.0,
+        }
+    }
+}
+
 impl Router {
     /// Finds the backend server with the earliest estimated finish.
     ///
@@ -106,28 +131,27 @@
         now: Instant,
         suspect: bool,
     ) -> Choice {
-        let mut best: Option<(f64, u32, f64)> = None;
+        let preferred = self.prefix_owner(flight, candidates, now);
+        let mut best: Option<(f64, u32, Estimate)> = None;
         let mut soonest: Option<f64> = None;
         for &backend in candidates {
             if !self.may_serve(flight, backend, now) {
                 continue;
             }
-            let (seconds, predicted) = self.estimate(flight, backend);
+            let estimate = self.estimate(flight, backend, preferred);
             if !self.has_place(backend, suspect) {
+                let seconds = estimate.finish;
                 soonest = Some(soonest.map_or(seconds, |s| s.min(seconds)));
                 continue;
             }
-            let varied = seconds * (1.0 + JITTER * rng.random::<f64>());
+            let cost = estimate.first + self.risk(backend, now);
+            let varied = cost * (1.0 + JITTER * rng.random::<f64>());
             if best.is_none_or(|b| varied < b.0) {
-                best = Some((varied, backend, predicted));
+                best = Some((varied, backend, estimate));
             }
         }
         match (best, soonest) {
-            (Some((seconds, backend, predicted)), _) => Choice::Place {
-                backend,
-                seconds,
-                predicted,
-            },
+            (Some((_, backend, estimate)), _) => Choice::Place { backend, estimate },
             (None, Some(seconds)) => Choice::Full {
                 seconds: seconds + self.wait_behind(flight, seconds),
             },
@@ -153,14 +177,43 @@
         within && !(suspect && b.suspects > 0)
     }
 
-    /// Returns estimated seconds until the answer is complete, and those for a pace of one.
-    fn estimate(&self, flight: &Flight, backend: u32) -> (f64, f64) {
+    /// Returns the worker that is taken to hold the shared prefix of a request.
+    fn prefix_owner(&self, flight: &Flight, candidates: &[u32], now: Instant) -> Option<u32> {
+        if self.cfg.estimates != Estimates::FirstToken || flight.ticket.prefixes.len() < 2 {
+            return None;
+        }
+        let able = candidates.iter().copied();
+        let able: Vec<u32> = able.filter(|b| self.may_serve(flight, *b, now)).collect();
+        self.preferred(flight, &able)
+    }
+
+    /// Returns the seconds by which the failures of a backend server count against it.
+    fn risk(&self, backend: u32, now: Instant) -> f64 {
+        match self.cfg.estimates {
+            Estimates::Finish => 0.0,
+            Estimates::FirstToken => {
+                FAILURE_SECONDS * f64::from(self.backends[backend as usize].failing(now))
+            }
+        }
+    }
+
+    /// Estimates the times of a request on a backend server.
+    fn estimate(&self, flight: &Flight, backend: u32, preferred: Option<u32>) -> Estimate {
+        match (flight.model, self.cfg.estimates) {
+            (Some(model), Estimates::FirstToken) => {
+                self.estimate_first_token(flight, model, backend, preferred)
+            }
+            _ => self.estimate_finish(flight, backend),
+        }
+    }
+
+    fn estimate_finish(&self, flight: &Flight, backend: u32) -> Estimate {
         let b = &self.backends[backend as usize];
         let batch = f64::from(b.in_flight(self.cfg.report_correction)) + 1.0;
         let Some(model) = flight.model else {
             let turns = (batch / f64::from(b.max_in_flight)).max(1.0);
             let predicted = PLAIN_SECONDS * turns / f64::from(b.speed);
-            return (predicted * f64::from(b.pace), predicted);
+            return Estimate::whole(predicted * f64::from(b.pace), predicted);
         };
         let ticket = &flight.ticket;
         let cached = if self.cfg.prefix_hints {
@@ -177,7 +230,7 @@
             .adapter
             .is_some_and(|a| b.adapters.binary_search(&a).is_err());
         let load = if missing { ADAPTER_SECONDS } else { 0.0 };
-        (predicted * pace + load, predicted.max(1e-6))
+        Estimate::whole(predicted * pace + load, predicted.max(1e-6))
     }
 
     /// Seconds until the waiting requests for the same model have found a place.
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -3,6 +3,7 @@
 use types::{BackendId, Code, Deadline, Incarnation, Instant, Micros, RequestId};
 
 use crate::{
+    choose::Estimate,
     event::{Action, Fingerprint, SuspectMark, SuspectState, Ticket},
     flight::{Flight, Phase},
     router::{Router, Scope},
@@ -104,27 +105,24 @@
             return;
         };
         let ran = self.ran_on(backend, incarnation);
-        let cause = self.cause(&ran, &id, incarnation);
-        let marks: Vec<SuspectMark> = match cause {
-            Some(fingerprint) => {
-                self.counts.convicted += 1;
-                vec![(fingerprint, SuspectState::Convicted)]
-            }
-            None => ran
-                .iter()
-                .filter(|r| self.suspects.state(r.0, now).is_none())
-                .map(|r| (r.0, SuspectState::Suspected))
-                .collect(),
-        }
-        .into_iter()
-        .map(|(fingerprint, state)| SuspectMark {
+        let causes = self.causes(&ran, &id, incarnation);
+        self.counts.convicted += causes.len() as u64;
+        let fresh = |r: &&(Fingerprint, bool)| self.suspects.state(r.0, now).is_none();
+        let marked: Vec<(Fingerprint, SuspectState)> = if causes.is_empty() {
+            let unknown = ran.iter().filter(fresh);
+            unknown.map(|r| (r.0, SuspectState::Suspected)).collect()
+        } else {
+            let convicted = causes.iter();
+            convicted.map(|f| (*f, SuspectState::Convicted)).collect()
+        };
+        let mark = |(fingerprint, state)| SuspectMark {
             fingerprint,
             state,
             backend: id.clone(),
             incarnation,
-        })
-        .collect();
-        if cause.is_none() {
+        };
+        let marks: Vec<SuspectMark> = marked.into_iter().map(mark).collect();
+        if causes.is_empty() {
             self.counts.suspected += marks.len() as u64;
         }
         self.note_marks(now, &marks);
@@ -133,6 +131,21 @@
         }
     }
 
+    /// Returns the requests that caused this crash, as far as that is known.
+    fn causes(
+        &self,
+        ran: &[(Fingerprint, bool)],
+        backend: &BackendId,
+        incarnation: Incarnation,
+    ) -> Vec<Fingerprint> {
+        if self.cfg.suspect_slots {
+            return Vec::from_iter(self.cause(ran, backend, incarnation));
+        }
+        let before =
+            |r: &&(Fingerprint, bool)| self.suspects.suspected_before(r.0, backend, incarnation);
+        ran.iter().filter(before).map(|r| r.0).collect()
+    }
+
     /// Returns the request that was in flight at this crash and alone at an earlier one.
     ///
     /// A request that was dispatched before the mark of the earlier crash arrived did not run as a
@@ -279,7 +292,11 @@
             self.refuse(slot, Code::CrashingRequest, None, out);
         } else if granted && usable {
             self.backends[backend as usize].suspects += 1;
-            self.dispatch(now, slot, backend, predicted, out);
+            let estimate = Estimate {
+                predicted,
+                ..Estimate::default()
+            };
+            self.dispatch(now, slot, backend, estimate, out);
         } else {
             self.deny(now, slot, out);
         }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -5,10 +5,12 @@
 use config::{InForce, Priority};
 use serde::{Deserialize, Serialize};
 use types::{
-    AdapterId, BackendId, Code, DataCentreId, Deadline, Incarnation, LoadReport, Micros, ModelId,
-    RequestId, RetryReason, ServiceName,
+    AdapterId, BackendId, Code, DataCentreId, Deadline, HostId, Incarnation, LoadReport, Micros,
+    ModelId, RequestId, RetryReason, ServiceName,
 };
 
+use crate::peer_load::SentLoad;
+
 /// Hash of a request's service, model and body, the same for every resend.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
@@ -73,6 +75,17 @@
     pub prefixes: Vec<u64>,
     /// Whether another entry host forwarded the request to this one.
     pub forwarded: bool,
+    /// What the request needs besides.
+    pub needs: Needs,
+}
+
+/// What a request needs beyond the settings of the router.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Needs {
+    /// Dispatches at most.
+    pub max_attempts: Option<u8>,
+    /// Tokens of the growing prefixes of the prompt, in the order of their hashes.
+    pub prefix_tokens: Vec<u32>,
 }
 
 /// Whether a backend server can take work.
@@ -103,6 +116,19 @@
     pub residents: u16,
 }
 
+/// What a backend server registered about itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Holding {
+    /// Life of the server process.
+    pub incarnation: Incarnation,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Models that it serves.
+    pub models: Vec<ModelId>,
+    /// Adapters that it served then.
+    pub adapters: Vec<AdapterId>,
+}
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Failure {
@@ -112,6 +138,8 @@
     pub may_have_run: bool,
     /// Whether bytes of the answer have reached the caller.
     pub answered: bool,
+    /// Whether another backend server can go on where the answer broke off.
+    pub resumes: bool,
 }
 
 /// State of a suspect request.
@@ -172,6 +200,24 @@
         /// Its report.
         report: Arc<LoadReport>,
     },
+    /// A backend server registered what it holds.
+    Holds {
+        /// The backend server.
+        backend: BackendId,
+        /// What it registered.
+        holding: Holding,
+    },
+    /// A peer told what it has sent to backend servers.
+    PeerLoad {
+        /// The peer.
+        host: HostId,
+        /// Its requests, by backend server.
+        sent: Vec<(BackendId, SentLoad)>,
+        /// Time until which the news counts.
+        until: Deadline,
+    },
+    /// The number of hosts changed, and with it this host's share of the retry budget.
+    RetrySlack(f64),
     /// An order's outcome shows that a backend server holds a model or adapter.
     Resident {
         /// The backend server.
@@ -257,6 +303,8 @@
         backend: BackendId,
         /// Reason of the retry, absent for the first attempt.
         retry: Option<RetryReason>,
+        /// Estimated time to the first byte of the answer.
+        first_byte: Micros,
     },
     /// Send the request to an entry host of another data centre.
     Forward {
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -50,6 +50,11 @@
         let Some(b) = self.backends.get_mut(backend as usize) else {
             return;
         };
+        let failed = !matches!(
+            reason,
+            RetryReason::Leaving | RetryReason::NotResident | RetryReason::Refused
+        );
+        b.note_attempt(failed, now);
         match reason {
             RetryReason::Unreachable => b.shunned = Deadline::after(now, SHUN_UNREACHABLE),
             RetryReason::Refused => b.shunned = Deadline::after(now, SHUN_REFUSING),
@@ -84,11 +89,12 @@
         failure: Failure,
         out: &mut Vec<Action>,
     ) {
-        let max_attempts = self.cfg.max_attempts;
+        let most = self.cfg.max_attempts;
         let at_most_once = self.cfg.at_most_once;
         let Some(flight) = self.flights.get_mut(slot) else {
             return;
         };
+        let max_attempts = flight.ticket.needs.max_attempts.unwrap_or(most);
         flight.may_have_run |= failure.may_have_run;
         flight.as_suspect = false;
         let forwarded = if let Phase::Forwarded { dc } = flight.phase {
@@ -99,7 +105,7 @@
         };
         flight.tried.extend(backend);
         let repeatable = flight.ticket.idempotent || !flight.may_have_run || !at_most_once;
-        if failure.answered {
+        if failure.answered && !failure.resumes {
             return self.refuse(slot, Code::StreamInterrupted, None, out);
         }
         if flight.withdrawn && repeatable {
@@ -111,12 +117,15 @@
         }
         let in_time = !flight.ticket.deadline.is_past(now) && flight.attempts < max_attempts;
         let free = !failure.may_have_run
+            && self.cfg.retry_limits.is_none()
             && (forwarded
                 || matches!(
                     failure.reason,
                     RetryReason::Leaving | RetryReason::NotResident
                 ));
-        if !in_time || !(free || self.covered()) {
+        let unsent = failure.reason == RetryReason::Unreachable && !failure.may_have_run;
+        let free = free || (unsent && self.cfg.retry_limits.is_some());
+        if !in_time || !(free || self.covered(now, slot)) {
             let code = self
                 .flights
                 .get(slot)
@@ -133,14 +142,35 @@
     ///
     /// A refusal by a leaving server, for a missing model or by another data centre costs no server
     /// any work and is not charged; the number of attempts and the deadline bound it.
-    fn covered(&mut self) -> bool {
-        if !self.cfg.retry_budget || self.budget.take() {
+    fn covered(&mut self, now: Instant, slot: u32) -> bool {
+        if !self.cfg.retry_budget || self.take_retry(now, slot) {
             return true;
         }
         self.counts.retries_denied += 1;
         false
     }
 
+    fn take_retry(&mut self, now: Instant, slot: u32) -> bool {
+        let Some(limits) = self.cfg.retry_limits else {
+            return self.budget.take();
+        };
+        let started = self.started.unwrap_or(now);
+        let service = self.flights.get(slot).map(|f| usize::from(f.service));
+        let window = service.and_then(|s| self.retry_windows.get_mut(s));
+        window.is_some_and(|w| w.take(now, started, &limits))
+    }
+
+    /// Counts the first dispatch of a request for the retry budget.
+    pub(crate) fn count_first(&mut self, now: Instant, slot: u32) {
+        let Some(limits) = self.cfg.retry_limits else {
+            return;
+        };
+        let service = self.flights.get(slot).map(|f| usize::from(f.service));
+        if let Some(window) = service.and_then(|s| self.retry_windows.get_mut(s)) {
+            window.first(now, &limits);
+        }
+    }
+
     /// Refuses suspects whose question for a slot got no answer.
     pub(crate) fn expire_asks(&mut self, now: Instant, out: &mut Vec<Action>) {
         for slot in self.flights.slots() {
--- /dev/null
+++ b/crates/route/src/first_token.rs
@@ -0,0 +1,135 @@
+//! Estimated time to the first token on an engine that batches continuously.
+//!
+//! An engine reads prompts one after the other, so a request waits for all prompts that were sent
+//! before it and for its own, less the prefix that the engine still has in its cache.
+
+use types::Instant;
+
+use crate::{choose::Estimate, flight::Flight, router::Router};
+
+/// Requests in a batch at which an output token takes twice as long as alone.
+const DOUBLING_BATCH: f64 = 64.0;
+/// Share of a worker's time that output tokens of other requests take while it reads prompts.
+const DECODE_SHARE: f64 = 0.2;
+/// Seconds that a request and its first event are on the way.
+const TRANSIT_SECONDS: f64 = 0.004;
+/// Predictions shorter than this say more about the network than about the worker.
+const MIN_LEARNED_SECONDS: f32 = 0.01;
+/// Weight of one request in the learned pace of a model.
+const MODEL_LEARNING: f32 = 0.1;
+/// Bounds of the learned pace of a model.
+const MODEL_PACE_RANGE: (f32, f32) = (0.05, 20.0);
+/// Requests of a model whose output tokens one worker generates side by side.
+const SHARED_BATCH: f64 = 16.0;
+
+impl Router {
+    /// Returns the learned time of a model relative to the configured rate.
+    pub(crate) fn model_pace(&self, model: u16) -> f64 {
+        let learned = self.model_paces.get(usize::from(model)).copied();
+        learned.filter(|p| *p > 0.0).map_or(1.0, f64::from)
+    }
+
+    /// Returns prompt tokens of a request that a backend server has to read.
+    ///
+    /// The worker that ranks first for the shared prefix counts as holding it: every host sends
+    /// such requests there first, so it has read it, or will read it once for all.
+    fn unread(&self, flight: &Flight, backend: u32, preferred: Option<u32>) -> u32 {
+        let ticket = &flight.ticket;
+        let tokens = &ticket.needs.prefix_tokens;
+        let known = self.backends[backend as usize]
+            .prefixes
+            .cached(&ticket.prefixes)
+            .and_then(|at| tokens.get(at))
+            .copied();
+        let assumed = preferred
+            .filter(|p| *p == backend)
+            .and_then(|_| tokens.len().checked_sub(2))
+            .map(|at| tokens[at]);
+        let cached = known.unwrap_or(0).max(assumed.unwrap_or(0));
+        ticket.prompt_tokens.saturating_sub(cached).max(1)
+    }
+
+    /// Returns the worker that ranks first for the shared prefix of a request.
+    pub(crate) fn preferred(&self, flight: &Flight, candidates: &[u32]) -> Option<u32> {
+        let names = self.names.as_ref()?;
+        let shared = flight.ticket.prefixes.len().checked_sub(2)?;
+        let key = flight.ticket.prefixes[shared].to_le_bytes();
+        let score = |b: &u32| prefix_score(&key, names.backend_id(*b).as_str());
+        candidates.iter().copied().max_by_key(score)
+    }
+
+    /// Estimates the first token and the end of a request on a worker.
+    pub(crate) fn estimate_first_token(
+        &self,
+        flight: &Flight,
+        model: u16,
+        backend: u32,
+        preferred: Option<u32>,
+    ) -> Estimate {
+        let b = &self.backends[backend as usize];
+        let pace = f64::from(b.pace) * self.model_pace(model);
+        let unread = self.unread(flight, backend, preferred);
+        let work = f64::from(unread) / self.cfg.prefill_rate * pace;
+        let backlog = f64::from(b.own_work.max(0.0)) + f64::from(b.others_work);
+        let batch = f64::from(b.in_flight(true)) + 1.0;
+        let slowed = 1.0 + DECODE_SHARE * (batch / DOUBLING_BATCH).min(1.0);
+        let step = self.cfg.token_seconds * pace * (1.0 + batch / DOUBLING_BATCH);
+        let first = (backlog + work) * slowed + step + TRANSIT_SECONDS;
+        Estimate {
+            first,
+            finish: first + f64::from(flight.ticket.output_tokens) * step,
+            predicted: first / pace,
+            work,
+        }
+    }
+
+    /// Learns the pace of a worker and a model from the time to a first token.
+    pub(crate) fn learn_first_token(&mut self, now: Instant, slot: u32, backend: u32) {
+        let Some(flight) = self.flights.get(slot) else {
+            return;
+        };
+        let Some(model) = flight.model else {
+            return;
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for a learned ratio"
+        )]
+        let elapsed = now.since(flight.dispatched).as_secs_f64() as f32;
+        let expected = flight.expected;
+        if expected < MIN_LEARNED_SECONDS || elapsed <= 0.0 {
+            return;
+        }
+        let ratio = elapsed / expected;
+        let at = usize::from(model);
+        if let Some(pace) = self.model_paces.get_mut(at) {
+            let old = if *pace > 0.0 { *pace } else { 1.0 };
+            let new = old * ratio.powf(MODEL_LEARNING);
+            *pace = new.clamp(MODEL_PACE_RANGE.0, MODEL_PACE_RANGE.1);
+        }
+        if let Some(b) = self.backends.get_mut(backend as usize) {
+            b.learn(None, ratio);
+        }
+    }
+
+    /// Returns the seconds of a worker that a request of a model takes.
+    pub(crate) fn demand_seconds(&self, flight: &Flight, model: u16) -> f64 {
+        let tokens = &flight.ticket.needs.prefix_tokens;
+        let shared = tokens.len().checked_sub(2).map_or(0, |at| tokens[at]);
+        let unread = flight.ticket.prompt_tokens.saturating_sub(shared);
+        let read = f64::from(unread) / self.cfg.prefill_rate;
+        let written = f64::from(flight.ticket.output_tokens) * self.cfg.token_seconds;
+        (read + written / SHARED_BATCH) * self.model_pace(model)
+    }
+}
+
+/// Returns the rendezvous score of a worker for a prefix.
+fn prefix_score(key: &[u8], worker: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key);
+    hasher.update(worker.as_bytes());
+    let hash = hasher.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -56,6 +56,10 @@
     pub dispatched: Instant,
     /// Predicted seconds of the attempt for a pace of one.
     pub predicted: f32,
+    /// Predicted seconds to the first byte of the attempt.
+    pub expected: f32,
+    /// Seconds that the backend server needs for the prompt, until its first byte.
+    pub work: f32,
 }
 
 /// Table of requests with an index by id.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 //!     output_tokens: 0,
 //!     prefixes: Vec::new(),
 //!     forwarded: false,
+//!     needs: route::Needs::default(),
 //! };
 //! router.step(now, Event::Arrive(ticket), &mut out);
 //! assert!(matches!(out[0], Action::Refuse { code: Code::UnknownService, .. }));
@@ -44,9 +45,11 @@
 mod demand;
 mod event;
 mod fail;
+mod first_token;
 mod flight;
 mod names;
 mod observe;
+mod peer_load;
 mod prefix;
 mod queue;
 mod remote;
@@ -55,13 +58,16 @@
 mod slots;
 mod suspect;
 mod view;
+mod window;
 
 pub use counts::Counts;
 pub use event::{
-    Action, BackendLoad, Event, Failure, Fingerprint, Liveness, SuspectMark, SuspectState, Target,
-    Ticket,
+    Action, BackendLoad, Event, Failure, Fingerprint, Holding, Liveness, Needs, SuspectMark,
+    SuspectState, Target, Ticket,
 };
+pub use peer_load::SentLoad;
 pub use router::Router;
-pub use settings::Settings;
+pub use settings::{Estimates, Settings};
 pub use slots::SlotTable;
 pub use view::{BackendView, ModelDemand};
+pub use window::RetryLimits;
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     backend::{LeavingBy, Resident},
-    event::{Action, BackendLoad, Liveness},
+    event::{Action, BackendLoad, Holding, Liveness},
     router::{Router, Scope},
 };
 
@@ -200,6 +200,64 @@
         }
     }
 
+    /// Takes what a backend server registered about itself.
+    pub(crate) fn holds(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        holding: &Holding,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(backend) = self.backend_index(id) else {
+            return;
+        };
+        let b = &mut self.backends[backend as usize];
+        let new_life = b.incarnation != Some(holding.incarnation);
+        if !b.meet(holding.incarnation, now) {
+            return;
+        }
+        if holding.leaving {
+            b.leave(LeavingBy::Server);
+        } else if b.leaving_by.is_none() {
+            b.liveness = Liveness::Live;
+        }
+        let (residents, adapters) = self.named_holding(backend, holding, new_life);
+        self.set_residents(backend, residents, adapters);
+        self.pump(now, Scope::Backend(backend), out);
+    }
+
+    /// Returns what a backend server holds.
+    ///
+    /// Registrations say nothing of adapters that came or went since, so within a life those that
+    /// are known by other ways count.
+    fn named_holding(
+        &self,
+        backend: u32,
+        holding: &Holding,
+        new_life: bool,
+    ) -> (Vec<Resident>, Vec<u16>) {
+        let b = &self.backends[backend as usize];
+        let Some(names) = &self.names else {
+            return (Vec::new(), Vec::new());
+        };
+        let models = holding.models.iter().filter_map(|m| names.model(m));
+        let pace = |model| Resident {
+            model,
+            pace: b.model_pace(model),
+        };
+        let mut residents: Vec<Resident> = models.map(pace).collect();
+        residents.sort_unstable_by_key(|r| r.model);
+        residents.dedup_by_key(|r| r.model);
+        let listed = holding.adapters.iter().filter_map(|a| names.adapter(a));
+        let mut adapters: Vec<u16> = if new_life {
+            listed.collect()
+        } else {
+            b.adapters.clone()
+        };
+        adapters.sort_unstable();
+        (residents, adapters)
+    }
+
     /// Takes the platform's or the driver's word on a backend server.
     ///
     /// The platform's list lags, so it does not bring back a server that said itself that it is
--- /dev/null
+++ b/crates/route/src/peer_load.rs
@@ -0,0 +1,83 @@
+//! Requests that other entry hosts have sent to backend servers.
+
+use serde::{Deserialize, Serialize};
+use types::{BackendId, Deadline, HostId, Instant};
+
+use crate::router::Router;
+
+/// Requests of one entry host at one backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct SentLoad {
+    /// Requests that wait or run there.
+    pub requests: u16,
+    /// Seconds that the server needs to read their prompts.
+    pub work: f32,
+}
+
+/// What one peer has sent, with the time until which it counts.
+#[derive(Debug)]
+pub(crate) struct PeerLoad {
+    host: HostId,
+    until: Deadline,
+    sent: Vec<(BackendId, SentLoad)>,
+}
+
+impl Router {
+    /// Takes the requests that a peer has sent; they count until a deadline or the next news.
+    pub(crate) fn peer_load(
+        &mut self,
+        host: HostId,
+        sent: Vec<(BackendId, SentLoad)>,
+        until: Deadline,
+    ) {
+        match self.peer_loads.binary_search_by(|p| p.host.cmp(&host)) {
+            Ok(at) => self.peer_loads[at] = PeerLoad { host, until, sent },
+            Err(at) => self.peer_loads.insert(at, PeerLoad { host, until, sent }),
+        }
+        self.sum_peer_loads();
+    }
+
+    /// Drops what was heard of peers that have been silent since.
+    pub(crate) fn expire_peer_loads(&mut self, now: Instant) {
+        let before = self.peer_loads.len();
+        self.peer_loads.retain(|p| !p.until.is_past(now));
+        if self.peer_loads.len() != before {
+            self.sum_peer_loads();
+        }
+    }
+
+    /// Adds up the requests of all peers for each backend server.
+    pub(crate) fn sum_peer_loads(&mut self) {
+        let Some(names) = &self.names else {
+            return;
+        };
+        for b in &mut self.backends {
+            b.others = 0;
+            b.others_work = 0.0;
+        }
+        for (id, load) in self.peer_loads.iter().flat_map(|p| &p.sent) {
+            if let Some(at) = names.backend(id) {
+                let b = &mut self.backends[at as usize];
+                b.others = b.others.saturating_add(load.requests);
+                b.others_work += load.work;
+            }
+        }
+    }
+
+    /// Returns what this host has sent to each backend server that it has requests at.
+    #[must_use]
+    pub fn sent_loads(&self) -> Vec<(BackendId, SentLoad)> {
+        let Some(names) = &self.names else {
+            return Vec::new();
+        };
+        let busy = (0_u32..).zip(&self.backends).filter(|(_, b)| b.own > 0);
+        busy.map(|(at, b)| {
+            let load = SentLoad {
+                requests: b.own,
+                work: b.own_work.max(0.0),
+            };
+            (names.backend_id(at).clone(), load)
+        })
+        .collect()
+    }
+}
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -38,13 +38,18 @@
         self.seen.clear();
     }
 
+    /// Returns the index of the longest cached prefix, for prefixes given shortest first.
+    pub(crate) fn cached(&self, prefixes: &[u64]) -> Option<usize> {
+        let holds = |p: &u64| self.seen.binary_search_by_key(p, |s| s.0).is_ok();
+        prefixes.iter().rposition(holds)
+    }
+
     /// Returns the share of the prompt that is cached, for prefixes given shortest first.
     pub(crate) fn cached_share(&self, prefixes: &[u64]) -> f64 {
         if self.seen.is_empty() {
             return 0.0;
         }
-        let holds = |p: &u64| self.seen.binary_search_by_key(p, |s| s.0).is_ok();
-        let longest = prefixes.iter().rposition(holds).map_or(0, |at| at + 1);
+        let longest = self.cached(prefixes).map_or(0, |at| at + 1);
         longest as f64 / prefixes.len().max(1) as f64
     }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -14,10 +14,12 @@
     event::{Action, Event, Fingerprint},
     flight::{Flight, Flights, Phase},
     names::Names,
+    peer_load::PeerLoad,
     queue::Queue,
     remote::Remote,
-    settings::Settings,
+    settings::{Estimates, Settings},
     suspect::Suspects,
+    window::RetryWindow,
 };
 
 /// Router and admission queue of one entry host.
@@ -41,6 +43,16 @@
     /// Waiting requests by index of the model.
     pub(crate) waiting: Vec<u32>,
     pub(crate) budget: Budget,
+    /// Retry windows by index of the service.
+    pub(crate) retry_windows: Vec<RetryWindow>,
+    /// Instant of the first event.
+    pub(crate) started: Option<Instant>,
+    /// Learned pace by index of the model; zero before anything is learned.
+    pub(crate) model_paces: Vec<f32>,
+    /// Last use by index of the adapter.
+    pub(crate) adapter_uses: Vec<Instant>,
+    /// What peers have sent, sorted by host.
+    pub(crate) peer_loads: Vec<PeerLoad>,
     pub(crate) suspects: Suspects,
     /// Requests that this host gave up while a backend server may still run them.
     pub(crate) departed: Vec<Departed>,
@@ -80,6 +92,11 @@
             queue: Queue::default(),
             waiting: Vec::new(),
             budget: Budget::new(cfg.retry_fraction, cfg.retry_burst),
+            retry_windows: Vec::new(),
+            started: None,
+            model_paces: Vec::new(),
+            adapter_uses: Vec::new(),
+            peer_loads: Vec::new(),
             suspects: Suspects::default(),
             departed: Vec::new(),
             demand: Vec::new(),
@@ -93,14 +110,22 @@
 
     /// Takes an event and appends the actions that follow from it.
     pub fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
+        self.started.get_or_insert(now);
         match ev {
             Event::Config(in_force) => self.configure(now, in_force, out),
             Event::Arrive(ticket) => self.arrive(now, ticket, out),
             Event::Cancel(id) => self.cancel(now, id, out),
-            Event::FirstByte(id) => self.first_byte(id),
+            Event::FirstByte(id) => self.first_byte(now, id),
             Event::Finished { id, tokens, ok } => self.finished(now, id, tokens, ok, out),
             Event::Failed { id, failure } => self.failed(now, id, failure, out),
             Event::Report { backend, report } => self.report(now, &backend, &report, out),
+            Event::Holds { backend, holding } => self.holds(now, &backend, &holding, out),
+            Event::PeerLoad { host, sent, until } => self.peer_load(host, sent, until),
+            Event::RetrySlack(slack) => {
+                if let Some(limits) = &mut self.cfg.retry_limits {
+                    limits.slack = slack;
+                }
+            }
             Event::Resident {
                 backend,
                 model,
@@ -143,6 +168,7 @@
         self.suspects.prune(now);
         self.departed.retain(|d| !d.until.is_past(now));
         self.wanted.retain(|w| !w.2.is_past(now));
+        self.expire_peer_loads(now);
         self.expire_asks(now, out);
         self.pump(now, Scope::All, out);
     }
@@ -158,11 +184,32 @@
         }
     }
 
-    fn first_byte(&mut self, id: RequestId) {
+    fn first_byte(&mut self, now: Instant, id: RequestId) {
         if let Some(slot) = self.flights.find(id)
             && let Some(flight) = self.flights.get_mut(slot)
         {
             flight.may_have_run = true;
+            if let Phase::Running { backend, .. } = flight.phase {
+                self.prompt_read(now, slot, backend);
+            }
+        }
+    }
+
+    /// Takes the prompt of a request off the work that waits at its backend server.
+    fn prompt_read(&mut self, now: Instant, slot: u32, backend: u32) {
+        if self.cfg.estimates == Estimates::FirstToken {
+            self.learn_first_token(now, slot, backend);
+        }
+        self.drop_work(slot, backend);
+    }
+
+    fn drop_work(&mut self, slot: u32, backend: u32) {
+        let Some(flight) = self.flights.get_mut(slot) else {
+            return;
+        };
+        let work = std::mem::take(&mut flight.work);
+        if let Some(b) = self.backends.get_mut(backend as usize) {
+            b.own_work -= work;
         }
     }
 
@@ -186,9 +233,13 @@
             self.budget.earn();
         }
         if let Some(backend) = backend {
-            if ok {
+            let learns = flight.model.is_none() || self.cfg.estimates == Estimates::Finish;
+            if ok && learns {
                 self.learn(now, &flight, backend, tokens);
             }
+            if let Some(b) = self.backends.get_mut(backend as usize) {
+                b.note_attempt(false, now);
+            }
             self.clear_suspect(&flight, backend, out);
             self.pump(now, Scope::Backend(backend), out);
         }
@@ -235,6 +286,7 @@
                 None
             }
             Phase::Asking { backend, .. } | Phase::Running { backend, .. } => {
+                self.drop_work(slot, backend);
                 let b = self.backends.get_mut(backend as usize)?;
                 b.remove_own(now);
                 if as_suspect {
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -2,6 +2,18 @@
 
 use types::{DataCentreId, Micros};
 
+use crate::window::RetryLimits;
+
+/// What the estimate of a request to a model engine aims at.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Estimates {
+    /// The end of the answer, from requests in flight and learned speed.
+    #[default]
+    Finish,
+    /// The first token, from the prompts that wait to be read and the cached prefixes.
+    FirstToken,
+}
+
 /// Parameters of the router, with one switch for each mechanism.
 #[derive(Clone, Debug, PartialEq)]
 #[expect(
@@ -19,14 +31,26 @@
     pub prompt_weight: f64,
     /// Random candidates that are compared, drawn by speed; zero compares all.
     pub choices: u32,
+    /// What the estimate of a request to a model engine aims at.
+    pub estimates: Estimates,
+    /// Prompt tokens a second that a worker of pace one reads.
+    pub prefill_rate: f64,
+    /// Seconds that an output token takes on a worker of pace one.
+    pub token_seconds: f64,
     /// Share of its estimated finish time that a request must have left to be admitted.
     pub margin: f64,
     /// Retries that one success earns.
     pub retry_fraction: f64,
     /// Retries that may be saved up, and the number that a new router starts with.
     pub retry_burst: f64,
-    /// Dispatches of one request at most.
+    /// Budget of repeated requests that all hosts share; without one, successes earn retries.
+    pub retry_limits: Option<RetryLimits>,
+    /// Dispatches of one request at most, unless the request says otherwise.
     pub max_attempts: u8,
+    /// Time after which a model or adapter that is still missing is asked for again.
+    pub want_again: Micros,
+    /// Time in which a missing model is loaded; without one, its requests are refused.
+    pub load_on_demand: Option<Micros>,
     /// Time for which a convicted request is refused.
     pub conviction: Micros,
     /// Time to wait for the answer to a question for a suspect slot.
@@ -47,6 +71,10 @@
     pub at_most_once: bool,
     /// Whether requests that were in flight at a crash are treated as suspects.
     pub suspects: bool,
+    /// Whether a suspect runs only in a slot that peers grant.
+    ///
+    /// Without slots, every request that was in flight at two crashes is convicted.
+    pub suspect_slots: bool,
     /// Whether the queue is ordered by priority and deadline instead of arrival.
     pub ordered_queue: bool,
     /// Whether the retry budget holds.
@@ -65,10 +93,16 @@
             half_batch: 4.0,
             prompt_weight: 0.05,
             choices: 3,
+            estimates: Estimates::Finish,
+            prefill_rate: 44_000.0,
+            token_seconds: 0.012,
             margin: 1.4,
             retry_fraction: 0.1,
             retry_burst: 10.0,
+            retry_limits: None,
             max_attempts: 3,
+            want_again: Micros::from_secs(1),
+            load_on_demand: None,
             conviction: Micros::from_secs(600),
             slot_timeout: Micros::from_secs(1),
             demand_half_life: Micros::from_secs(6),
@@ -79,6 +113,7 @@
             in_flight_limits: true,
             at_most_once: true,
             suspects: true,
+            suspect_slots: true,
             ordered_queue: true,
             retry_budget: true,
             prefix_hints: true,
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -1,6 +1,6 @@
 //! Read-only views for the report, the digests and the controller.
 
-use types::{BackendId, Incarnation, Instant, Micros, ModelId};
+use types::{AdapterId, BackendId, Incarnation, Instant, Micros, ModelId};
 
 use crate::{
     counts::Counts,
@@ -114,6 +114,14 @@
         })
     }
 
+    /// Returns the adapters that were used since an instant.
+    pub fn adapters_used(&self, since: Instant) -> impl Iterator<Item = &AdapterId> {
+        let adapters = self.names.iter().flat_map(|n| &n.deployment().adapters);
+        let used = adapters.zip(&self.adapter_uses);
+        used.filter(move |(_, at)| **at >= since)
+            .map(|(adapter, _)| &adapter.id)
+    }
+
     /// Returns the suspects and convictions, for a peer that starts.
     pub fn suspect_marks(&self) -> impl Iterator<Item = &SuspectMark> {
         self.suspects.marks()
--- a/crates/route/tests/behaviour/fixture.rs
+++ b/crates/route/tests/behaviour/fixture.rs
@@ -169,6 +169,7 @@
             output_tokens: 50,
             prefixes: Vec::new(),
             forwarded: false,
+            needs: route::Needs::default(),
         }
     }
 
@@ -200,6 +201,7 @@
                 reason,
                 may_have_run,
                 answered: false,
+                resumes: false,
             },
         });
     }
--- a/crates/route/tests/behaviour/retries.rs
+++ b/crates/route/tests/behaviour/retries.rs
@@ -80,6 +80,7 @@
             reason: RetryReason::Cut,
             may_have_run: true,
             answered: true,
+            resumes: false,
         },
     });
     assert_eq!(host.refused(), [(id, Code::StreamInterrupted)]);
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -78,6 +78,8 @@
     107 InvalidKey "invalid_key" 400 No false "the idempotency key is empty or too long";
     108 InvalidField "invalid_field" 400 No false "a field of the body is missing or of the wrong type";
     109 UnknownPath "unknown_path" 404 No false "no such path or method";
+    110 MissingId "missing_id" 400 No false "the request has no id, or one that can not be read";
+    111 BodyTimeout "body_timeout" 408 No true "the body did not arrive in time";
     201 Unauthenticated "unauthenticated" 401 No false "the bearer token is missing or unknown";
     202 Forbidden "forbidden" 403 No false "the caller may not use this service";
     301 QueueFull "queue_full" 503 No true "the admission queue is full";
@@ -223,6 +225,10 @@
     Resume "resume";
     /// The model or adapter was not resident after all.
     NotResident "not_resident";
+    /// The backend server answered with a failure of its own.
+    ServerError "server_error";
+    /// The answer did not begin in time.
+    Silent "silent";
 }
 
 impl fmt::Display for RetryReason {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,6 +22,7 @@
 mod load;
 mod order;
 mod rate;
+mod registration;
 mod rendezvous;
 mod size;
 mod time;
@@ -36,6 +37,7 @@
 pub use load::{LoadReport, Resident};
 pub use order::{Order, OrderOp, OrderState, OrderStatus};
 pub use rate::Rate;
+pub use registration::{HeldModel, Registration, WorkerState};
 pub use rendezvous::{rank, score};
 pub use size::{Bytes, Tokens};
-pub use time::{Clock, Deadline, Instant, Micros, Monotonic};
+pub use time::{BootTime, Clock, Deadline, Instant, Micros, Monotonic};
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -193,3 +193,21 @@
         Instant(HEAD_START_MICROS.saturating_add(u64::try_from(elapsed).unwrap_or(u64::MAX)))
     }
 }
+
+/// Clock of the machine that also counts the time in which the machine was suspended.
+///
+/// Authority and the age of beliefs are measured by it: a monotonic clock stands still during a
+/// suspension, so a lease would seem valid after it had expired.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootTime;
+
+impl Clock for BootTime {
+    fn now(&self) -> Instant {
+        const MICROS_PER_SEC: u64 = 1_000_000;
+        const NANOS_PER_MICRO: u64 = 1_000;
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let secs = u64::try_from(now.tv_sec).unwrap_or_default();
+        let nanos = u64::try_from(now.tv_nsec).unwrap_or_default();
+        Instant(secs.saturating_mul(MICROS_PER_SEC) + nanos / NANOS_PER_MICRO)
+    }
+}
