--- a/crates/celerytally/src/entry/beliefs.rs
+++ b/crates/celerytally/src/entry/beliefs.rs
@@ -1,23 +1,39 @@
 //! What this host believes of the configuration and of backend servers, for the router.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
-    atomic::{AtomicU64, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use config::{DataCentre, Deployment, InForce};
 use control::FleetHandle;
 use engine::Server;
-use peer::{Facts, key};
+use peer::{Facts, KnownFacts, key};
 use platform::ConfigSpec;
+use rand::Rng;
 use registry::Registry;
 use route::{Event, Holding};
+use tokio::{sync::watch, time::timeout};
 use types::{
     AdapterId, BackendId, BootTime, Clock, ConfigVersion, Instant, ModelId, Registration,
 };
 
 use crate::entry::EntryProxy;
 
+/// Time for which a question for facts waits for news.
+const FACTS_WAIT: Duration = Duration::from_secs(1);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn is_news(facts: &Facts) -> bool {
+    facts.complete || facts.config.is_some() || !facts.set.is_empty() || !facts.removed.is_empty()
+}
+
 /// Names by the keys under which beacons mention them, each list sorted by key.
 #[derive(Debug, Default)]
 pub(crate) struct Keys {
@@ -70,6 +86,14 @@
     beacon_port: u16,
     /// The configuration as it was read, for peers that do not reach the platform.
     config: Mutex<Option<ConfigSpec>>,
+    /// Random name of this process among those that tell facts.
+    life: u64,
+    /// Life and revision of the facts that a peer told last.
+    told: Mutex<(u64, u64)>,
+    /// Whether this host reads the platform itself.
+    direct: watch::Sender<bool>,
+    /// Raised with every change, for peers that wait for news.
+    news: watch::Sender<u64>,
     registry: Mutex<Registry>,
     keys: RwLock<Arc<Keys>>,
     control: OnceLock<FleetHandle>,
@@ -89,6 +113,10 @@
             data_centres,
             beacon_port,
             config: Mutex::default(),
+            life: rand::rng().next_u64(),
+            told: Mutex::default(),
+            direct: watch::Sender::new(false),
+            news: watch::Sender::new(0),
             registry: Mutex::default(),
             keys: RwLock::default(),
             control: OnceLock::new(),
@@ -133,18 +161,78 @@
         self.registry().is_away()
     }
 
-    /// Returns what this host read from the platform, unless that is out of date.
-    pub(crate) fn facts(&self, known: ConfigVersion) -> Option<Facts> {
+    /// Sets whether this host reads the platform itself.
+    pub(crate) fn set_direct(&self, direct: bool) {
+        let changed = self.direct.send_if_modified(|old| {
+            let changed = *old != direct;
+            *old = direct;
+            changed
+        });
+        if changed {
+            tracing::info!(belief = "source", direct, "source of facts changed");
+        }
+    }
+
+    /// Waits until this host reads the platform itself; tells whether it had to wait.
+    pub(crate) async fn wait_direct(&self) -> bool {
+        let mut direct = self.direct.subscribe();
+        if *direct.borrow() {
+            return false;
+        }
+        // The sender lives as long as the beliefs.
+        drop(direct.wait_for(|direct| *direct).await);
+        true
+    }
+
+    /// Returns what this host knows, for a question to a peer.
+    pub(crate) fn known(&self, wait: bool) -> KnownFacts {
+        let (source, revision) = *lock(&self.told);
+        KnownFacts {
+            source,
+            revision,
+            version: self.version().unwrap_or_default(),
+            wait,
+        }
+    }
+
+    /// Returns what this host read from the platform, unless it does not reach it.
+    ///
+    /// If the asker waits, the answer comes with the first news or after a while.
+    pub(crate) async fn facts(&self, known: KnownFacts) -> Option<Facts> {
+        let mut news = self.news.subscribe();
+        let first = self.facts_now(known)?;
+        if !known.wait || is_news(&first) {
+            return Some(first);
+        }
+        // Without news the first answer still says that this host reaches the platform.
+        match timeout(FACTS_WAIT, news.changed()).await {
+            Ok(_) => self.facts_now(known),
+            Err(_elapsed) => self.facts_now(known),
+        }
+    }
+
+    fn facts_now(&self, known: KnownFacts) -> Option<Facts> {
         let registry = self.registry();
-        if registry.is_away() {
+        let version = self.version()?;
+        if registry.is_away() || !*self.direct.borrow() {
             return None;
         }
-        let newer = self.version().is_some_and(|own| own > known);
-        let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
-        let config = config.as_ref().filter(|_| newer);
+        let config = lock(&self.config);
+        let config = config.as_ref().filter(|_| version > known.version);
+        let changes = if known.source == self.life {
+            registry.changes_since(known.revision)
+        } else {
+            None
+        };
+        let complete = changes.is_none();
+        let (set, removed) = changes.unwrap_or_else(|| (registry.entries(), Vec::new()));
         Some(Facts {
+            source: self.life,
+            revision: registry.revision(),
             config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
-            registrations: registry.entries().into_iter().cloned().collect(),
+            complete,
+            set: set.into_iter().cloned().collect(),
+            removed: removed.into_iter().cloned().collect(),
         })
     }
 
@@ -156,14 +244,13 @@
             Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
             None => {}
         }
-        self.register(|registry, _| {
-            // The platform may have come back while the peer was asked.
-            registry.is_away() && registry.told(facts.registrations)
-        });
+        let (complete, set, removed) = (facts.complete, facts.set, facts.removed);
+        self.register(|registry, _| registry.told(complete, set, &removed));
+        *lock(&self.told) = (facts.source, facts.revision);
     }
 
     fn registry(&self) -> MutexGuard<'_, Registry> {
-        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.registry)
     }
 
     /// Returns the version of the configuration in force.
@@ -179,7 +266,7 @@
         let (version, routes) = (table.version, table.routes().len());
         if self.proxy.set_table(Arc::new(table)) {
             tracing::info!(belief = "configuration", %version, routes, "configuration in force");
-            *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Some(spec);
+            *lock(&self.config) = Some(spec);
             self.rebuild();
         }
     }
@@ -210,6 +297,7 @@
             (server, r.state.incarnation)
         });
         self.proxy.set_servers(servers.collect());
+        self.news.send_modify(|count| *count += 1);
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
         self.proxy.dispatcher().feed(Event::Config(Arc::new(InForce {
             version: ConfigVersion::new(revision),
--- a/crates/celerytally/src/entry/follow.rs
+++ b/crates/celerytally/src/entry/follow.rs
@@ -17,6 +17,9 @@
 const BUSY_TICK: Duration = Duration::from_millis(50);
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
+/// Pause after news, in which further changes gather for the next call.
+const GATHER: Duration = Duration::from_millis(120);
+
 /// Whether the platform answers what a follower asks, and since when.
 struct Reach {
     kind: &'static str,
@@ -56,6 +59,9 @@
     let mut reach = Reach::new(ConfigSpec::PLURAL);
     let mut since: Option<Revision> = None;
     loop {
+        if beliefs.wait_direct().await {
+            since = None;
+        }
         let step = match &since {
             None => list_configuration(&objects, &beliefs).await,
             Some(since) => watch_configuration(&objects, since, &beliefs).await,
@@ -112,6 +118,9 @@
     let mut reach = Reach::new(ServerSpec::PLURAL);
     let mut since: Option<Revision> = None;
     loop {
+        if beliefs.wait_direct().await {
+            since = None;
+        }
         let step = match &since {
             None => list_registrations(&objects, &beliefs).await,
             Some(since) => watch_registrations(&objects, since, &beliefs).await,
@@ -125,6 +134,7 @@
             });
         }
         since = settle(&mut reach, step, since).await;
+        sleep(GATHER).await;
     }
 }
 
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod logs;
 mod peers;
+mod source;
 mod stop;
 
 use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
@@ -157,7 +158,7 @@
     tokio::spawn(follow::clock(shared()));
     tokio::spawn(peers::members(exchange(), control(), shared(), slack));
     tokio::spawn(peers::own_state(exchange(), control(), shared()));
-    tokio::spawn(peers::facts(exchange(), shared()));
+    tokio::spawn(source::follow(host.clone(), exchange(), shared()));
     let sent = Arc::clone(&beacons);
     tokio::spawn(beacons::send(sent, host, exchange(), control(), shared()));
     tokio::spawn(beacons::receive(beacons, control(), shared()));
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -8,13 +8,12 @@
 
 use config::Secret;
 use control::FleetHandle;
-use peer::{Facts, Handle, MemberState, News, OwnState};
+use peer::{Facts, Handle, KnownFacts, MemberState, News, OwnState};
 use platform::Objects;
 use route::{Event, Fingerprint, SuspectMark};
 use tokio::{sync::mpsc::Receiver, time::sleep};
 use types::{
-    AdapterId, BackendId, BootTime, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation,
-    ModelId,
+    AdapterId, BackendId, BootTime, DataCentreId, Epoch, HostId, Incarnation, ModelId,
 };
 
 use crate::entry::{RETRY_RESERVE, beliefs::Beliefs};
@@ -22,9 +21,6 @@
 /// Token of the exchange; the network between hosts is closed and the settings carry no secret.
 const CLOSED_NETWORK: &str = "closed-network";
 
-/// Time between two questions for facts while the platform does not answer.
-const ASK_FACTS: Duration = Duration::from_millis(500);
-
 /// Exchange with the other entry hosts.
 pub(crate) type Exchange = Handle<Objects, BootTime, Served>;
 
@@ -61,8 +57,8 @@
         }
     }
 
-    async fn facts(&self, known: ConfigVersion) -> Option<Facts> {
-        self.parts.get()?.1.facts(known)
+    async fn facts(&self, known: KnownFacts) -> Option<Facts> {
+        self.parts.get()?.1.facts(known).await
     }
 }
 
@@ -154,16 +150,3 @@
     }
 }
 
-/// Learns of the platform from peers while it does not answer this host.
-pub(crate) async fn facts(exchange: Exchange, beliefs: Arc<Beliefs>) {
-    loop {
-        sleep(ASK_FACTS).await;
-        if !beliefs.is_away() {
-            continue;
-        }
-        let known = beliefs.version().unwrap_or_default();
-        if let Some(facts) = exchange.facts(known).await {
-            beliefs.told(facts);
-        }
-    }
-}
--- /dev/null
+++ b/crates/celerytally/src/entry/source.rs
@@ -0,0 +1,91 @@
+//! Where this host learns of the configuration and the registry: the platform, or a relay.
+//!
+//! A call of the platform costs as much as a good part of a request, so only a few hosts read it,
+//! and the others ask them. A host whose relays are silent reads the platform itself, and one that
+//! does not reach it either asks whichever peer does.
+
+use std::{sync::Arc, time::Duration};
+
+use peer::{Member, MemberState};
+use tokio::time::sleep;
+use types::{BootTime, Clock, Deadline, HostId, Micros, score};
+
+use crate::entry::{beliefs::Beliefs, peers::Exchange};
+
+/// Hosts that read the platform for the others in a large fleet.
+const RELAYS: usize = 3;
+
+/// Hosts up to which all read the platform themselves, which recovers faster.
+const SMALL_FLEET: usize = 12;
+
+/// Key under which hosts are ranked as relays.
+const RELAY_KEY: &str = "relay";
+
+/// Time after the start in which every host reads the platform itself.
+const START: Micros = Micros::from_secs(3);
+
+/// Time for which a host whose relays were silent reads the platform itself.
+const FALL_BACK: Micros = Micros::from_secs(3);
+
+/// Pause between two looks at the members.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Peers that a host asks that does not reach the platform.
+const MAX_ASKED: usize = 3;
+
+/// Returns the live hosts in the order in which they are relays.
+fn ranked(members: &[Member], own: &HostId) -> Vec<HostId> {
+    let live = |m: &&Member| m.state == MemberState::Alive || m.id == *own;
+    let mut ranked: Vec<(f64, &HostId)> = members
+        .iter()
+        .filter(live)
+        .map(|m| (score(RELAY_KEY, m.id.as_str(), 1.0), &m.id))
+        .collect();
+    ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// Follows the best source for as long as the process runs.
+pub(crate) async fn follow(own: HostId, exchange: Exchange, beliefs: Arc<Beliefs>) {
+    let mut direct_until = Deadline::after(BootTime.now(), START);
+    loop {
+        let ranked = ranked(&exchange.members().borrow(), &own);
+        let now = BootTime.now();
+        let relays = &ranked[..ranked.len().min(RELAYS)];
+        let reads = ranked.len() <= SMALL_FLEET || relays.contains(&own);
+        if reads || !direct_until.is_past(now) {
+            beliefs.set_direct(true);
+            if beliefs.is_away() {
+                ask_any(&ranked, &own, &exchange, &beliefs).await;
+            }
+            sleep(LOOK).await;
+        } else if ask(relays, &exchange, &beliefs).await {
+            beliefs.set_direct(false);
+        } else {
+            tracing::warn!(dependency = "relays", "silent; reading the platform instead");
+            direct_until = Deadline::after(now, FALL_BACK);
+        }
+    }
+}
+
+/// Asks relays for news, and tells whether one of them reaches the platform.
+async fn ask(relays: &[HostId], exchange: &Exchange, beliefs: &Beliefs) -> bool {
+    for relay in relays {
+        if let Some(facts) = exchange.facts(relay, beliefs.known(true)).await {
+            beliefs.told(facts);
+            return true;
+        }
+    }
+    false
+}
+
+/// Asks peers until one of them reaches the platform.
+async fn ask_any(ranked: &[HostId], own: &HostId, exchange: &Exchange, beliefs: &Beliefs) {
+    let others = ranked.iter().filter(|h| *h != own);
+    for peer in others.take(MAX_ASKED) {
+        if let Some(facts) = exchange.facts(peer, beliefs.known(false)).await {
+            beliefs.told(facts);
+            return;
+        }
+    }
+}
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -92,7 +92,7 @@
     pub(crate) fn lease(&mut self, name: String, action: lease::Action<Revision>) {
         let platform = self.platform.clone();
         self.tasks
-            .spawn(async move { Done::Lease(lease_call(&platform, &name, action).await) });
+            .spawn(async move { Done::Lease(lease_call(&platform, &name, action, false).await) });
     }
 
     pub(crate) fn ledger(
@@ -197,19 +197,32 @@
 }
 
 /// Performs the call that a lease asks for.
+///
+/// A read may be `stale`: a takeover that builds on one is refused, because every write names the
+/// revision that it replaces.
 pub(crate) async fn lease_call(
     platform: &impl Platform,
     name: &str,
     action: lease::Action<Revision>,
+    stale: bool,
 ) -> lease::Event<Revision> {
     use lease::{Action, Event};
     match action {
         Action::Create(record) => create::<LeaseObject, _>(platform, name, record).await,
         Action::Update(record, at) => update::<LeaseObject, _>(platform, name, record, at).await,
-        _ => match get::<LeaseObject, _>(platform, name).await {
-            Some(object) => Event::Read(object),
-            None => Event::ReadFailed,
-        },
+        _ => {
+            let read = async {
+                if stale {
+                    platform.get_stale::<LeaseObject>(name).await
+                } else {
+                    platform.get::<LeaseObject>(name).await
+                }
+            };
+            match timeout(CALL_TIMEOUT, read).await {
+                Ok(Ok(object)) => Event::Read(object.map(|o| (o.value.into(), o.revision))),
+                _ => Event::ReadFailed,
+            }
+        }
     }
 }
 
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -169,6 +169,8 @@
     next_want: WantId,
     holder: watch::Sender<Option<HostId>>,
     epoch: watch::Sender<Option<Epoch>>,
+    /// Whether a write of the lease is unsettled, so that only a current read tells its outcome.
+    unsettled: bool,
     /// Last holder that was read, and its epoch.
     former: Option<(HostId, Epoch)>,
 }
@@ -198,6 +200,7 @@
             next_want: 0,
             holder,
             epoch,
+            unsettled: false,
             former: None,
         };
         let handle = FleetHandle {
@@ -281,6 +284,11 @@
         if let Some((host, epoch)) = self.lease.holder() {
             self.former = Some((host.clone(), epoch));
         }
+        match &ev {
+            lease::Event::Refused | lease::Event::Unanswered => self.unsettled = true,
+            lease::Event::Read(_) | lease::Event::Written(_) => self.unsettled = false,
+            _ => {}
+        }
         let mut out = Vec::new();
         self.lease.step(now, ev, &mut out);
         for action in out {
@@ -291,9 +299,9 @@
                     self.step(FleetEvent::Ended);
                 }
                 call => {
-                    let platform = self.platform.clone();
+                    let (platform, stale) = (self.platform.clone(), !self.unsettled);
                     self.work.spawn(async move {
-                        Worked::Lease(lease_call(&platform, LEASE, call).await)
+                        Worked::Lease(lease_call(&platform, LEASE, call, stale).await)
                     });
                 }
             }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -59,7 +59,7 @@
 }
 
 impl NotSent {
-    fn new(detail: impl ToString) -> Self {
+    fn new(detail: &impl ToString) -> Self {
         Self {
             detail: detail.to_string(),
             refused: false,
@@ -192,9 +192,9 @@
     pub async fn open(&self, addr: SocketAddr) -> Result<Connection, NotSent> {
         let stream = timeout(CONNECT_TIMEOUT, connect(addr))
             .await
-            .map_err(|_elapsed| NotSent::new("no connection in time"))??;
+            .map_err(|_elapsed| NotSent::new(&"no connection in time"))??;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(NotSent::new)?;
+        let (sender, driver) = handshake.map_err(|e| NotSent::new(&e))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = driver.await {
                 tracing::trace!(%addr, error = %e, "connection ended");
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -26,7 +26,7 @@
     event::{Event, Params, Spread},
     hosts::Inventory,
     member::{Member, MemberState},
-    message::{Facts, OwnState, Reply, Request},
+    message::{Facts, KnownFacts, OwnState, Reply, Request},
     node::{Answers, News, Node},
     serve::Served,
     state::State,
@@ -46,9 +46,9 @@
 /// Bounds the wait for a placement, within which a model is loaded.
 const PLACE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Bounds the question for facts, and the peers that are asked one after the other.
-const FACTS_TIMEOUT: Duration = Duration::from_millis(300);
-const MAX_ASKED: u64 = 3;
+/// Bounds the question for facts, and one that waits for news.
+const FACTS_TIMEOUT: Duration = Duration::from_millis(400);
+const FACTS_WAIT_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// Bounds the other questions.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -406,22 +406,20 @@
         }
     }
 
-    /// Asks live peers, one after the other, for what they read from the platform.
-    pub async fn facts(&self, known: ConfigVersion) -> Option<Facts> {
-        let mut peers = self.current_members();
-        peers.retain(|m| m.id != self.host && m.state == MemberState::Alive);
-        let start = rand::rng().next_u64();
-        let count = peers.len() as u64;
-        let order = (0..count.min(MAX_ASKED)).map(|at| (start.wrapping_add(at)) % count);
-        for at in order {
-            let peer = &peers[usize::try_from(at).unwrap_or_default()];
-            let req = Request::Facts(known);
-            let reply = self.node.clients.ask(peer.peer_addr, req, FACTS_TIMEOUT).await;
-            if let Some(Reply::Facts(Some(facts))) = reply {
-                return Some(*facts);
-            }
+    /// Asks a host for what it read from the platform; nothing when it does not reach it either.
+    pub async fn facts(&self, from: &HostId, known: KnownFacts) -> Option<Facts> {
+        let members = self.current_members();
+        let member = members.into_iter().find(|m| m.id == *from)?;
+        let within = if known.wait {
+            FACTS_WAIT_TIMEOUT
+        } else {
+            FACTS_TIMEOUT
+        };
+        let req = Request::Facts(known);
+        match self.node.clients.ask(member.peer_addr, req, within).await {
+            Some(Reply::Facts(facts)) => facts.map(|f| *f),
+            _ => None,
         }
-        None
     }
 
     /// Stops the exchange.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -67,7 +67,7 @@
 pub use handle::{Convergence, Handle, Options, Shared, start};
 pub use hosts::{Host, Inventory};
 pub use member::{Member, MemberState};
-pub use message::{Facts, MessageKind, OwnState};
+pub use message::{Facts, KnownFacts, MessageKind, OwnState};
 pub use node::{Heard, News};
 pub use serve::Served;
 pub use traffic::Traffic;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -97,13 +97,34 @@
     pub(crate) removed: Vec<String>,
 }
 
-/// What a host read from the platform, for a peer that does not reach it.
+/// What an asker for facts knows already.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct KnownFacts {
+    /// Life of the peer that told the registrations last.
+    pub source: u64,
+    /// Revision of the registrations in that life.
+    pub revision: u64,
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Whether the peer should wait a while for news before it answers.
+    pub wait: bool,
+}
+
+/// What a host read from the platform, for a peer that does not read it itself.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Facts {
+    /// Life of the process that tells the registrations.
+    pub source: u64,
+    /// Revision of the registrations in that life.
+    pub revision: u64,
     /// The operator's configuration as it was read, if it is newer than the asker's.
     pub config: Option<Vec<u8>>,
+    /// Whether `set` holds all registrations, and not only those that changed.
+    pub complete: bool,
     /// Registered backend servers.
-    pub registrations: Vec<Registration>,
+    pub set: Vec<Registration>,
+    /// Backend servers that are no longer registered.
+    pub removed: Vec<BackendId>,
 }
 
 /// Question to a peer.
@@ -129,8 +150,8 @@
     Yielded(Epoch),
     /// Asks the holder of the lease to place a model or adapter.
     Place(ModelId, Option<AdapterId>),
-    /// Asks for what the peer read from the platform, given the version that the asker has.
-    Facts(ConfigVersion),
+    /// Asks for what the peer read from the platform, given what the asker knows.
+    Facts(KnownFacts),
 }
 
 /// Answer of a peer.
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -1,8 +1,8 @@
 //! What a peer may ask of the process.
 
-use types::{AdapterId, BackendId, ConfigVersion, Epoch, ModelId};
+use types::{AdapterId, BackendId, Epoch, ModelId};
 
-use crate::message::Facts;
+use crate::message::{Facts, KnownFacts};
 
 /// What a peer may ask of the process; the binary implements it.
 pub trait Served: Clone + Send + Sync + 'static {
@@ -22,7 +22,7 @@
     }
 
     /// Returns what this host reads from the platform, unless it does not reach it.
-    fn facts(&self, _known: ConfigVersion) -> impl Future<Output = Option<Facts>> + Send {
+    fn facts(&self, _known: KnownFacts) -> impl Future<Output = Option<Facts>> + Send {
         std::future::ready(None)
     }
 }
--- a/crates/registry/src/entries.rs
+++ b/crates/registry/src/entries.rs
@@ -1,14 +1,21 @@
 //! Entries of backend servers, through outages of the platform.
 
+use std::collections::VecDeque;
+
 use types::{BackendId, Deadline, Instant, Micros, Registration};
 
 /// Time after the platform's return in which servers whose entries lapsed register again.
 const REGISTER_AGAIN: Micros = Micros::from_millis(2_500);
 
+/// Removed entries that are remembered for hosts that ask for changes.
+const MAX_REMOVED: usize = 256;
+
 /// Entry with the time until which it counts although it is missing on the platform.
 #[derive(Clone, Debug)]
 struct Entry {
     registration: Registration,
+    /// Revision of its last change.
+    changed: u64,
     missing_until: Option<Deadline>,
 }
 
@@ -17,6 +24,12 @@
 pub struct Registry {
     /// Sorted by id.
     entries: Vec<Entry>,
+    /// Raised with every change of an entry.
+    revision: u64,
+    /// Revisions at which entries were removed, oldest first.
+    removed: VecDeque<(u64, BackendId)>,
+    /// Revision from which on all removals are remembered.
+    complete_since: u64,
     /// Whether the platform does not answer.
     away: bool,
     /// Time until which missing entries may come back.
@@ -79,35 +92,89 @@
         changed
     }
 
-    /// Takes all entries as a peer read them, while the platform does not answer this host.
-    pub fn told(&mut self, told: Vec<Registration>) -> bool {
-        let entry = |registration| Entry {
-            registration,
-            missing_until: None,
+    fn raise(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
+    fn drop_entry(&mut self, at: usize) {
+        let entry = self.entries.remove(at);
+        let revision = self.raise();
+        self.removed.push_back((revision, entry.registration.id));
+        if self.removed.len() > MAX_REMOVED
+            && let Some((revision, _)) = self.removed.pop_front()
+        {
+            self.complete_since = revision;
+        }
+    }
+
+    /// Returns the revision of the entries.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the registrations that changed and those that were removed since a revision.
+    ///
+    /// Returns `None` when the removals since then are no longer remembered.
+    #[must_use]
+    pub fn changes_since(&self, revision: u64) -> Option<(Vec<&Registration>, Vec<&BackendId>)> {
+        if revision < self.complete_since || revision > self.revision {
+            return None;
+        }
+        let set = self.entries.iter().filter(|e| e.changed > revision);
+        let removed = self.removed.iter().filter(|(at, _)| *at > revision);
+        Some((
+            set.map(|e| &e.registration).collect(),
+            removed.map(|(_, id)| id).collect(),
+        ))
+    }
+
+    /// Takes what another host read of the platform; tells whether the belief changed.
+    ///
+    /// `complete` says that all entries are told, and not only those that changed.
+    pub fn told(&mut self, complete: bool, set: Vec<Registration>, removed: &[BackendId]) -> bool {
+        let is_set = |id: &BackendId| set.iter().any(|r| r.id == *id);
+        let gone = |e: &Entry| {
+            let id = &e.registration.id;
+            !is_set(id) && (complete || removed.contains(id))
         };
-        let mut entries: Vec<Entry> = told.into_iter().map(entry).collect();
-        entries.sort_by(|a, b| a.registration.id.cmp(&b.registration.id));
-        let same = |(a, b): (&Entry, &Entry)| a.registration == b.registration;
-        let changed = entries.len() != self.entries.len()
-            || !entries.iter().zip(&self.entries).all(same);
-        self.entries = entries;
+        let gone: Vec<usize> = (0..self.entries.len())
+            .filter(|at| gone(&self.entries[*at]))
+            .collect();
+        // From the end, so that the other positions hold.
+        for at in gone.iter().rev() {
+            self.drop_entry(*at);
+        }
+        let mut changed = !gone.is_empty();
+        for registration in set {
+            changed |= self.put(registration);
+        }
         changed
     }
 
     /// Takes an entry that was written; tells whether the belief changed.
     pub fn set(&mut self, now: Instant, registration: Registration) -> bool {
         self.returned(now);
-        let entry = Entry {
+        self.put(registration)
+    }
+
+    fn put(&mut self, registration: Registration) -> bool {
+        let mut entry = Entry {
             registration,
+            changed: self.revision,
             missing_until: None,
         };
         match self.position(&entry.registration.id) {
             Ok(at) => {
-                let changed = self.entries[at].registration != entry.registration;
+                let old = &self.entries[at];
+                let changed = old.registration != entry.registration;
+                entry.changed = if changed { self.raise() } else { old.changed };
                 self.entries[at] = entry;
                 changed
             }
             Err(at) => {
+                entry.changed = self.raise();
                 self.entries.insert(at, entry);
                 true
             }
@@ -124,7 +191,7 @@
             self.entries[at].missing_until.get_or_insert(until);
             return false;
         }
-        self.entries.remove(at);
+        self.drop_entry(at);
         true
     }
 
@@ -133,9 +200,12 @@
         if self.away {
             return false;
         }
-        let before = self.entries.len();
-        self.entries
-            .retain(|e| e.missing_until.is_none_or(|until| !until.is_past(now)));
-        self.entries.len() != before
+        let gone = |e: &Entry| e.missing_until.is_some_and(|until| until.is_past(now));
+        let gone: Vec<usize> = (0..self.entries.len()).filter(|at| gone(&self.entries[*at])).collect();
+        // From the end, so that the other positions hold.
+        for at in gone.iter().rev() {
+            self.drop_entry(*at);
+        }
+        !gone.is_empty()
     }
 }
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -24,6 +24,17 @@
     /// `Unavailable` when the platform does not answer, `Garbage` when the object can't be decoded.
     fn get<T: Kind>(&self, name: &str) -> impl Future<Output = Result<Option<Object<T>>>> + Send;
 
+    /// Reads an object that may be seconds old, where the platform offers that at a lower price.
+    ///
+    /// # Errors
+    /// As [`get`](Self::get).
+    fn get_stale<T: Kind>(
+        &self,
+        name: &str,
+    ) -> impl Future<Output = Result<Option<Object<T>>>> + Send {
+        self.get(name)
+    }
+
     /// Reads all objects of a kind.
     ///
     /// # Errors
