--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -23,6 +23,12 @@
 /// Time for which the demand that a host told counts.
 const NEED_TTL: Micros = Micros::from_secs(4);
 
+/// Time for which a copy stays after it was loaded.
+const SETTLE: Micros = Micros::from_secs(6);
+
+/// Time for which a model counts as asked for lately.
+const RECENT: Micros = Micros::from_secs(60);
+
 /// Time for which a want is kept.
 const WANT_TTL: Micros = Micros::from_secs(4);
 
@@ -102,6 +108,8 @@
     next_report: Instant,
     /// When adapters were last asked for or used, sorted by id.
     used: Vec<(AdapterId, Instant)>,
+    /// Model that was ordered last, and when.
+    loaded: Option<(ModelId, Instant)>,
 }
 
 impl Managed {
@@ -131,6 +139,8 @@
     workers: Vec<Managed>,
     needs: Vec<(HostId, Deadline, Vec<(ModelId, f64)>)>,
     wants: Vec<Want>,
+    /// When models were last asked for, sorted by id.
+    asked: Vec<(ModelId, Instant)>,
     /// Starts of loads from the weight store within the window.
     store_loads: VecDeque<Instant>,
     authority: Option<(Epoch, Instant)>,
@@ -148,6 +158,7 @@
             workers: Vec::new(),
             needs: Vec::new(),
             wants: Vec::new(),
+            asked: Vec::new(),
             store_loads: VecDeque::new(),
             authority: None,
             next_round: Instant::ZERO,
@@ -231,6 +242,7 @@
                     asking: false,
                     next_report: Instant::ZERO,
                     used: Vec::new(),
+                    loaded: None,
                 },
             };
             worker.ledger.registered(registration.state.clone());
@@ -277,6 +289,11 @@
     }
 
     fn told(&mut self, now: Instant, host: HostId, needs: Vec<(ModelId, f64)>) {
+        for (model, load) in &needs {
+            if *load > MIN_NEED {
+                self.note_asked(now, model);
+            }
+        }
         let until = Deadline::after(now, NEED_TTL);
         self.needs.retain(|(h, until, _)| *h != host && !until.is_past(now));
         self.needs.push((host, until, needs));
@@ -293,6 +310,7 @@
     }
 
     fn want(&mut self, now: Instant, id: WantId, model: ModelId, adapter: Option<AdapterId>) {
+        self.note_asked(now, &model);
         self.wants.push(Want {
             id,
             model,
@@ -301,6 +319,13 @@
         });
     }
 
+    fn note_asked(&mut self, now: Instant, model: &ModelId) {
+        match self.asked.binary_search_by(|(m, _)| m.cmp(model)) {
+            Ok(at) => self.asked[at].1 = now,
+            Err(at) => self.asked.insert(at, (model.clone(), now)),
+        }
+    }
+
     /// Does everything that is due.
     fn act(&mut self, now: Instant, out: &mut Vec<FleetAction>) {
         self.answer_wants(now, out);
@@ -515,14 +540,18 @@
             self.wants.iter().any(waits)
         };
         all.extend(self.wants.iter().map(|w| (&w.model, 0.0)));
+        let recent = |at: &Instant| now.since(*at) < RECENT;
+        let asked = self.asked.iter().filter(|(_, at)| recent(at));
+        all.extend(asked.map(|(model, _)| (model, 0.0)));
         all.sort_by(|a, b| a.0.cmp(b.0));
         let groups = all.chunk_by(|a, b| a.0 == b.0);
         let needs = groups.map(|group| Need {
             model: group[0].0.clone(),
             load: group.iter().map(|g| g.1).sum(),
             waiting: waiting(group[0].0),
+            recent: true,
         });
-        needs.filter(|n| n.waiting || n.load > MIN_NEED).collect()
+        needs.collect()
     }
 
     /// Orders the changes of placement that are worth their cost.
@@ -535,7 +564,7 @@
             .flat_map(|(name, engine)| {
                 place::changes(&FleetInput {
                     engine,
-                    workers: self.fleet_workers(name, engine, &needs),
+                    workers: self.fleet_workers(now, name, engine, &needs),
                     needs: &needs,
                     store_loads,
                 })
@@ -548,6 +577,7 @@
 
     fn fleet_workers<'a>(
         &'a self,
+        now: Instant,
         service: &ServiceName,
         engine: &'a EngineSpec,
         needs: &[Need],
@@ -565,6 +595,7 @@
                     used: w.ledger.reserved(size),
                     state: w.ledger.state(),
                     load: self.load_of(&held, needs),
+                    settling: settling(w, now),
                     held,
                 }
             })
@@ -591,6 +622,9 @@
                 if from_store {
                     self.store_loads.push_back(now);
                 }
+                if let Some(at) = self.find(&worker) {
+                    self.workers[at].loaded = Some((model.clone(), now));
+                }
                 (worker, model, OrderOp::Load)
             }
             Change::Unload { worker, model } => (worker, model, OrderOp::Unload),
@@ -614,6 +648,12 @@
     }
 }
 
+/// Returns the model whose copy was loaded so lately that it stays.
+fn settling(worker: &Managed, now: Instant) -> Option<&ModelId> {
+    let (model, at) = worker.loaded.as_ref()?;
+    (now.since(*at) < SETTLE).then_some(model)
+}
+
 /// Returns the models that a worker serves or loads, without one that it unloads.
 fn held_models(worker: &Managed) -> Vec<&ModelId> {
     let task = worker.ledger.under_way();
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -145,6 +145,10 @@
     }
 
     fn refusal(&self, code: Code, retry_after: Option<Micros>) -> Refusal {
+        if self.ran == Some(Code::DeadlineExceeded) {
+            // More is known here than in the router, which takes silence for a failed attempt.
+            return Code::DeadlineExceeded.into();
+        }
         Refusal::decided(code, self.ran, retry_after)
     }
 
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -15,8 +15,11 @@
 /// Times the loss of a copy that its replacement must be worth.
 const MIN_GAIN: f64 = 2.0;
 
-/// Worth of the only copy of a model that nobody asks for.
-const IDLE_COPY_WORTH: f64 = 0.01;
+/// Worth of the only copy of a model that nobody has asked for lately.
+const IDLE_COPY_WORTH: f64 = 0.02;
+
+/// Worth of the only copy of a model that callers asked for lately.
+const RARE_COPY_WORTH: f64 = 0.2;
 
 /// Worth of the only copy of a model that callers ask for, besides its demand.
 const LAST_COPY_WORTH: f64 = 1.0;
@@ -44,6 +47,8 @@
     pub state: &'a WorkerState,
     /// Share of its time that its present work takes.
     pub load: f64,
+    /// Model whose copy was loaded so lately that it stays.
+    pub settling: Option<&'a ModelId>,
 }
 
 /// Demand for a model.
@@ -55,6 +60,8 @@
     pub load: f64,
     /// Whether callers wait for the model to be resident.
     pub waiting: bool,
+    /// Whether callers asked for the model lately.
+    pub recent: bool,
 }
 
 /// Input of a round.
@@ -97,6 +104,7 @@
     bytes: Bytes,
     load: f64,
     waiting: bool,
+    recent: bool,
     copies: usize,
 }
 
@@ -105,6 +113,7 @@
     fn gain(&self) -> f64 {
         match self.copies {
             0 if self.waiting || self.load > 0.0 => LAST_COPY_WORTH + self.load,
+            0 if self.recent => RARE_COPY_WORTH,
             0 => IDLE_COPY_WORTH,
             n => self.load / n as f64 - self.load / (n + 1) as f64,
         }
@@ -115,6 +124,7 @@
         match self.copies {
             0 => 0.0,
             1 if self.load > 0.0 || self.waiting => LAST_COPY_WORTH + self.load,
+            1 if self.recent => RARE_COPY_WORTH,
             1 => IDLE_COPY_WORTH,
             n => self.load / (n - 1) as f64 - self.load / n as f64,
         }
@@ -164,6 +174,7 @@
                 bytes: spec.bytes,
                 load: need.map_or(0.0, |n| n.load),
                 waiting: need.is_some_and(|n| n.waiting),
+                recent: need.is_some_and(|n| n.recent),
                 copies: input.workers.iter().filter(holds).count(),
             }
         });
@@ -251,7 +262,8 @@
                 continue;
             }
             let at_hand = f64::from(u8::from(!w.state.has_copy(model.model)));
-            for held in w.state.models.iter().filter(|h| w.held.contains(&&h.id)) {
+            let stays = |id: &ModelId| !w.held.contains(&id) || w.settling == Some(id);
+            for held in w.state.models.iter().filter(|h| !stays(&h.id)) {
                 let found = self.models.binary_search_by(|c| c.model.cmp(&held.id));
                 let loss = found.map_or(0.0, |v| self.models[v].loss());
                 let cost = loss + (at_hand + w.load) * IDLE_COPY_WORTH;
--- a/crates/route/src/first_token.rs
+++ b/crates/route/src/first_token.rs
@@ -73,11 +73,12 @@
         let backlog = f64::from(b.own_work.max(0.0)) + f64::from(b.others_work);
         let batch = f64::from(b.in_flight(true)) + 1.0;
         let slowed = 1.0 + DECODE_SHARE * (batch / DOUBLING_BATCH).min(1.0);
-        let step = self.cfg.token_seconds * pace * (1.0 + batch / DOUBLING_BATCH);
-        let first = (backlog + work) * slowed + step + TRANSIT_SECONDS;
+        let step = self.cfg.token_seconds * (1.0 + batch / DOUBLING_BATCH);
+        let first = (backlog + work) * slowed + step * pace + TRANSIT_SECONDS;
         Estimate {
             first,
-            finish: first + f64::from(flight.ticket.output_tokens) * step,
+            // Callers overestimate the output, so only the fastest end counts against a request.
+            finish: first + f64::from(flight.ticket.output_tokens) * self.cfg.token_seconds,
             predicted: first / pace,
             work,
         }
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -35,7 +35,7 @@
     pub estimates: Estimates,
     /// Prompt tokens a second that a worker of pace one reads.
     pub prefill_rate: f64,
-    /// Seconds that an output token takes on a worker of pace one.
+    /// Seconds that an output token takes at least.
     pub token_seconds: f64,
     /// Share of its estimated finish time that a request must have left to be admitted.
     pub margin: f64,
@@ -95,7 +95,7 @@
             choices: 3,
             estimates: Estimates::Finish,
             prefill_rate: 44_000.0,
-            token_seconds: 0.012,
+            token_seconds: 0.004,
             margin: 1.4,
             retry_fraction: 0.1,
             retry_burst: 10.0,
