--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -85,6 +85,7 @@
             rank,
             phase: Phase::Queued,
             attempts: 0,
+            runs: 0,
             tried: Vec::new(),
             may_have_run: false,
             retry: None,
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -24,6 +24,8 @@
     pub model: u16,
     /// Learned time relative to what the server's pace predicts.
     pub pace: f32,
+    /// Since when it is known to be there.
+    pub since: Instant,
 }
 
 /// Source of the knowledge that a server is leaving.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -138,7 +138,7 @@
             if !self.may_serve(flight, backend, now) {
                 continue;
             }
-            let estimate = self.estimate(flight, backend, preferred);
+            let estimate = self.estimate(now, flight, backend, preferred);
             if !self.has_place(backend, suspect) {
                 let seconds = estimate.finish;
                 soonest = Some(soonest.map_or(seconds, |s| s.min(seconds)));
@@ -198,10 +198,16 @@
     }
 
     /// Estimates the times of a request on a backend server.
-    fn estimate(&self, flight: &Flight, backend: u32, preferred: Option<u32>) -> Estimate {
+    fn estimate(
+        &self,
+        now: Instant,
+        flight: &Flight,
+        backend: u32,
+        preferred: Option<u32>,
+    ) -> Estimate {
         match (flight.model, self.cfg.estimates) {
             (Some(model), Estimates::FirstToken) => {
-                self.estimate_first_token(flight, model, backend, preferred)
+                self.estimate_first_token(now, flight, model, backend, preferred)
             }
             _ => self.estimate_finish(flight, backend),
         }
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -13,6 +13,8 @@
 const SHUN_UNREACHABLE: Micros = Micros::from_millis(500);
 /// Time for which a backend server that refused a request gets no work.
 const SHUN_REFUSING: Micros = Micros::from_millis(100);
+/// Refusals by backend servers after which a request is not offered to another one.
+const MAX_REFUSALS: u8 = 2;
 
 impl Router {
     pub(crate) fn failed(
@@ -94,7 +96,12 @@
         let Some(flight) = self.flights.get_mut(slot) else {
             return;
         };
-        let max_attempts = flight.ticket.needs.max_attempts.unwrap_or(most);
+        flight.runs += u8::from(failure.may_have_run);
+        // A route bounds the servers that run a request; a refusal is no run.
+        let tries_left = match flight.ticket.needs.max_attempts {
+            Some(runs) => flight.runs < runs && flight.attempts < runs.saturating_add(MAX_REFUSALS),
+            None => flight.attempts < most,
+        };
         flight.may_have_run |= failure.may_have_run;
         flight.as_suspect = false;
         let forwarded = if let Phase::Forwarded { dc } = flight.phase {
@@ -115,7 +122,7 @@
             let code = outcome(flight, failure.reason, forwarded);
             return self.refuse(slot, code, None, out);
         }
-        let in_time = !flight.ticket.deadline.is_past(now) && flight.attempts < max_attempts;
+        let in_time = !flight.ticket.deadline.is_past(now) && tries_left;
         let free = !failure.may_have_run
             && self.cfg.retry_limits.is_none()
             && (forwarded
--- a/crates/route/src/first_token.rs
+++ b/crates/route/src/first_token.rs
@@ -3,12 +3,14 @@
 //! An engine reads prompts one after the other, so a request waits for all prompts that were sent
 //! before it and for its own, less the prefix that the engine still has in its cache.
 
-use types::Instant;
+use types::{Instant, Micros};
 
 use crate::{choose::Estimate, flight::Flight, router::Router};
 
 /// Requests in a batch at which an output token takes twice as long as alone.
 const DOUBLING_BATCH: f64 = 64.0;
+/// Time after which a worker with a model has read the prefixes that callers share.
+const WARM_AFTER: Micros = Micros::from_secs(8);
 /// Share of a worker's time that output tokens of other requests take while it reads prompts.
 const DECODE_SHARE: f64 = 0.2;
 /// Seconds that a request and its first event are on the way.
@@ -31,9 +33,9 @@
 
     /// Returns prompt tokens of a request that a backend server has to read.
     ///
-    /// The worker that ranks first for the shared prefix counts as holding it: every host sends
-    /// such requests there first, so it has read it, or will read it once for all.
-    fn unread(&self, flight: &Flight, backend: u32, preferred: Option<u32>) -> u32 {
+    /// The worker that ranks first for the shared prefix counts as holding it once it has had the
+    /// model for a while: every host sends such requests there first.
+    fn unread(&self, now: Instant, flight: &Flight, backend: u32, preferred: Option<u32>) -> u32 {
         let ticket = &flight.ticket;
         let tokens = &ticket.needs.prefix_tokens;
         let known = self.backends[backend as usize]
@@ -42,13 +44,20 @@
             .and_then(|at| tokens.get(at))
             .copied();
         let assumed = preferred
-            .filter(|p| *p == backend)
+            .filter(|p| *p == backend && self.is_warm(now, flight, backend))
             .and_then(|_| tokens.len().checked_sub(2))
             .map(|at| tokens[at]);
         let cached = known.unwrap_or(0).max(assumed.unwrap_or(0));
         ticket.prompt_tokens.saturating_sub(cached).max(1)
     }
 
+    /// Tells whether a worker has had the model of a request long enough to have read its prefixes.
+    fn is_warm(&self, now: Instant, flight: &Flight, backend: u32) -> bool {
+        let b = &self.backends[backend as usize];
+        let resident = flight.model.and_then(|m| b.resident(m));
+        resident.is_some_and(|at| now.since(b.residents[at].since) >= WARM_AFTER)
+    }
+
     /// Returns the worker that ranks first for the shared prefix of a request.
     pub(crate) fn preferred(&self, flight: &Flight, candidates: &[u32]) -> Option<u32> {
         let names = self.names.as_ref()?;
@@ -61,6 +70,7 @@
     /// Estimates the first token and the end of a request on a worker.
     pub(crate) fn estimate_first_token(
         &self,
+        now: Instant,
         flight: &Flight,
         model: u16,
         backend: u32,
@@ -68,7 +78,7 @@
     ) -> Estimate {
         let b = &self.backends[backend as usize];
         let pace = f64::from(b.pace) * self.model_pace(model);
-        let unread = self.unread(flight, backend, preferred);
+        let unread = self.unread(now, flight, backend, preferred);
         let work = f64::from(unread) / self.cfg.prefill_rate * pace;
         let backlog = f64::from(b.own_work.max(0.0)) + f64::from(b.others_work);
         let batch = f64::from(b.in_flight(true)) + 1.0;
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -34,6 +34,8 @@
     pub rank: Rank,
     pub phase: Phase,
     pub attempts: u8,
+    /// Attempts that may have run.
+    pub runs: u8,
     /// Backend servers that failed the request.
     pub tried: Vec<u32>,
     /// Whether any attempt may have run.
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -58,12 +58,12 @@
             b.liveness = Liveness::Live;
         }
         b.residents_check = check_residents(&report.residents);
-        let (residents, adapters) = self.residents_of(backend, report);
+        let (residents, adapters) = self.residents_of(now, backend, report);
         self.set_residents(backend, residents, adapters);
         self.pump(now, Scope::Backend(backend), out);
     }
 
-    fn residents_of(&self, backend: u32, report: &LoadReport) -> (Vec<Resident>, Vec<u16>) {
+    fn residents_of(&self, now: Instant, backend: u32, report: &LoadReport) -> (Vec<Resident>, Vec<u16>) {
         let Some(names) = &self.names else {
             return (Vec::new(), Vec::new());
         };
@@ -74,7 +74,11 @@
                 adapters.extend(names.adapter_named(&resident.name));
             } else if let Some(model) = names.model_named(&resident.name) {
                 let pace = b.model_pace(model);
-                residents.push(Resident { model, pace });
+                residents.push(Resident {
+                    model,
+                    pace,
+                    since: now,
+                });
             }
         }
         residents.sort_unstable_by_key(|r| r.model);
@@ -102,6 +106,11 @@
             return;
         }
         let old = std::mem::replace(&mut b.residents, residents);
+        for resident in &mut b.residents {
+            if let Ok(at) = old.binary_search_by_key(&resident.model, |r| r.model) {
+                resident.since = old[at].since;
+            }
+        }
         if !b.local {
             return;
         }
@@ -143,7 +152,12 @@
         } else if let Some(model) = model
             && let Err(at) = residents.binary_search_by_key(&model, |r| r.model)
         {
-            residents.insert(at, Resident { model, pace: 1.0 });
+            let resident = Resident {
+                model,
+                pace: 1.0,
+                since: now,
+            };
+            residents.insert(at, resident);
         }
         self.set_residents(backend, residents, adapters);
         self.pump(now, Scope::Backend(backend), out);
@@ -221,7 +235,7 @@
         } else if b.leaving_by.is_none() {
             b.liveness = Liveness::Live;
         }
-        let (residents, adapters) = self.named_holding(backend, holding, new_life);
+        let (residents, adapters) = self.named_holding(now, backend, holding, new_life);
         self.set_residents(backend, residents, adapters);
         self.pump(now, Scope::Backend(backend), out);
     }
@@ -232,6 +246,7 @@
     /// are known by other ways count.
     fn named_holding(
         &self,
+        now: Instant,
         backend: u32,
         holding: &Holding,
         new_life: bool,
@@ -244,6 +259,7 @@
         let pace = |model| Resident {
             model,
             pace: b.model_pace(model),
+            since: now,
         };
         let mut residents: Vec<Resident> = models.map(pace).collect();
         residents.sort_unstable_by_key(|r| r.model);
