--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -101,7 +101,7 @@
         let needs: Vec<(ModelId, f64)> = needs
             .map(|d| (d.model.clone(), d.tokens_per_second))
             .collect();
-        let used: Vec<_> = router.adapters_used(since).cloned().collect();
+        let used: Vec<_> = router.adapters_used(since).into_iter().cloned().collect();
         (needs, used)
     });
     let need = |(model, load): &(ModelId, f64)| Need {
--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -32,8 +32,11 @@
 /// Time for which a want is kept.
 const WANT_TTL: Micros = Micros::from_secs(4);
 
-/// Time within which an adapter that was used is not given up for another one.
-const ADAPTER_REST: Micros = Micros::from_millis(500);
+/// Time without use after which an adapter is given up for another one.
+///
+/// Hosts tell the adapters in use every second, so one that was silent for longer is free; the
+/// unload of one in use would hold up every other order to its worker.
+const ADAPTER_REST: Micros = Micros::from_millis(1_800);
 
 /// Loads from the weight store that may be under way at once.
 const STORE_LOADS_AT_ONCE: usize = 3;
--- a/crates/orders/src/sequenced.rs
+++ b/crates/orders/src/sequenced.rs
@@ -60,7 +60,7 @@
     /// Whether the number of orders is in doubt, so that any report replaces it.
     in_doubt: bool,
     pending: Option<Pending>,
-    /// Accepted order on a model that is not yet seen to be done.
+    /// Accepted order that is not yet seen to be done.
     under_way: Option<Task>,
 }
 
@@ -81,7 +81,8 @@
     #[must_use]
     pub fn under_way(&self) -> Option<&Task> {
         let sent = self.pending.as_ref().map(|p| &p.task);
-        self.under_way.as_ref().or(sent.filter(|t| t.adapter.is_none()))
+        let model = |t: &&Task| t.adapter.is_none();
+        self.under_way.as_ref().filter(model).or(sent.filter(model))
     }
 
     /// Tells whether the report of the worker is awaited to settle an order.
@@ -119,7 +120,7 @@
             self.pending = None;
         }
         // A registration does not say whether an order is under way.
-        if reported && !state.busy {
+        if reported && self.under_way.as_ref().is_some_and(|t| is_done(t, &state)) {
             self.under_way = None;
         }
         self.reported |= reported;
@@ -143,7 +144,9 @@
     /// Tells whether an order on an adapter may be sent now.
     #[must_use]
     pub fn may_order_adapter(&self) -> bool {
-        self.reported && self.pending.is_none()
+        let unloads = |t: &Task| t.op == OrderOp::UnloadAdapter;
+        let free = !self.under_way.as_ref().is_some_and(unloads);
+        self.reported && self.pending.is_none() && free
     }
 
     /// Notes an order that is sent now; returns the number of orders that it expects.
@@ -177,6 +180,13 @@
         pending.sending = false;
         let task = pending.task.clone();
         match outcome {
+            Outcome::Accepted if task.op == OrderOp::UnloadAdapter => {
+                // The adapter is in use; the worker counts the order once its requests have ended,
+                // and refuses others until then.
+                self.pending = None;
+                self.under_way = Some(task);
+                None
+            }
             Outcome::Accepted => {
                 self.pending = None;
                 self.state.orders += 1;
@@ -230,6 +240,15 @@
     }
 }
 
+/// Tells whether a report shows that an accepted order is done.
+fn is_done(task: &Task, state: &WorkerState) -> bool {
+    let Some(adapter) = &task.adapter else {
+        return !state.busy;
+    };
+    let held = state.model(&task.model);
+    held.is_none_or(|m| m.adapters.binary_search(adapter).is_err())
+}
+
 fn apply_adapter(held: &mut HeldModel, op: OrderOp, adapter: &AdapterId) {
     match (op, held.adapters.binary_search(adapter)) {
         (OrderOp::LoadAdapter, Err(at)) => held.adapters.insert(at, adapter.clone()),
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -114,12 +114,18 @@
         })
     }
 
-    /// Returns the adapters that were used since an instant.
-    pub fn adapters_used(&self, since: Instant) -> impl Iterator<Item = &AdapterId> {
-        let adapters = self.names.iter().flat_map(|n| &n.deployment().adapters);
-        let used = adapters.zip(&self.adapter_uses);
-        used.filter(move |(_, at)| **at >= since)
-            .map(|(adapter, _)| &adapter.id)
+    /// Returns the adapters that are in use or were used since an instant.
+    #[must_use]
+    pub fn adapters_used(&self, since: Instant) -> Vec<&AdapterId> {
+        let mut used: Vec<u16> = self.flights.iter().filter_map(|(_, f)| f.adapter).collect();
+        let recent = (0_u16..).zip(&self.adapter_uses);
+        used.extend(recent.filter(|(_, at)| **at >= since).map(|(a, _)| a));
+        used.sort_unstable();
+        used.dedup();
+        let names = self.names.iter();
+        names
+            .flat_map(|n| used.iter().map(|a| n.adapter_id(*a)))
+            .collect()
     }
 
     /// Returns the suspects and convictions, for a peer that starts.
