--- a/crates/celerytally/src/entry/follow.rs
+++ b/crates/celerytally/src/entry/follow.rs
@@ -66,15 +66,16 @@
             None => list_configuration(&objects, &beliefs).await,
             Some(since) => watch_configuration(&objects, since, &beliefs).await,
         };
-        since = settle(&mut reach, step, since).await;
+        since = settle(&mut reach, step).await;
     }
 }
 
 /// Returns the revision from which to go on; a list is needed when there is none.
+///
+/// After a failure a list shows sooner than a watch whether the platform answers again.
 async fn settle(
     reach: &mut Reach,
     step: store::Result<Revision>,
-    since: Option<Revision>,
 ) -> Option<Revision> {
     match step {
         Ok(revision) => {
@@ -84,7 +85,7 @@
         Err(e) if e.category() == Category::Expired => None,
         Err(e) => {
             reach.failed(&e).await;
-            since
+            None
         }
     }
 }
@@ -133,7 +134,7 @@
                 false
             });
         }
-        since = settle(&mut reach, step, since).await;
+        since = settle(&mut reach, step).await;
         sleep(GATHER).await;
     }
 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -36,6 +36,9 @@
 /// Idle time after which the kernel probes a connection, and the time between two probes.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
 
+/// Probes without an answer after which a connection is broken.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Bounds the wait until an idle connection takes the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -260,7 +263,8 @@
     let options = SockRef::from(&socket);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_TIME);
+        .with_interval(KEEPALIVE_TIME)
+        .with_retries(KEEPALIVE_PROBES);
     // Without these options a silent connection is noticed later, by the deadline of its request.
     if let Err(e) = options
         .set_tcp_user_timeout(Some(USER_TIMEOUT))
