Test the decisions of the platform path; forget warm caches at a restart

Cause: a test that replays the return of a crashed worker failed: a worker that registered the same models in a new life kept the time since which it had them, so it counted as warm. Conclusion: the age of a copy ends with the life of its process.

--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -69,11 +69,15 @@
     let members = exchange.members().borrow().clone();
     let live = members.iter();
     let live = live.filter(|m| m.id != *host && m.state != MemberState::Gone);
-    live.map(|m| SocketAddr::new(m.peer_addr.ip(), port)).collect()
+    live.map(|m| SocketAddr::new(m.peer_addr.ip(), port))
+        .collect()
 }
 
 fn loads(beliefs: &Beliefs) -> Vec<Load> {
-    let sent = beliefs.proxy().dispatcher().with_router(route::Router::sent_loads);
+    let sent = beliefs
+        .proxy()
+        .dispatcher()
+        .with_router(route::Router::sent_loads);
     let load = |(id, load): (types::BackendId, SentLoad)| Load {
         backend: key(id.as_str()),
         requests: load.requests,
@@ -146,9 +150,8 @@
         until: Deadline::after(beliefs.proxy().now(), ttl),
     });
     let needs = beacon.needs.iter();
-    let needs = needs.filter_map(|n| {
-        Some((keys.model(n.model)?.clone(), f64::from(n.work_ms) / 1e3))
-    });
+    let needs =
+        needs.filter_map(|n| Some((keys.model(n.model)?.clone(), f64::from(n.work_ms) / 1e3)));
     let needs: Vec<_> = needs.collect();
     if !needs.is_empty() {
         control.needs(beacon.host, needs);
--- a/crates/celerytally/src/entry/beliefs.rs
+++ b/crates/celerytally/src/entry/beliefs.rs
@@ -17,9 +17,7 @@
 use registry::Registry;
 use route::{Event, Holding};
 use tokio::{sync::watch, time::timeout};
-use types::{
-    AdapterId, BackendId, BootTime, Clock, ConfigVersion, Instant, ModelId, Registration,
-};
+use types::{AdapterId, BackendId, BootTime, Clock, ConfigVersion, Instant, ModelId, Registration};
 
 use crate::entry::EntryProxy;
 
@@ -103,11 +101,7 @@
 }
 
 impl Beliefs {
-    pub(crate) fn new(
-        proxy: EntryProxy,
-        data_centres: Vec<DataCentre>,
-        beacon_port: u16,
-    ) -> Self {
+    pub(crate) fn new(proxy: EntryProxy, data_centres: Vec<DataCentre>, beacon_port: u16) -> Self {
         Self {
             proxy,
             data_centres,
@@ -238,7 +232,9 @@
 
     /// Takes what a peer read from the platform.
     pub(crate) fn told(&self, facts: Facts) {
-        let spec = facts.config.map(|c| serde_json::from_slice::<ConfigSpec>(&c));
+        let spec = facts
+            .config
+            .map(|c| serde_json::from_slice::<ConfigSpec>(&c));
         match spec {
             Some(Ok(spec)) => self.configure(spec),
             Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
@@ -299,10 +295,12 @@
         self.proxy.set_servers(servers.collect());
         self.news.send_modify(|count| *count += 1);
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
-        self.proxy.dispatcher().feed(Event::Config(Arc::new(InForce {
-            version: ConfigVersion::new(revision),
-            deployment: Arc::new(deployment),
-        })));
+        self.proxy
+            .dispatcher()
+            .feed(Event::Config(Arc::new(InForce {
+                version: ConfigVersion::new(revision),
+                deployment: Arc::new(deployment),
+            })));
         if let Some(control) = self.control.get() {
             control.services(table.services().to_vec());
             control.registered(registered.iter().map(|r| (*r).clone()).collect());
--- a/crates/celerytally/src/entry/follow.rs
+++ b/crates/celerytally/src/entry/follow.rs
@@ -40,7 +40,12 @@
         self.pause = FIRST_PAUSE;
         if let Some(since) = self.away_since.take() {
             let away_ms = BootTime.now().since(since).get() / 1_000;
-            tracing::info!(dependency = "platform", kind = self.kind, away_ms, "regained");
+            tracing::info!(
+                dependency = "platform",
+                kind = self.kind,
+                away_ms,
+                "regained"
+            );
         }
     }
 
@@ -73,10 +78,7 @@
 /// Returns the revision from which to go on; a list is needed when there is none.
 ///
 /// After a failure a list shows sooner than a watch whether the platform answers again.
-async fn settle(
-    reach: &mut Reach,
-    step: store::Result<Revision>,
-) -> Option<Revision> {
+async fn settle(reach: &mut Reach, step: store::Result<Revision>) -> Option<Revision> {
     match step {
         Ok(revision) => {
             reach.answered();
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -61,7 +61,9 @@
     })?;
     let settings = platform::settings(&path).map_err(Error::usage)?;
     let _flushes = logs::start();
-    let metrics = PrometheusBuilder::new().install_recorder().map_err(internal)?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(internal)?;
     tracing::info!(host = %settings.host, dc = %settings.dc, "entry host started");
 
     let objects = Objects::new(settings.platform);
@@ -147,7 +149,9 @@
     control: &FleetHandle,
     beliefs: &Arc<Beliefs>,
 ) -> Result<()> {
-    let beacons = Beacons::bind(settings.beacons).await.map_err(Error::usage)?;
+    let beacons = Beacons::bind(settings.beacons)
+        .await
+        .map_err(Error::usage)?;
     let beacons = Arc::new(beacons);
     let (exchange, control) = (|| exchange.clone(), || control.clone());
     let shared = || Arc::clone(beliefs);
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -12,9 +12,7 @@
 use platform::Objects;
 use route::{Event, Fingerprint, SuspectMark};
 use tokio::{sync::mpsc::Receiver, time::sleep};
-use types::{
-    AdapterId, BackendId, BootTime, DataCentreId, Epoch, HostId, Incarnation, ModelId,
-};
+use types::{AdapterId, BackendId, BootTime, DataCentreId, Epoch, HostId, Incarnation, ModelId};
 
 use crate::entry::{RETRY_RESERVE, beliefs::Beliefs};
 
@@ -123,7 +121,11 @@
             let alive = current.iter().filter(|m| m.state == MemberState::Alive);
             alive.map(|m| m.id.clone()).collect()
         };
-        tracing::info!(belief = "members", alive = alive.len(), "entry hosts changed");
+        tracing::info!(
+            belief = "members",
+            alive = alive.len(),
+            "entry hosts changed"
+        );
         let share = retry_slack * RETRY_RESERVE / alive.len().max(1) as f64;
         beliefs.proxy().dispatcher().feed(Event::RetrySlack(share));
         beliefs.set_peers(alive.len().saturating_sub(1));
@@ -149,4 +151,3 @@
         }
     }
 }
-
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -62,7 +62,10 @@
         } else if ask(relays, &exchange, &beliefs).await {
             beliefs.set_direct(false);
         } else {
-            tracing::warn!(dependency = "relays", "silent; reading the platform instead");
+            tracing::warn!(
+                dependency = "relays",
+                "silent; reading the platform instead"
+            );
             direct_until = Deadline::after(now, FALL_BACK);
         }
     }
--- a/crates/celerytally/src/entry/stop.rs
+++ b/crates/celerytally/src/entry/stop.rs
@@ -50,10 +50,16 @@
     controller.cancel();
     exchange.set_state(OwnState::Draining);
     sleep(BALANCER_NOTICE.min(grace / 3)).await;
-    tracing::info!(open = proxy.open_requests(), "stopping: closed for new connections");
+    tracing::info!(
+        open = proxy.open_requests(),
+        "stopping: closed for new connections"
+    );
     proxy.close();
     if timeout_at(end, proxy.drained()).await.is_err() {
-        tracing::warn!(open = proxy.dispatcher().in_flight(), "stopping with open requests");
+        tracing::warn!(
+            open = proxy.dispatcher().in_flight(),
+            "stopping with open requests"
+        );
     }
     sleep(FLUSH).await;
     Ok(())
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -51,11 +51,7 @@
 /// What the controller asks of workers.
 pub trait WorkerCalls: Clone + Send + Sync + 'static {
     /// Sends an order.
-    fn order(
-        &self,
-        worker: &Server,
-        order: &WorkerOrder,
-    ) -> impl Future<Output = Outcome> + Send;
+    fn order(&self, worker: &Server, order: &WorkerOrder) -> impl Future<Output = Outcome> + Send;
 
     /// Asks for a report.
     fn report(&self, worker: &Server) -> impl Future<Output = Option<WorkerState>> + Send;
@@ -223,7 +219,7 @@
                     self.step_lease(lease::Event::HandOver);
                 }
                 Some(input) = self.input.recv() => self.take(input),
-                Some(worked) = self.work.join_next() => self.worked(worked),
+                Some(call) = self.work.join_next() => self.ended(call),
                 _ = ticks.tick() => {
                     self.step_lease(lease::Event::Tick);
                     self.step(FleetEvent::Tick);
@@ -259,8 +255,8 @@
         }
     }
 
-    fn worked(&mut self, worked: Result<Worked, tokio::task::JoinError>) {
-        match worked {
+    fn ended(&mut self, call: Result<Worked, tokio::task::JoinError>) {
+        match call {
             Ok(Worked::Lease(ev)) => self.step_lease(ev),
             Ok(Worked::Report(worker, state)) => self.step(FleetEvent::Report(worker, state)),
             Ok(Worked::Order {
--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -132,6 +132,14 @@
     until: Deadline,
 }
 
+/// Demand that a host told, and the time until which it counts.
+#[derive(Debug)]
+struct HostNeeds {
+    host: HostId,
+    until: Deadline,
+    models: Vec<(ModelId, f64)>,
+}
+
 /// Placement over all workers, as long as this host has authority.
 #[derive(Debug)]
 pub struct Fleet {
@@ -140,7 +148,7 @@
     services: Vec<RoutedService>,
     /// Sorted by id.
     workers: Vec<Managed>,
-    needs: Vec<(HostId, Deadline, Vec<(ModelId, f64)>)>,
+    needs: Vec<HostNeeds>,
     wants: Vec<Want>,
     /// When models were last asked for, sorted by id.
     asked: Vec<(ModelId, Instant)>,
@@ -219,7 +227,10 @@
     }
 
     fn engine(&self, service: &ServiceName) -> Option<&EngineSpec> {
-        let at = self.services.binary_search_by(|s| s.name.cmp(service)).ok()?;
+        let at = self
+            .services
+            .binary_search_by(|s| s.name.cmp(service))
+            .ok()?;
         self.services[at].engine.as_ref()
     }
 
@@ -236,7 +247,9 @@
             if self.engine(&registration.service).is_none() {
                 continue;
             }
-            let known = old.iter().position(|w| w.registration.id == registration.id);
+            let known = old
+                .iter()
+                .position(|w| w.registration.id == registration.id);
             let mut worker = match known {
                 Some(at) => old.swap_remove(at),
                 None => Managed {
@@ -298,8 +311,13 @@
             }
         }
         let until = Deadline::after(now, NEED_TTL);
-        self.needs.retain(|(h, until, _)| *h != host && !until.is_past(now));
-        self.needs.push((host, until, needs));
+        self.needs
+            .retain(|n| n.host != host && !n.until.is_past(now));
+        self.needs.push(HostNeeds {
+            host,
+            until,
+            models: needs,
+        });
     }
 
     fn used(&mut self, now: Instant, adapters: &[AdapterId]) {
@@ -348,15 +366,19 @@
     fn holders(&self, model: &ModelId, adapter: Option<&AdapterId>) -> Vec<usize> {
         let holds = |w: &Managed| {
             let held = w.ledger.state().model(model);
-            let leaves = w.ledger.under_way().is_some_and(|t| {
-                t.op == OrderOp::Unload && t.model == *model
-            });
+            let leaves = w
+                .ledger
+                .under_way()
+                .is_some_and(|t| t.op == OrderOp::Unload && t.model == *model);
             held.is_some_and(|h| adapter.is_none_or(|a| h.adapters.binary_search(a).is_ok()))
                 && !leaves
                 && !w.registration.leaving
         };
         let workers = self.workers.iter().enumerate();
-        workers.filter(|(_, w)| holds(w)).map(|(at, _)| at).collect()
+        workers
+            .filter(|(_, w)| holds(w))
+            .map(|(at, _)| at)
+            .collect()
     }
 
     fn answer_wants(&mut self, now: Instant, out: &mut Vec<FleetAction>) {
@@ -366,7 +388,9 @@
             if holders.is_empty() && !want.until.is_past(now) {
                 return true;
             }
-            let ids = holders.iter().map(|at| self.workers[*at].registration.id.clone());
+            let ids = holders
+                .iter()
+                .map(|at| self.workers[*at].registration.id.clone());
             out.push(FleetAction::Placed(want.id, ids.collect(), Micros::ZERO));
             false
         });
@@ -453,7 +477,10 @@
             score(adapter.as_str(), id, 1.0)
         };
         able.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
-        let free = able.iter().copied().find(|at| self.free_adapter_slots(*at) > 0);
+        let free = able
+            .iter()
+            .copied()
+            .find(|at| self.free_adapter_slots(*at) > 0);
         if let Some(at) = free {
             self.note_used(at, &adapter, now);
             return self.issue(now, at, task, out);
@@ -534,9 +561,9 @@
 
     /// Returns the demand over all hosts, sorted by model.
     fn total_needs(&self, now: Instant) -> Vec<Need> {
-        let fresh = self.needs.iter().filter(|(_, until, _)| !until.is_past(now));
+        let fresh = self.needs.iter().filter(|n| !n.until.is_past(now));
         let mut all: Vec<(&ModelId, f64)> = fresh
-            .flat_map(|(_, _, needs)| needs.iter().map(|(m, load)| (m, *load)))
+            .flat_map(|n| n.models.iter().map(|(m, load)| (m, *load)))
             .collect();
         let waiting = |model: &ModelId| {
             let waits = |w: &Want| w.model == *model && w.adapter.is_none();
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -285,7 +285,7 @@
                 tokio::spawn(async move {
                     let placed = this.0.peers.want(model.clone(), adapter.clone()).await;
                     for backend in placed {
-                        this.placed(backend, &model, adapter.as_ref());
+                        this.placed(&backend, &model, adapter.as_ref());
                     }
                 });
             }
@@ -294,7 +294,7 @@
     }
 
     /// Tells the router that a backend server holds a model, and an adapter of it if one is named.
-    fn placed(&self, backend: BackendId, model: &ModelId, adapter: Option<&AdapterId>) {
+    fn placed(&self, backend: &BackendId, model: &ModelId, adapter: Option<&AdapterId>) {
         let parts = [Some(None), adapter.map(|a| Some(a.clone()))];
         for adapter in parts.into_iter().flatten() {
             self.feed(Event::Resident {
--- a/crates/gate/src/proxy/connection.rs
+++ b/crates/gate/src/proxy/connection.rs
@@ -1,11 +1,6 @@
 //! Connections of callers and of the balancer.
 
-use std::{
-    convert::Infallible,
-    pin::pin,
-    sync::atomic::Ordering,
-    time::Duration,
-};
+use std::{convert::Infallible, pin::pin, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
--- a/crates/gate/src/proxy/events.rs
+++ b/crates/gate/src/proxy/events.rs
@@ -49,7 +49,9 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.rsplit(|b| *b == b'\n');
-    let id = lines.into_iter().find_map(|line| line.strip_prefix(b"id:"))?;
+    let id = lines
+        .into_iter()
+        .find_map(|line| line.strip_prefix(b"id:"))?;
     let id = std::str::from_utf8(id).ok()?;
     Some(id.trim().to_owned())
 }
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -159,7 +159,7 @@
 
     /// Tells the router of a failed attempt.
     pub(crate) fn fail(&mut self, backend: &BackendId, failure: Failure) {
-        log::attempt_failed(&self.inbound.asked.id, backend, &failure, self.attempts);
+        log::attempt_failed(&self.inbound.asked.id, backend, failure, self.attempts);
         if failure.may_have_run {
             self.ran = Some(code_of(failure.reason));
         }
@@ -180,12 +180,16 @@
     async fn attempt(&mut self, server: &Server, first_byte: Micros) -> Result<Opened, Failure> {
         let until = self.patience(first_byte);
         let mut connection = self.connect(server).await?;
-        let mut sent = self.send(&mut connection, server, first_byte, until).await?;
+        let mut sent = self
+            .send(&mut connection, server, first_byte, until)
+            .await?;
         if matches!(sent, Sent::Unsent) && connection.is_reused() {
             // The server closed the idle connection; nothing of the request was sent.
             let opened = self.shared.pool.open(server.addr).await;
             connection = opened.map_err(|_not_sent| unsent(RetryReason::Unreachable))?;
-            sent = self.send(&mut connection, server, first_byte, until).await?;
+            sent = self
+                .send(&mut connection, server, first_byte, until)
+                .await?;
         }
         let answer = match sent {
             Sent::Answered(answer) => answer,
@@ -196,7 +200,11 @@
             }
         };
         let (head, body) = answer.into_parts();
-        match self.shared.dialect.judge(&self.inbound.asked.id, &server.id, &head) {
+        match self
+            .shared
+            .dialect
+            .judge(&self.inbound.asked.id, &server.id, &head)
+        {
             Verdict::Answer => Ok(Opened {
                 backend: server.id.clone(),
                 head,
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -31,29 +31,36 @@
 }
 
 /// An attempt failed.
-pub(crate) fn attempt_failed(request: &str, backend: &BackendId, failure: &Failure, attempt: u8) {
+pub(crate) fn attempt_failed(request: &str, backend: &BackendId, failure: Failure, attempt: u8) {
     let reason = failure.reason.label();
     let may_have_run = failure.may_have_run;
     tracing::warn!(decision = "attempt_failed", request, %backend, reason, may_have_run, attempt);
 }
 
 /// A request was refused or failed.
-pub(crate) fn refused(request: &str, refusal: &Refusal, status: u16, held: Micros) {
+pub(crate) fn refused(request: &str, refusal: &Refusal, status: u16, took: Micros) {
     let (code, ran) = (refusal.code, refusal.ran);
     let retry_after_ms = refusal.retry_after.map(millis);
-    let held_ms = millis(held);
+    let held_ms = millis(took);
     tracing::warn!(decision = "refused", request, %code, status, %ran, retry_after_ms, held_ms);
 }
 
 /// A response is complete.
-pub(crate) fn answered(request: &str, backend: &str, status: u16, held: Micros, events: u64) {
-    let held_ms = millis(held);
-    tracing::info!(decision = "answered", request, backend, status, held_ms, events);
+pub(crate) fn answered(request: &str, backend: &str, status: u16, took: Micros, events: u64) {
+    let held_ms = millis(took);
+    tracing::info!(
+        decision = "answered",
+        request,
+        backend,
+        status,
+        held_ms,
+        events
+    );
 }
 
 /// A response broke off after a part of it was passed on.
-pub(crate) fn broken_off(request: &str, reason: &str, held: Micros, events: u64) {
-    let held_ms = millis(held);
+pub(crate) fn broken_off(request: &str, reason: &str, took: Micros, events: u64) {
+    let held_ms = millis(took);
     tracing::warn!(decision = "broken_off", request, reason, held_ms, events);
 }
 
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -203,7 +203,9 @@
         shared.counters.request();
         let (head, body) = req.into_parts();
         let asked = shared.dialect.asked(&head);
-        let request = asked.as_ref().map_or_else(|_| String::new(), |a| a.id.clone());
+        let request = asked
+            .as_ref()
+            .map_or_else(|_| String::new(), |a| a.id.clone());
         let served = match asked {
             Ok(asked) => self.clone().serve(head, body, asked).await,
             Err(code) => Err(code.into()),
@@ -213,8 +215,8 @@
             Err(refusal) => {
                 shared.counters.refusal(refusal.code);
                 let head = shared.dialect.refuse(&refusal);
-                let held = shared.clock.now().since(arrived);
-                log::refused(&request, &refusal, head.status.as_u16(), held);
+                let took = shared.clock.now().since(arrived);
+                log::refused(&request, &refusal, head.status.as_u16(), took);
                 Response::from_parts(head, Either::Left(Full::default()))
             }
         };
@@ -261,10 +263,10 @@
                 let status = whole.head.status;
                 exchange.flight.finished(0, !status.is_server_error());
                 exchange.ended = true;
-                let held = shared.clock.now().since(exchange.arrived);
-                metrics::histogram!("celerytally_request_seconds").record(held.as_secs_f64());
+                let took = shared.clock.now().since(exchange.arrived);
+                metrics::histogram!("celerytally_request_seconds").record(took.as_secs_f64());
                 let request = &exchange.inbound.asked.id;
-                log::answered(request, backend.as_str(), status.as_u16(), held, 0);
+                log::answered(request, backend.as_str(), status.as_u16(), took, 0);
                 return Ok(pass(whole));
             }
         }
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -103,7 +103,12 @@
     fn pass(&mut self, data: Bytes) -> Option<Bytes> {
         if self.frames == 0 {
             self.exchange.flight.first_byte();
-            let waited = self.exchange.shared.clock.now().since(self.exchange.arrived);
+            let waited = self
+                .exchange
+                .shared
+                .clock
+                .now()
+                .since(self.exchange.arrived);
             metrics::histogram!("celerytally_first_event_seconds").record(waited.as_secs_f64());
         }
         self.frames += 1;
--- a/crates/gate/tests/proxy/events.rs
+++ b/crates/gate/tests/proxy/events.rs
@@ -8,7 +8,7 @@
 
     let taken = events.push(b"id: 1\ndata: a\n\nid: 2\nda");
 
-    assert_eq!(&taken.bytes[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(&*taken.bytes, b"id: 1\ndata: a\n\n");
     assert_eq!(taken.last_id.as_deref(), Some("1"));
 }
 
@@ -19,7 +19,7 @@
 
     let taken = events.push(b"ta: b\r\n\r\n");
 
-    assert_eq!(&taken.bytes[..], b"id: 2\r\ndata: b\r\n\r\n");
+    assert_eq!(&*taken.bytes, b"id: 2\r\ndata: b\r\n\r\n");
     assert_eq!(taken.last_id.as_deref(), Some("2"));
 }
 
@@ -31,6 +31,6 @@
     events.discard();
     let taken = events.push(b"id: 2\n\n");
 
-    assert_eq!(&taken.bytes[..], b"id: 2\n\n");
+    assert_eq!(&*taken.bytes, b"id: 2\n\n");
     assert!(events.finish().is_empty());
 }
--- a/crates/orders/src/sequenced.rs
+++ b/crates/orders/src/sequenced.rs
@@ -116,7 +116,11 @@
         } else if state.orders < self.state.orders && !(reported && self.in_doubt) {
             return;
         }
-        if self.pending.as_ref().is_some_and(|p| state.orders > p.expect) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|p| state.orders > p.expect)
+        {
             self.pending = None;
         }
         // A registration does not say whether an order is under way.
@@ -125,7 +129,11 @@
         }
         self.reported |= reported;
         self.in_doubt &= !reported;
-        let busy = if reported { state.busy } else { self.state.busy };
+        let busy = if reported {
+            state.busy
+        } else {
+            self.state.busy
+        };
         self.state = WorkerState { busy, ..state };
     }
 
@@ -212,7 +220,10 @@
     }
 
     fn apply(&mut self, task: &Task) {
-        let found = self.state.models.binary_search_by(|m| m.id.cmp(&task.model));
+        let found = self
+            .state
+            .models
+            .binary_search_by(|m| m.id.cmp(&task.model));
         match (&task.adapter, found) {
             (None, _) => self.under_way = Some(task.clone()),
             (Some(adapter), Ok(at)) => apply_adapter(&mut self.state.models[at], task.op, adapter),
@@ -224,7 +235,10 @@
     #[must_use]
     pub fn reserved(&self, size: impl Fn(&ModelId) -> Bytes) -> Bytes {
         let held = self.state.models.iter().map(|m| &m.id);
-        let coming = [self.under_way.as_ref(), self.pending.as_ref().map(|p| &p.task)];
+        let coming = [
+            self.under_way.as_ref(),
+            self.pending.as_ref().map(|p| &p.task),
+        ];
         let coming = coming.into_iter().flatten();
         let coming = coming.filter(|t| t.op == OrderOp::Load).map(|t| &t.model);
         let mut all: Vec<&ModelId> = held.chain(coming).collect();
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -400,7 +400,12 @@
             return Vec::new();
         };
         let req = Request::Place(model, adapter);
-        match self.node.clients.ask(member.peer_addr, req, PLACE_TIMEOUT).await {
+        match self
+            .node
+            .clients
+            .ask(member.peer_addr, req, PLACE_TIMEOUT)
+            .await
+        {
             Some(Reply::Placed(backends)) => backends,
             _ => Vec::new(),
         }
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -180,7 +180,11 @@
         });
         Self {
             models: models.collect(),
-            open: input.workers.iter().map(|w| w.usable && w.may_order).collect(),
+            open: input
+                .workers
+                .iter()
+                .map(|w| w.usable && w.may_order)
+                .collect(),
             store_loads: input.store_loads,
             changes: Vec::new(),
             input,
@@ -192,10 +196,10 @@
         let model = &self.models[m];
         let missing = model.copies == 0;
         let urgent = missing && (model.waiting || model.load > 0.0);
-        if missing || model.load_per_copy() > FREE_COPY_LOAD {
-            if let Some(worker) = self.free_worker(m, urgent) {
-                return self.load(worker, m);
-            }
+        if (missing || model.load_per_copy() > FREE_COPY_LOAD)
+            && let Some(worker) = self.free_worker(m, urgent)
+        {
+            return self.load(worker, m);
         }
         if urgent || model.load_per_copy() > COPY_LOAD {
             self.make_room(m);
@@ -217,7 +221,8 @@
                 && self.may_load(w, model.model, urgent)
         });
         able.min_by(|(_, a), (_, b)| {
-            let key = |w: &FleetWorker<'_>| f64::from(u8::from(!w.state.has_copy(model.model))) + w.load;
+            let key =
+                |w: &FleetWorker<'_>| f64::from(u8::from(!w.state.has_copy(model.model))) + w.load;
             key(a).total_cmp(&key(b))
         })
         .map(|(at, _)| at)
--- /dev/null
+++ b/crates/place/tests/fleet.rs
@@ -0,0 +1,178 @@
+//! Changes of placement over all workers, replayed for the load patterns that they answer.
+
+use config::{EngineSpec, ModelSpec};
+use place::{Change, FleetInput, FleetWorker, Need, changes};
+use types::{BackendId, Bytes, HeldModel, Micros, ModelId, WorkerState};
+
+const GB: u64 = 1_000_000_000;
+
+fn model(id: &str) -> ModelId {
+    id.parse().expect("a name")
+}
+
+fn engine(models: &[&str]) -> EngineSpec {
+    let spec = |id: &&str| ModelSpec {
+        id: model(id),
+        bytes: Bytes::new(70 * GB),
+        load: Micros::from_millis(1_200),
+        load_from_disk: Micros::from_millis(400),
+        adapters: 0,
+        adapter_bytes: Bytes::ZERO,
+    };
+    EngineSpec {
+        slots: 64,
+        cache_tokens: 280_000,
+        memory: Bytes::new(230 * GB),
+        adapter_slots: 8,
+        loads_per_second: 1.4,
+        models: models.iter().map(spec).collect(),
+    }
+}
+
+struct Worker {
+    id: BackendId,
+    state: WorkerState,
+    load: f64,
+}
+
+fn worker(id: &str, held: &[&str], on_disk: &[&str]) -> Worker {
+    let held = held.iter().map(|m| HeldModel {
+        id: model(m),
+        adapters: Vec::new(),
+    });
+    Worker {
+        id: id.parse().expect("a name"),
+        state: WorkerState {
+            models: held.collect(),
+            on_disk: on_disk.iter().map(|m| model(m)).collect(),
+            ..WorkerState::default()
+        },
+        load: 0.0,
+    }
+}
+
+fn need(id: &str, load: f64) -> Need {
+    Need {
+        model: model(id),
+        load,
+        waiting: false,
+        recent: true,
+    }
+}
+
+fn plan(engine: &EngineSpec, workers: &[Worker], needs: &[Need], store_loads: u32) -> Vec<Change> {
+    let seen =
+        |w: &'_ Worker| -> Vec<ModelId> { w.state.models.iter().map(|m| m.id.clone()).collect() };
+    let held: Vec<Vec<ModelId>> = workers.iter().map(seen).collect();
+    let workers = workers.iter().zip(&held).map(|(w, held)| FleetWorker {
+        id: &w.id,
+        usable: true,
+        may_order: true,
+        held: held.iter().collect(),
+        used: Bytes::new(70 * GB * held.len() as u64),
+        state: &w.state,
+        load: w.load,
+        settling: None,
+    });
+    changes(&FleetInput {
+        engine,
+        workers: workers.collect(),
+        needs,
+        store_loads,
+    })
+}
+
+fn load(worker: &str, id: &str, from_store: bool) -> Change {
+    Change::Load {
+        worker: worker.parse().expect("a name"),
+        model: model(id),
+        from_store,
+    }
+}
+
+/// Guards against a rare model that stays unreachable: callers wait, and a disk has a copy.
+#[test]
+fn a_missing_model_that_callers_wait_for_is_loaded_where_a_copy_is_at_hand() {
+    let engine = engine(&["m1", "m2"]);
+    let workers = [worker("w1", &["m1"], &[]), worker("w2", &["m1"], &["m2"])];
+    let waiting = Need {
+        waiting: true,
+        ..need("m2", 0.0)
+    };
+
+    let plan = plan(&engine, &workers, &[need("m1", 0.1), waiting], 0);
+
+    assert_eq!(plan, [load("w2", "m2", false)]);
+}
+
+/// Guards against more loads from the weight store than it allows.
+#[test]
+fn no_load_from_the_weight_store_begins_beyond_its_allowance() {
+    let engine = engine(&["m1", "m2", "m3"]);
+    let workers = [worker("w1", &["m1"], &[]), worker("w2", &[], &[])];
+    let needs = [need("m2", 0.2), need("m3", 0.2)];
+
+    let none = plan(&engine, &workers, &needs, 0);
+    let one = plan(&engine, &workers, &needs, 1);
+
+    assert!(none.is_empty());
+    assert_eq!(one.len(), 1);
+}
+
+/// Guards against overcommitted memory, adapters included.
+#[test]
+fn a_model_is_not_loaded_beside_three_that_fill_the_memory() {
+    let engine = engine(&["m1", "m2", "m3", "m4"]);
+    let workers = [worker("w1", &["m1", "m2", "m3"], &["m4"])];
+
+    let plan = plan(&engine, &workers, &[need("m1", 2.0)], 5);
+
+    assert!(plan.iter().all(|c| !matches!(c, Change::Load { .. })));
+}
+
+/// Replays a demand that moved to one model: its holder is overloaded, an idle copy gives way.
+#[test]
+fn an_overloaded_model_displaces_a_surplus_copy() {
+    let engine = engine(&["m1", "m2", "m3"]);
+    let workers = [
+        worker("w1", &["m1", "m2", "m3"], &[]),
+        worker("w2", &["m2", "m3"], &[]),
+    ];
+    let full = [
+        workers[0].state.clone(),
+        worker("w2", &["m2", "m3"], &["m1"]).state,
+    ];
+    let workers: Vec<Worker> = workers
+        .into_iter()
+        .zip(full)
+        .map(|(w, state)| Worker { state, ..w })
+        .collect();
+
+    let plan = plan(&engine, &workers, &[need("m1", 0.9)], 5);
+
+    assert_eq!(plan, [load("w2", "m1", false)]);
+}
+
+/// Replays requests for rare models that come seconds apart: their only copies must stay, or each
+/// request costs a load and displaces the next model.
+#[test]
+fn the_only_copy_of_a_model_asked_for_lately_stays_beside_a_busy_one() {
+    let engine = engine(&["m1", "m2", "m3", "m4"]);
+    let workers = [
+        worker("w1", &["m1", "m2", "m3"], &[]),
+        worker("w2", &["m1", "m4"], &["m1"]),
+    ];
+    let needs = [
+        need("m1", 0.6),
+        need("m2", 0.0),
+        need("m3", 0.0),
+        need("m4", 0.0),
+    ];
+
+    let plan = plan(&engine, &workers, &needs, 5);
+
+    assert!(
+        plan.iter().all(|c| !matches!(c, Change::Unload { .. })),
+        "{plan:?}"
+    );
+}
--- a/crates/registry/src/deployment.rs
+++ b/crates/registry/src/deployment.rs
@@ -38,7 +38,9 @@
         let all = engines.iter();
         all.flat_map(|(service, engine)| engine.models.iter().map(move |m| (*service, m)))
     };
-    let mut models: Vec<Model> = specs().map(|(service, spec)| model(service, spec)).collect();
+    let mut models: Vec<Model> = specs()
+        .map(|(service, spec)| model(service, spec))
+        .collect();
     models.sort_by(|a, b| a.id.cmp(&b.id));
     models.dedup_by(|a, b| a.id == b.id);
     let mut adapters: Vec<Adapter> = specs().flat_map(|(_, spec)| adapters(spec)).collect();
--- a/crates/registry/src/entries.rs
+++ b/crates/registry/src/entries.rs
@@ -51,8 +51,7 @@
     }
 
     fn position(&self, id: &BackendId) -> Result<usize, usize> {
-        self.entries
-            .binary_search_by(|e| e.registration.id.cmp(id))
+        self.entries.binary_search_by(|e| e.registration.id.cmp(id))
     }
 
     /// Takes note that the platform does not answer this host.
@@ -80,7 +79,11 @@
     pub fn listed(&mut self, now: Instant, listed: Vec<Registration>) -> bool {
         self.returned(now);
         let mut changed = false;
-        let known: Vec<BackendId> = self.entries.iter().map(|e| e.registration.id.clone()).collect();
+        let known: Vec<BackendId> = self
+            .entries
+            .iter()
+            .map(|e| e.registration.id.clone())
+            .collect();
         for id in known {
             if listed.iter().all(|r| r.id != id) {
                 changed |= self.removed(now, &id);
@@ -201,7 +204,9 @@
             return false;
         }
         let gone = |e: &Entry| e.missing_until.is_some_and(|until| until.is_past(now));
-        let gone: Vec<usize> = (0..self.entries.len()).filter(|at| gone(&self.entries[*at])).collect();
+        let gone: Vec<usize> = (0..self.entries.len())
+            .filter(|at| gone(&self.entries[*at]))
+            .collect();
         // From the end, so that the other positions hold.
         for at in gone.iter().rev() {
             self.drop_entry(*at);
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -63,7 +63,12 @@
         self.pump(now, Scope::Backend(backend), out);
     }
 
-    fn residents_of(&self, now: Instant, backend: u32, report: &LoadReport) -> (Vec<Resident>, Vec<u16>) {
+    fn residents_of(
+        &self,
+        now: Instant,
+        backend: u32,
+        report: &LoadReport,
+    ) -> (Vec<Resident>, Vec<u16>) {
         let Some(names) = &self.names else {
             return (Vec::new(), Vec::new());
         };
@@ -235,6 +240,10 @@
         } else if b.leaving_by.is_none() {
             b.liveness = Liveness::Live;
         }
+        if new_life {
+            // A new process has read no prefix, also of the models that the old one had.
+            self.set_residents(backend, Vec::new(), Vec::new());
+        }
         let (residents, adapters) = self.named_holding(now, backend, holding, new_life);
         self.set_residents(backend, residents, adapters);
         self.pump(now, Scope::Backend(backend), out);
--- a/crates/route/src/window.rs
+++ b/crates/route/src/window.rs
@@ -36,7 +36,11 @@
     fn part(&mut self, now: Instant, limits: &RetryLimits) -> &mut Part {
         let length = (limits.window.get() / PARTS).max(1);
         let number = now.as_micros() / length;
-        while self.parts.front().is_some_and(|p| p.number + PARTS < number) {
+        while self
+            .parts
+            .front()
+            .is_some_and(|p| p.number + PARTS < number)
+        {
             self.parts.pop_front();
         }
         if self.parts.back().is_none_or(|p| p.number < number) {
--- /dev/null
+++ b/crates/route/tests/behaviour/first_token.rs
@@ -0,0 +1,280 @@
+//! Choice by the time to the first token, replayed for the loads that it answers.
+
+use route::{Action, Estimates, Event, Holding, RetryLimits, SentLoad, Settings, Ticket};
+use types::{Code, Deadline, Incarnation, Micros, RequestId, RetryReason};
+
+use crate::fixture::{Host, LOCAL, model};
+
+fn first_token(cfg: &mut Settings) {
+    cfg.estimates = Estimates::FirstToken;
+    cfg.choices = 0;
+    cfg.in_flight_limits = false;
+    cfg.margin = 1.0;
+    cfg.retry_limits = Some(RetryLimits {
+        window: Micros::from_secs(10),
+        ratio: 0.2,
+        slack: 2.0,
+    });
+}
+
+fn holding(life: u64, models: &[&str]) -> Holding {
+    Holding {
+        incarnation: Incarnation::new(life),
+        models: models.iter().map(|m| m.parse().expect("a name")).collect(),
+        ..Holding::default()
+    }
+}
+
+fn hold(host: &mut Host, worker: &str, life: u64, models: &[&str]) {
+    host.step(Event::Holds {
+        backend: worker.parse().expect("a name"),
+        holding: holding(life, models),
+    });
+}
+
+/// Host whose local workers all have had `m1` for a while.
+fn warm(change: impl FnOnce(&mut Settings)) -> Host {
+    let mut host = Host::empty(|cfg| {
+        first_token(cfg);
+        change(cfg);
+    });
+    for worker in LOCAL {
+        hold(&mut host, worker, 1, &["m1"]);
+    }
+    host.pass(20_000);
+    host
+}
+
+/// Request with a prompt of a shared part and one of its own.
+fn prompt(ticket: &mut Ticket, shared: u64, shared_tokens: u32, own_tokens: u32) {
+    let total = shared_tokens + own_tokens;
+    // The second part belongs to this request alone.
+    let own = 1_000 + u64::try_from(ticket.fingerprint.get()).unwrap_or_default();
+    ticket.prefixes = vec![shared, own];
+    ticket.needs.prefix_tokens = vec![shared_tokens, total];
+    ticket.prompt_tokens = total;
+}
+
+/// Dispatch of the last step.
+fn placed(host: &Host) -> Option<(RequestId, String)> {
+    host.dispatched().pop()
+}
+
+/// Time to return that the last step told.
+fn retry_after(host: &Host) -> Option<Micros> {
+    host.out.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => *retry_after,
+        _ => None,
+    })
+}
+
+fn sent(load: u16, work: f32) -> SentLoad {
+    SentLoad {
+        requests: load,
+        work,
+    }
+}
+
+/// Replays a burst of one kind of request: those with a common prefix go to one worker until its
+/// backlog outweighs reading the prefix again, so no worker is flooded and none reads it in vain.
+#[test]
+fn requests_with_a_shared_prefix_stay_together_until_the_backlog_outweighs_it() {
+    let mut host = warm(|_| {});
+
+    let few: Vec<String> = (0..2)
+        .filter_map(|_| {
+            host.send(|t| prompt(t, 7, 6_300, 600));
+            placed(&host).map(|d| d.1)
+        })
+        .collect();
+    let many: Vec<String> = (0..10)
+        .filter_map(|_| {
+            host.send(|t| prompt(t, 7, 6_300, 2_900));
+            placed(&host).map(|d| d.1)
+        })
+        .collect();
+
+    assert_eq!(few[0], few[1]);
+    assert!(many.iter().any(|w| *w != few[0]), "{many:?}");
+}
+
+/// Replays a burst that other hosts send to the same workers.
+#[test]
+fn work_that_peers_have_sent_counts() {
+    let mut host = warm(|_| {});
+    let until = Deadline::after(host.now, Micros::from_secs(1));
+    let busy = ["w1", "w3"].map(|w| (w.parse().expect("a name"), sent(3, 2.0)));
+
+    host.step(Event::PeerLoad {
+        host: "h2".parse().expect("a name"),
+        sent: busy.to_vec(),
+        until,
+    });
+    host.send(|t| prompt(t, 7, 0, 500));
+
+    assert_eq!(placed(&host).map(|d| d.1), Some("w2".to_owned()));
+}
+
+/// Guards against avoiding a worker because of news from a peer that has been silent since.
+#[test]
+fn news_of_a_silent_peer_expires() {
+    let mut host = warm(|_| {});
+    let until = Deadline::after(host.now, Micros::from_secs(1));
+    let busy = LOCAL.map(|w| (w.parse().expect("a name"), sent(4, 9.0)));
+    host.step(Event::PeerLoad {
+        host: "h2".parse().expect("a name"),
+        sent: busy.to_vec(),
+        until,
+    });
+
+    host.pass(1_100);
+    host.send(|t| prompt(t, 7, 0, 500));
+
+    assert!(placed(&host).is_some());
+}
+
+/// Replays the return of a crashed worker: it holds no prefix yet, and its peers do, so it must not
+/// get all requests for which it ranks first.
+#[test]
+fn a_worker_that_just_restarted_is_not_taken_to_hold_shared_prefixes() {
+    let mut host = warm(|_| {});
+    host.send(|t| prompt(t, 7, 6_300, 300));
+    let owner = placed(&host).expect("a place").1;
+    let other = LOCAL.iter().find(|w| **w != owner).expect("another worker");
+    host.send(|t| prompt(t, 8, 6_300, 300));
+
+    hold(&mut host, &owner, 2, &["m1"]);
+    let until = Deadline::after(host.now, Micros::from_secs(1));
+    let idle = (other.parse().expect("a name"), sent(1, 0.01));
+    host.step(Event::PeerLoad {
+        host: "h2".parse().expect("a name"),
+        sent: vec![idle, (owner.parse().expect("a name"), sent(2, 0.05))],
+        until,
+    });
+    host.send(|t| prompt(t, 7, 6_300, 300));
+
+    assert_ne!(placed(&host).map(|d| d.1), Some(owner));
+}
+
+/// Guards against a refusal with idle workers because the caller overestimates the output.
+#[test]
+fn a_request_with_a_large_bound_on_its_output_is_not_refused_by_idle_workers() {
+    let mut host = warm(|_| {});
+
+    host.send(|t| {
+        prompt(t, 7, 200, 600);
+        t.output_tokens = 900;
+        t.deadline = Deadline::after(host_now(), Micros::from_secs(12));
+    });
+
+    assert!(placed(&host).is_some());
+}
+
+const fn host_now() -> types::Instant {
+    types::Instant::from_micros(21_000_000)
+}
+
+/// Guards against holding a request that can't be served until its deadline.
+#[test]
+fn a_request_that_would_miss_its_deadline_is_refused_at_once_with_a_time_to_return() {
+    let mut host = warm(|_| {});
+    let until = Deadline::after(host.now, Micros::from_secs(1));
+    let busy = LOCAL.map(|w| (w.parse().expect("a name"), sent(1, 3.0)));
+    host.step(Event::PeerLoad {
+        host: "h2".parse().expect("a name"),
+        sent: busy.to_vec(),
+        until,
+    });
+
+    let now = host.now;
+    host.send(|t| {
+        prompt(t, 7, 0, 500);
+        t.deadline = Deadline::after(now, Micros::from_secs(2));
+    });
+
+    let refused = host.refused().pop().expect("a refusal");
+    assert_eq!(refused.1, Code::DeadlineUnreachable);
+    assert!(retry_after(&host).is_some_and(|after| after >= Micros::from_secs(2)));
+}
+
+/// Guards against a refusal by a worker that uses up the only attempt of a route.
+#[test]
+fn a_request_that_a_worker_refused_is_offered_to_another_one() {
+    let mut host = warm(|_| {});
+    for _ in 0..10 {
+        let id = host.send(|t| prompt(t, 7, 0, 100));
+        host.finish(id);
+    }
+    let id = host.send(|t| {
+        prompt(t, 7, 0, 100);
+        t.needs.max_attempts = Some(1);
+        t.idempotent = false;
+    });
+    let first = placed(&host).expect("a place").1;
+
+    host.fail(id, RetryReason::Refused, false);
+
+    let second = placed(&host).expect("another place").1;
+    assert_ne!(first, second);
+}
+
+/// Guards against more repeated requests than the installation allows, also by a host that has just
+/// started and forgot what it sent before.
+#[test]
+fn a_host_that_just_started_has_no_slack_for_repeated_requests() {
+    let mut host = Host::empty(first_token);
+    for worker in LOCAL {
+        hold(&mut host, worker, 1, &["m1"]);
+    }
+    let id = host.send(|t| prompt(t, 7, 0, 100));
+
+    host.fail(id, RetryReason::Refused, false);
+
+    assert!(placed(&host).is_none());
+    assert_eq!(host.refused().len(), 1);
+}
+
+/// Guards against the refusal of a rare model that is resident nowhere but is loaded on demand.
+#[test]
+fn a_request_for_a_missing_model_waits_while_it_can_be_loaded_in_time() {
+    let mut host = warm(|cfg| cfg.load_on_demand = Some(Micros::from_millis(600)));
+    let id = host.send(|t| t.target = model("m2"));
+    let before = placed(&host);
+
+    host.step(Event::Resident {
+        backend: "w2".parse().expect("a name"),
+        model: "m2".parse().expect("a name"),
+        adapter: None,
+    });
+
+    assert_eq!(before, None);
+    assert_eq!(placed(&host), Some((id, "w2".to_owned())));
+}
+
+/// Guards against a server that fails part of its requests while it says that it is healthy.
+#[test]
+fn a_server_that_fails_requests_gets_fewer_of_them() {
+    let mut host = warm(|_| {});
+    for _ in 0..6 {
+        let id = host.send(|t| {
+            prompt(t, 7, 0, 100);
+            t.idempotent = false;
+        });
+        match placed(&host) {
+            Some((_, worker)) if worker == "w1" => host.fail(id, RetryReason::Cut, true),
+            _ => host.finish(id),
+        }
+    }
+
+    let mut chosen = Vec::new();
+    for _ in 0..6 {
+        let id = host.send(|t| prompt(t, 9, 0, 100));
+        chosen.extend(placed(&host).map(|d| d.1));
+        host.finish(id);
+    }
+
+    assert!(
+        chosen.iter().filter(|w| *w == "w1").count() <= 2,
+        "{chosen:?}"
+    );
+}
--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -1,6 +1,7 @@
 //! Behaviour of the router, driven event by event.
 
 mod choice;
+mod first_token;
 mod fixture;
 mod memory;
 mod properties;
