--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -289,6 +289,12 @@
         micros(wait * spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
+    /// The same for a request that servers refused, where the time is estimated.
+    pub(crate) fn retry_after_failure(&mut self, slot: u32) -> Option<Micros> {
+        let estimated = self.cfg.estimates == Estimates::FirstToken;
+        estimated.then(|| self.retry_after(slot))
+    }
+
     /// Forwards a request that is too late here if another data centre has room, or refuses it.
     fn divert(
         &mut self,
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -137,7 +137,8 @@
                 .flights
                 .get(slot)
                 .map_or(Code::Internal, |f| outcome(f, failure.reason, forwarded));
-            return self.refuse(slot, code, None, out);
+            let after = code.may_resend().then(|| self.retry_after_failure(slot));
+            return self.refuse(slot, code, after.flatten(), out);
         }
         if let Some(flight) = self.flights.get_mut(slot) {
             flight.retry = Some(failure.reason);
