--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -89,6 +89,11 @@
         member.is_some_and(|m| m.incarnation == incarnation && m.state != MemberState::Gone)
     }
 
+    /// The holder of the lease answers once the want is fulfilled or can't be.
+    fn places_later(&self) -> bool {
+        false
+    }
+
     async fn want(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
         let Some(holder) = self.control.holder() else {
             return Vec::new();
--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -29,6 +29,9 @@
 /// Time for which a model counts as asked for lately.
 const RECENT: Micros = Micros::from_secs(60);
 
+/// Time before the first order within which wants are kept for it.
+const SOON: Micros = Micros::from_millis(600);
+
 /// Time for which a want is kept.
 const WANT_TTL: Micros = Micros::from_secs(4);
 
@@ -332,11 +335,17 @@
 
     fn want(&mut self, now: Instant, id: WantId, model: ModelId, adapter: Option<AdapterId>) {
         self.note_asked(now, &model);
+        let soon = now + SOON;
+        let until = match self.authority {
+            Some((_, from)) if from <= soon => Deadline::after(now, WANT_TTL),
+            // Waiting for the end of the gap between two holders would be in vain.
+            _ => Deadline::at(now),
+        };
         self.wants.push(Want {
             id,
             model,
             adapter,
-            until: Deadline::after(now, WANT_TTL),
+            until,
         });
     }
 
--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -375,13 +375,13 @@
             world.pass(1_000);
         }
 
-        let allowed = (LOADS_PER_SECOND * WINDOW.as_secs_f64() * 1.1 + 3.0) as usize;
+        let allowed = LOADS_PER_SECOND * WINDOW.as_secs_f64() * 1.1 + 3.0;
         for began in &world.store_loads {
             let within = world
                 .store_loads
                 .iter()
                 .filter(|l| **l >= *began && l.since(*began) < WINDOW);
-            assert!(within.count() <= allowed, "seed {seed}");
+            assert!(within.count() as f64 <= allowed, "seed {seed}");
         }
     }
 }
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -284,6 +284,10 @@
                 let this = self.clone();
                 tokio::spawn(async move {
                     let placed = this.0.peers.want(model.clone(), adapter.clone()).await;
+                    if placed.is_empty() && !this.0.peers.places_later() {
+                        this.feed(Event::Unplaced { model, adapter });
+                        return;
+                    }
                     for backend in placed {
                         this.placed(&backend, &model, adapter.as_ref());
                     }
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -33,6 +33,11 @@
         model: ModelId,
         adapter: Option<AdapterId>,
     ) -> impl Future<Output = Vec<BackendId>> + Send;
+
+    /// Tells whether a want without an answer may still be fulfilled later.
+    fn places_later(&self) -> bool {
+        true
+    }
 }
 
 /// A deployment of a single entry host, which has no peers.
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -83,7 +83,8 @@
 impl<R: Step, N: Peers, D> Drop for Exchange<R, N, D> {
     fn drop(&mut self) {
         if !self.ended {
-            log::cancelled(&self.inbound.asked.id, self.attempts, self.answered);
+            let took = self.shared.clock.now().since(self.arrived);
+            log::cancelled(&self.inbound, self.attempts, self.answered, took);
         }
     }
 }
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -3,8 +3,8 @@
 //! Every line has the field `request` with the caller's id and the field `decision`; the page for
 //! operators lists them.
 
-use route::Failure;
-use types::{BackendId, Micros, RetryReason};
+use route::{Failure, Target};
+use types::{AdapterId, BackendId, Micros, RetryReason};
 
 use crate::{proxy::inbound::Inbound, refusal::Refusal};
 
@@ -65,6 +65,23 @@
 }
 
 /// The caller left before its request ended.
-pub(crate) fn cancelled(request: &str, attempts: u8, answered: bool) {
-    tracing::info!(decision = "cancelled", request, attempts, answered);
+pub(crate) fn cancelled(inbound: &Inbound, attempts: u8, answered: bool, took: Micros) {
+    let request = inbound.asked.id.as_str();
+    let (model, adapter) = match &inbound.ticket.target {
+        Target::Plain => ("", ""),
+        Target::Model { model, adapter } => (
+            model.as_str(),
+            adapter.as_ref().map_or("", AdapterId::as_str),
+        ),
+    };
+    let held_ms = millis(took);
+    tracing::info!(
+        decision = "cancelled",
+        request,
+        model,
+        adapter,
+        attempts,
+        answered,
+        held_ms
+    );
 }
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -266,12 +266,12 @@
             if !able || !self.may_load(w, model.model, model.copies == 0) {
                 continue;
             }
-            let at_hand = f64::from(u8::from(!w.state.has_copy(model.model)));
+            let reload = f64::from(u8::from(!w.state.has_copy(model.model)));
             let stays = |id: &ModelId| !w.held.contains(&id) || w.settling == Some(id);
             for held in w.state.models.iter().filter(|h| !stays(&h.id)) {
                 let found = self.models.binary_search_by(|c| c.model.cmp(&held.id));
                 let loss = found.map_or(0.0, |v| self.models[v].loss());
-                let cost = loss + (at_hand + w.load) * IDLE_COPY_WORTH;
+                let cost = loss + (reload + w.load) * IDLE_COPY_WORTH;
                 if loss * MIN_GAIN < gain
                     && best.is_none_or(|b| cost < b.0)
                     && let Ok(victim) = found
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -92,7 +92,7 @@
 
 /// Guards against a rare model that stays unreachable: callers wait, and a disk has a copy.
 #[test]
-fn a_missing_model_that_callers_wait_for_is_loaded_where_a_copy_is_at_hand() {
+fn a_missing_model_that_callers_wait_for_is_loaded_where_a_copy_is_near() {
     let engine = engine(&["m1", "m2"]);
     let workers = [worker("w1", &["m1"], &[]), worker("w2", &["m1"], &["m2"])];
     let waiting = Need {
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -1,7 +1,7 @@
 //! Arrival, admission queue and dispatch.
 
 use rand::RngExt;
-use types::{Code, Deadline, Instant, Micros};
+use types::{AdapterId, Code, Deadline, Instant, Micros, ModelId};
 
 use crate::{
     choose::{Choice, Estimate, work},
@@ -323,6 +323,9 @@
         out: &mut Vec<Action>,
     ) -> Offer {
         if code == Code::NotResident && self.lacks_only_adapter(now, slot) {
+            if self.is_unplaceable(now, slot) {
+                return self.give_up(rank, slot, code, out);
+            }
             self.want(now, slot, true, out);
             return Offer::Waits;
         }
@@ -335,7 +338,9 @@
             if self.tries_again(now, slot) {
                 return Offer::Waits;
             }
-            self.want(now, slot, false, out);
+            if !self.is_unplaceable(now, slot) {
+                self.want(now, slot, false, out);
+            }
             if self.awaits_load(now, slot) {
                 return Offer::Waits;
             }
@@ -356,7 +361,41 @@
             return false;
         };
         let flight = self.flights.get(slot);
-        flight.is_some_and(|f| f.ticket.deadline.remaining(now) > load)
+        let in_time = flight.is_some_and(|f| f.ticket.deadline.remaining(now) > load);
+        in_time && !self.is_unplaceable(now, slot)
+    }
+
+    /// Tells whether what a request lacks can't be placed now, so that waiting is in vain.
+    fn is_unplaceable(&self, now: Instant, slot: u32) -> bool {
+        let Some(flight) = self.flights.get(slot) else {
+            return false;
+        };
+        let same = |u: &(u16, Option<u16>, Deadline)| {
+            Some(u.0) == flight.model && (u.1.is_none() || u.1 == flight.adapter)
+        };
+        self.unplaceable
+            .iter()
+            .any(|u| same(u) && !u.2.is_past(now))
+    }
+
+    /// Refuses the requests that wait for what can't be placed.
+    pub(crate) fn unplaced(
+        &mut self,
+        now: Instant,
+        model: &ModelId,
+        adapter: Option<&AdapterId>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(names) = &self.names else {
+            return;
+        };
+        let Some(model) = names.model(model) else {
+            return;
+        };
+        let adapter = adapter.and_then(|a| names.adapter(a));
+        let until = Deadline::after(now, self.cfg.want_again);
+        self.unplaceable.push((model, adapter, until));
+        self.pump(now, Scope::Model(model), out);
     }
 
     /// Lets a request wait that all data centres with its model have refused for lack of places.
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -32,6 +32,7 @@
         let windows = std::mem::take(&mut self.retry_windows);
         self.retry_windows = renumbered(&map.services, windows, services);
         self.wanted.clear();
+        self.unplaceable.clear();
         self.names = Some(new);
         self.rebuild_lists();
         self.sum_if_heard();
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -207,6 +207,13 @@
         /// What it registered.
         holding: Holding,
     },
+    /// The controller can't place a model or adapter now.
+    Unplaced {
+        /// Base model.
+        model: ModelId,
+        /// Adapter, if one was asked for.
+        adapter: Option<AdapterId>,
+    },
     /// A peer told what it has sent to backend servers.
     PeerLoad {
         /// The peer.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -59,6 +59,8 @@
     pub(crate) demand: Vec<Demand>,
     /// Models and adapters that were asked for, with the time until they are asked for again.
     pub(crate) wanted: Vec<(u16, Option<u16>, Deadline)>,
+    /// Models and adapters that can't be placed, with the time until they are asked for again.
+    pub(crate) unplaceable: Vec<(u16, Option<u16>, Deadline)>,
     pub(crate) counts: Counts,
     pub(crate) seq: u64,
     /// Latest arrival served, by priority.
@@ -101,6 +103,7 @@
             departed: Vec::new(),
             demand: Vec::new(),
             wanted: Vec::new(),
+            unplaceable: Vec::new(),
             counts: Counts::default(),
             seq: 0,
             served: Vec::new(),
@@ -120,6 +123,9 @@
             Event::Failed { id, failure } => self.failed(now, id, failure, out),
             Event::Report { backend, report } => self.report(now, &backend, &report, out),
             Event::Holds { backend, holding } => self.holds(now, &backend, &holding, out),
+            Event::Unplaced { model, adapter } => {
+                self.unplaced(now, &model, adapter.as_ref(), out);
+            }
             Event::PeerLoad { host, sent, until } => self.peer_load(host, sent, until),
             Event::RetrySlack(slack) => {
                 if let Some(limits) = &mut self.cfg.retry_limits {
@@ -168,6 +174,7 @@
         self.suspects.prune(now);
         self.departed.retain(|d| !d.until.is_past(now));
         self.wanted.retain(|w| !w.2.is_past(now));
+        self.unplaceable.retain(|w| !w.2.is_past(now));
         self.expire_peer_loads(now);
         self.expire_asks(now, out);
         self.pump(now, Scope::All, out);
--- a/crates/route/tests/behaviour/first_token.rs
+++ b/crates/route/tests/behaviour/first_token.rs
@@ -278,3 +278,24 @@
         "{chosen:?}"
     );
 }
+
+/// Guards against holding requests for a model that nobody can place, until their callers leave.
+#[test]
+fn requests_for_what_cannot_be_placed_are_refused_at_once() {
+    let mut host = warm(|cfg| cfg.load_on_demand = Some(Micros::from_millis(600)));
+    let first = host.send(|t| t.target = model("m2"));
+
+    host.step(Event::Unplaced {
+        model: "m2".parse().expect("a name"),
+        adapter: None,
+    });
+    let waiting = host.refused();
+    let second = host.send(|t| t.target = model("m2"));
+    let arriving = host.refused();
+    host.pass(2_000);
+    host.send(|t| t.target = model("m2"));
+
+    assert_eq!(waiting, [(first, Code::NotResident)]);
+    assert_eq!(arriving, [(second, Code::NotResident)]);
+    assert!(host.refused().is_empty());
+}
--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -11,6 +11,13 @@
 /// Paths that exist on one machine only must not be in the tree.
 const MACHINE_PATHS: &str = r"(^|[^a-zA-Z0-9.])/(work|root|farm)/|/tmp/[b]ash";
 
+/// Headers, calls and fields of the users' platform, which only its adapter may name.
+const PLATFORM_NAMES: &str = "attempt-id|time-remaining|server-seal|not-executed|\
+expect-instance|expect-version|token-counts|prompt-prefix|request-urgency|length-hint|\
+celerytally/(order|report|objects|readiness|kv-|hold-)|celerytally_boot|\
+op_kind|create_rev|current_rev|at_hand|path_prefix\"|loads_per_s[^e]|kv_capacity|max_attempts\"|\
+gap_aim|adapter_slots\"|time_left_ms";
+
 /// Returns the root of the checkout.
 pub(crate) fn root() -> PathBuf {
     let manifest = env::var_os("CARGO_MANIFEST_DIR").map(PathBuf::from);
@@ -77,6 +84,26 @@
     }
 }
 
+fn platform_names_in_one_folder() -> Result<(), Failure> {
+    println!("== names of the users' platform outside platform/");
+    let mut grep = Command::new("git");
+    grep.args([
+        "grep",
+        "-nIiE",
+        PLATFORM_NAMES,
+        "--",
+        "crates",
+        "xtask",
+        ":!xtask/src/steps.rs",
+    ]);
+    match grep.current_dir(root()).status() {
+        // The search found nothing.
+        Ok(status) if status.code() == Some(1) => Ok(()),
+        Ok(_) => Err("a name of the users' platform stands outside platform/".to_owned()),
+        Err(e) => Err(format!("git grep: {e}")),
+    }
+}
+
 /// Runs every check of the project.
 pub(crate) fn ci() -> Result<(), Failure> {
     check(&["fmt", "--all", "--check"])?;
@@ -91,6 +118,7 @@
     ];
     check(&lint)?;
     no_machine_paths()?;
+    platform_names_in_one_folder()?;
     check(&["build", "--locked", "--workspace"])?;
     test::run()?;
     bench(true)
