Let hosts of a large fleet find each other before they read the platform

Cause: at the first start every host of a large fleet read the platform until it knew the others, and fell back for three seconds when a relay had only just become one.

--- a/crates/celerytally/src/entry/follow.rs
+++ b/crates/celerytally/src/entry/follow.rs
@@ -20,6 +20,9 @@
 /// Pause after news, in which further changes gather for the next call.
 const GATHER: Duration = Duration::from_millis(120);
 
+/// The same for each peer, since a large fleet has more changes.
+const GATHER_PER_PEER: Duration = Duration::from_millis(6);
+
 /// Whether the platform answers what a follower asks, and since when.
 struct Reach {
     kind: &'static str,
@@ -137,7 +140,8 @@
             });
         }
         since = settle(&mut reach, step).await;
-        sleep(GATHER).await;
+        let peers = u32::try_from(beliefs.peers()).unwrap_or(u32::MAX);
+        sleep(GATHER.max(GATHER_PER_PEER.saturating_mul(peers))).await;
     }
 }
 
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -162,7 +162,12 @@
     tokio::spawn(follow::clock(shared()));
     tokio::spawn(peers::members(exchange(), control(), shared(), slack));
     tokio::spawn(peers::own_state(exchange(), control(), shared()));
-    tokio::spawn(source::follow(host.clone(), exchange(), shared()));
+    tokio::spawn(source::follow(
+        host.clone(),
+        settings.first_start,
+        exchange(),
+        shared(),
+    ));
     let sent = Arc::clone(&beacons);
     tokio::spawn(beacons::send(sent, host, exchange(), control(), shared()));
     tokio::spawn(beacons::receive(beacons, control(), shared()));
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -8,12 +8,12 @@
 
 use peer::{Member, MemberState};
 use tokio::time::sleep;
-use types::{BootTime, Clock, Deadline, HostId, Micros, score};
+use types::{BootTime, Clock, Deadline, HostId, Instant, Micros, score};
 
 use crate::entry::{beliefs::Beliefs, peers::Exchange};
 
 /// Hosts that read the platform for the others in a large fleet.
-const RELAYS: usize = 3;
+const RELAYS: usize = 2;
 
 /// Hosts up to which all read the platform themselves, which recovers faster.
 const SMALL_FLEET: usize = 12;
@@ -21,8 +21,9 @@
 /// Key under which hosts are ranked as relays.
 const RELAY_KEY: &str = "relay";
 
-/// Time after the start in which every host reads the platform itself.
-const START: Micros = Micros::from_secs(3);
+/// Time after the very first start in which hosts find each other, so that a large fleet does not
+/// read the platform on every host.
+const FIND_PEERS: Micros = Micros::from_millis(2_500);
 
 /// Time for which a host whose relays were silent reads the platform itself.
 const FALL_BACK: Micros = Micros::from_secs(3);
@@ -30,6 +31,10 @@
 /// Pause between two looks at the members.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Pause before relays are asked again that answered without facts, and how often that is done.
+const LOOK_AGAIN: Micros = Micros::from_millis(150);
+const MAX_REFUSED: u32 = 4;
+
 /// Peers that a host asks that does not reach the platform.
 const MAX_ASKED: usize = 3;
 
@@ -46,8 +51,17 @@
 }
 
 /// Follows the best source for as long as the process runs.
-pub(crate) async fn follow(own: HostId, exchange: Exchange, beliefs: Arc<Beliefs>) {
-    let mut direct_until = Deadline::after(BootTime.now(), START);
+pub(crate) async fn follow(
+    own: HostId,
+    first_start: bool,
+    exchange: Exchange,
+    beliefs: Arc<Beliefs>,
+) {
+    if first_start {
+        sleep(FIND_PEERS.into()).await;
+    }
+    let mut direct_until = Deadline::at(Instant::ZERO);
+    let mut refused = 0;
     loop {
         let ranked = ranked(&exchange.members().borrow(), &own);
         let now = BootTime.now();
@@ -61,7 +75,13 @@
             sleep(LOOK).await;
         } else if ask(relays, &exchange, &beliefs).await {
             beliefs.set_direct(false);
+            refused = 0;
+        } else if refused < MAX_REFUSED && BootTime.now().since(now) < LOOK_AGAIN {
+            // A relay that answers at once may only just have become one.
+            refused += 1;
+            sleep(LOOK_AGAIN.into()).await;
         } else {
+            refused = 0;
             tracing::warn!(
                 dependency = "relays",
                 "silent; reading the platform instead"
--- a/crates/config/src/entry_host.rs
+++ b/crates/config/src/entry_host.rs
@@ -31,6 +31,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's object API.
     pub platform: SocketAddr,
+    /// Whether the whole installation starts for the first time.
+    pub first_start: bool,
     /// What the machine gives the process.
     pub machine: Machine,
     /// Bounds that the installation promises its users.
