--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    async fn spread(&self, model: ModelId, adapter: AdapterId, on: BackendId) -> Vec<BackendId> {
+        match self.parts.get() {
+            Some((control, _)) => control.spread(model, adapter, on).await,
+            None => Vec::new(),
+        }
+    }
+
     async fn facts(&self, known: KnownFacts) -> Option<Facts> {
         self.parts.get()?.1.facts(known).await
     }
@@ -89,6 +96,18 @@
         member.is_some_and(|m| m.incarnation == incarnation && m.state != MemberState::Gone)
     }
 
+    async fn spread(
+        &self,
+        model: ModelId,
+        adapter: AdapterId,
+        backend: BackendId,
+    ) -> Vec<BackendId> {
+        match self.control.holder() {
+            Some(holder) => self.exchange.spread(&holder, model, adapter, backend).await,
+            None => Vec::new(),
+        }
+    }
+
     /// The holder of the lease answers once the want is fulfilled or can't be.
     fn places_later(&self) -> bool {
         false
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     calls::lease_call,
-    fleet::machine::{Fleet, FleetAction, FleetEvent, WantId, WorkerOrder},
+    fleet::machine::{Fleet, FleetAction, FleetEvent, WantId, WantedItem, WorkerOrder},
 };
 
 const TICK: Duration = Duration::from_millis(100);
@@ -75,7 +75,7 @@
 #[derive(Debug)]
 enum Input {
     Fleet(FleetEvent),
-    Want(ModelId, Option<AdapterId>, oneshot::Sender<Vec<BackendId>>),
+    Want(WantedItem, oneshot::Sender<Vec<BackendId>>),
     Members(Vec<HostId>),
 }
 
@@ -122,8 +122,24 @@
 
     /// Places a model or adapter and returns the workers that hold it then.
     pub async fn place(&self, model: ModelId, adapter: Option<AdapterId>) -> Vec<BackendId> {
+        let on = None;
+        self.want(WantedItem { model, adapter, on }).await
+    }
+
+    /// Places an adapter on a worker as well and returns the worker if that worked.
+    pub async fn spread(
+        &self,
+        model: ModelId,
+        adapter: AdapterId,
+        on: BackendId,
+    ) -> Vec<BackendId> {
+        let (adapter, on) = (Some(adapter), Some(on));
+        self.want(WantedItem { model, adapter, on }).await
+    }
+
+    async fn want(&self, item: WantedItem) -> Vec<BackendId> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Want(model, adapter, tx));
+        self.send(Input::Want(item, tx));
         rx.await.unwrap_or_default()
     }
 
@@ -235,7 +251,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Fleet(ev) => self.step(ev),
-            Input::Want(model, adapter, reply) => {
+            Input::Want(item, reply) => {
                 let id = self.next_want;
                 self.next_want += 1;
                 if self.lease.authority(BootTime.now()).is_none() {
@@ -244,7 +260,7 @@
                     return;
                 }
                 self.wants.push((id, reply));
-                self.step(FleetEvent::Want(id, model, adapter));
+                self.step(FleetEvent::Want(id, item));
             }
             Input::Members(hosts) => {
                 let rank = hosts.iter().position(|h| *h == self.settings.host);
--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -60,6 +60,17 @@
     pub holder: HostId,
 }
 
+/// What callers wait for.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WantedItem {
+    /// Model.
+    pub model: ModelId,
+    /// Adapter of it, if one is wanted.
+    pub adapter: Option<AdapterId>,
+    /// Worker that must hold it; without one, any may.
+    pub on: Option<BackendId>,
+}
+
 /// Number by which a want is answered.
 pub type WantId = u64;
 
@@ -90,7 +101,7 @@
     /// A host told which adapters its callers used lately.
     Used(Vec<AdapterId>),
     /// Callers wait for a model or adapter.
-    Want(WantId, ModelId, Option<AdapterId>),
+    Want(WantId, WantedItem),
     /// Time passed.
     Tick,
 }
@@ -130,8 +141,7 @@
 #[derive(Debug)]
 struct Want {
     id: WantId,
-    model: ModelId,
-    adapter: Option<AdapterId>,
+    item: WantedItem,
     until: Deadline,
 }
 
@@ -194,7 +204,7 @@
             } => self.answered(now, &worker, expect, outcome, out),
             FleetEvent::Needs(host, needs) => self.told(now, host, needs),
             FleetEvent::Used(adapters) => self.used(now, &adapters),
-            FleetEvent::Want(id, model, adapter) => self.want(now, id, model, adapter),
+            FleetEvent::Want(id, item) => self.want(now, id, item),
             FleetEvent::Tick => {}
         }
         self.act(now, out);
@@ -300,7 +310,10 @@
         if task.op != OrderOp::LoadAdapter {
             return;
         }
-        let done = |w: &Want| w.model == task.model && w.adapter == task.adapter;
+        let done = |w: &Want| {
+            let here = w.item.on.as_ref().is_none_or(|on| on == worker);
+            here && w.item.model == task.model && w.item.adapter == task.adapter
+        };
         for want in self.wants.extract_if(.., |w| done(w)) {
             let after = Sequenced::adapter_time();
             out.push(FleetAction::Placed(want.id, vec![worker.clone()], after));
@@ -333,20 +346,15 @@
         }
     }
 
-    fn want(&mut self, now: Instant, id: WantId, model: ModelId, adapter: Option<AdapterId>) {
-        self.note_asked(now, &model);
+    fn want(&mut self, now: Instant, id: WantId, item: WantedItem) {
+        self.note_asked(now, &item.model);
         let soon = now + SOON;
         let until = match self.authority {
             Some((_, from)) if from <= soon => Deadline::after(now, WANT_TTL),
             // Waiting for the end of the gap between two holders would be in vain.
             _ => Deadline::at(now),
         };
-        self.wants.push(Want {
-            id,
-            model,
-            adapter,
-            until,
-        });
+        self.wants.push(Want { id, item, until });
     }
 
     fn note_asked(&mut self, now: Instant, model: &ModelId) {
@@ -393,7 +401,10 @@
     fn answer_wants(&mut self, now: Instant, out: &mut Vec<FleetAction>) {
         let mut wants = std::mem::take(&mut self.wants);
         wants.retain(|want| {
-            let holders = self.holders(&want.model, want.adapter.as_ref());
+            let mut holders = self.holders(&want.item.model, want.item.adapter.as_ref());
+            if let Some(on) = &want.item.on {
+                holders.retain(|at| self.workers[*at].registration.id == *on);
+            }
             if holders.is_empty() && !want.until.is_past(now) {
                 return true;
             }
@@ -454,19 +465,18 @@
 
     /// Orders the adapters that callers wait for.
     fn place_adapters(&mut self, now: Instant, out: &mut Vec<FleetAction>) {
-        let wanted = self.wants.iter();
-        let wanted = wanted.filter_map(|w| Some((w.model.clone(), w.adapter.clone()?)));
-        let mut wanted: Vec<(ModelId, AdapterId)> = wanted.collect();
+        let wanted = self.wants.iter().map(|w| w.item.clone());
+        let mut wanted: Vec<WantedItem> = wanted.filter(|i| i.adapter.is_some()).collect();
         wanted.sort();
         wanted.dedup();
-        for (model, adapter) in wanted {
+        for item in wanted {
             let task = Task {
                 op: OrderOp::LoadAdapter,
-                model,
-                adapter: Some(adapter),
+                model: item.model,
+                adapter: item.adapter,
             };
             if !self.is_pending(&task) {
-                self.place_adapter(now, task, out);
+                self.place_adapter(now, task, item.on.as_ref(), out);
             }
         }
     }
@@ -475,12 +485,22 @@
         self.workers.iter().any(|w| w.ledger.is_sending(task))
     }
 
-    fn place_adapter(&mut self, now: Instant, task: Task, out: &mut Vec<FleetAction>) {
+    fn place_adapter(
+        &mut self,
+        now: Instant,
+        task: Task,
+        on: Option<&BackendId>,
+        out: &mut Vec<FleetAction>,
+    ) {
         let Some(adapter) = task.adapter.clone() else {
             return;
         };
         let mut able = self.holders(&task.model, None);
-        able.retain(|at| self.workers[*at].ledger.may_order_adapter());
+        able.retain(|at| {
+            let worker = &self.workers[*at];
+            let here = on.is_none_or(|on| worker.registration.id == *on);
+            here && worker.ledger.may_order_adapter()
+        });
         let rank = |at: &usize| {
             let id = self.workers[*at].registration.id.as_str();
             score(adapter.as_str(), id, 1.0)
@@ -575,10 +595,10 @@
             .flat_map(|n| n.models.iter().map(|(m, load)| (m, *load)))
             .collect();
         let waiting = |model: &ModelId| {
-            let waits = |w: &Want| w.model == *model && w.adapter.is_none();
+            let waits = |w: &Want| w.item.model == *model && w.item.adapter.is_none();
             self.wants.iter().any(waits)
         };
-        all.extend(self.wants.iter().map(|w| (&w.model, 0.0)));
+        all.extend(self.wants.iter().map(|w| (&w.item.model, 0.0)));
         let recent = |at: &Instant| now.since(*at) < RECENT;
         let asked = self.asked.iter().filter(|(_, at)| recent(at));
         all.extend(asked.map(|(model, _)| (model, 0.0)));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -61,6 +61,6 @@
 pub use event::{Engines, Event, ModelDemand, Peers, Planner, Settings, Status};
 pub use fleet::{
     Fleet, FleetAction, FleetController, FleetEvent, FleetHandle, FleetSettings, WantId,
-    WorkerCalls, WorkerOrder,
+    WantedItem, WorkerCalls, WorkerOrder,
 };
 pub use kinds::{LeaseObject, RecordObject, SlotObject};
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -293,6 +293,20 @@
                     }
                 });
             }
+            Action::Spread {
+                model,
+                adapter,
+                backend,
+            } => {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    let peers = &this.0.peers;
+                    let asked = peers.spread(model.clone(), adapter.clone(), backend);
+                    for backend in asked.await {
+                        this.placed(&backend, &model, Some(&adapter));
+                    }
+                });
+            }
             Action::ShareSuspects(marks) => self.share_then(marks, Vec::new()),
         }
     }
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -34,6 +34,18 @@
         adapter: Option<AdapterId>,
     ) -> impl Future<Output = Vec<BackendId>> + Send;
 
+    /// Asks the controller for another copy of an adapter on a backend server.
+    ///
+    /// Returns the backend server if it holds the adapter now.
+    fn spread(
+        &self,
+        _model: ModelId,
+        _adapter: AdapterId,
+        _backend: BackendId,
+    ) -> impl Future<Output = Vec<BackendId>> + Send {
+        std::future::ready(Vec::new())
+    }
+
     /// Tells whether a want without an answer may still be fulfilled later.
     fn places_later(&self) -> bool {
         true
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -155,6 +155,7 @@
             | Request::Want(..)
             | Request::Yielded(_)
             | Request::Place(..)
+            | Request::Spread(..)
             | Request::Facts(_) => return None,
         })
     }
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -395,17 +395,32 @@
         if *holder == self.host {
             return self.node.served.place(model, adapter).await;
         }
+        self.ask_holder(holder, Request::Place(model, adapter))
+            .await
+    }
+
+    /// Asks a holder of the lease to place an adapter on a backend server as well.
+    pub async fn spread(
+        &self,
+        holder: &HostId,
+        model: ModelId,
+        adapter: AdapterId,
+        on: BackendId,
+    ) -> Vec<BackendId> {
+        if *holder == self.host {
+            return self.node.served.spread(model, adapter, on).await;
+        }
+        self.ask_holder(holder, Request::Spread(model, adapter, on))
+            .await
+    }
+
+    async fn ask_holder(&self, holder: &HostId, req: Request) -> Vec<BackendId> {
         let members = self.current_members();
         let Some(member) = members.into_iter().find(|m| m.id == *holder) else {
             return Vec::new();
         };
-        let req = Request::Place(model, adapter);
-        match self
-            .node
-            .clients
-            .ask(member.peer_addr, req, PLACE_TIMEOUT)
-            .await
-        {
+        let asked = self.node.clients.ask(member.peer_addr, req, PLACE_TIMEOUT);
+        match asked.await {
             Some(Reply::Placed(backends)) => backends,
             _ => Vec::new(),
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -150,6 +150,8 @@
     Yielded(Epoch),
     /// Asks the holder of the lease to place a model or adapter.
     Place(ModelId, Option<AdapterId>),
+    /// Asks the holder of the lease to place an adapter on a backend server as well.
+    Spread(ModelId, AdapterId, BackendId),
     /// Asks for what the peer read from the platform, given what the asker knows.
     Facts(KnownFacts),
 }
@@ -251,7 +253,7 @@
             Self::Slot(..) => MessageKind::Slot,
             Self::Want(..) => MessageKind::Want,
             Self::Yielded(_) => MessageKind::Yielded,
-            Self::Place(..) => MessageKind::Place,
+            Self::Place(..) | Self::Spread(..) => MessageKind::Place,
             Self::Facts(_) => MessageKind::Facts,
         }
     }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -341,6 +341,9 @@
             Request::Place(model, adapter) => {
                 Reply::Placed(node.served.place(model, adapter).await)
             }
+            Request::Spread(model, adapter, on) => {
+                Reply::Placed(node.served.spread(model, adapter, on).await)
+            }
             Request::Facts(known) => Reply::Facts(node.served.facts(known).await.map(Box::new)),
             _ => Reply::Told(false),
         }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -21,6 +21,16 @@
         std::future::ready(Vec::new())
     }
 
+    /// Places an adapter on a backend server as well, if this host holds the lease.
+    fn spread(
+        &self,
+        _model: ModelId,
+        _adapter: AdapterId,
+        _on: BackendId,
+    ) -> impl Future<Output = Vec<BackendId>> + Send {
+        std::future::ready(Vec::new())
+    }
+
     /// Returns what this host reads from the platform, unless it does not reach it.
     fn facts(&self, _known: KnownFacts) -> impl Future<Output = Option<Facts>> + Send {
         std::future::ready(None)
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -24,6 +24,13 @@
 /// Load of another data centre below which requests are forwarded that would have to wait here.
 const OVERFLOW_BELOW: f64 = 0.5;
 
+/// Estimated time to the first token from which on another copy of an adapter is worth a load.
+const BUSY_SECONDS: f64 = 0.2;
+/// Time that the other copy must save.
+const SPREAD_GAIN_SECONDS: f64 = 0.1;
+/// Time after which another copy of the same adapter may be asked for.
+const SPREAD_AGAIN: Micros = Micros::from_millis(1_500);
+
 /// Result of offering a waiting request to the backend servers.
 enum Offer {
     /// It left the queue.
@@ -222,6 +229,7 @@
                 if self.too_late(deadline, estimate.finish, now) {
                     return self.divert(now, rank, slot, Code::DeadlineUnreachable, out);
                 }
+                self.spread(now, slot, estimate.first, out);
                 self.unqueue(rank, slot);
                 if suspect {
                     self.ask_slot(now, slot, backend, estimate.predicted, out);
@@ -355,6 +363,38 @@
         self.give_up(rank, slot, code, out)
     }
 
+    /// Asks for another copy of an adapter if the servers that hold it are much busier than others.
+    ///
+    /// The busy ones get this request all the same; later ones have a choice.
+    fn spread(&mut self, now: Instant, slot: u32, first: f64, out: &mut Vec<Action>) {
+        let estimates = self.cfg.estimates == Estimates::FirstToken;
+        let Some(flight) = self.flights.get(slot).filter(|_| estimates) else {
+            return;
+        };
+        let (Some(model), Some(adapter)) = (flight.model, flight.adapter) else {
+            return;
+        };
+        if first < BUSY_SECONDS {
+            return;
+        }
+        let Some((idle, seconds)) = self.idlest_holder(flight, model, now) else {
+            return;
+        };
+        let asked = |w: &(u16, Option<u16>, Deadline)| w.0 == model && w.1 == Some(adapter);
+        if seconds + SPREAD_GAIN_SECONDS > first || self.wanted.iter().any(asked) {
+            return;
+        }
+        let again = Deadline::after(now, SPREAD_AGAIN);
+        self.wanted.push((model, Some(adapter), again));
+        if let Some(names) = &self.names {
+            out.push(Action::Spread {
+                model: names.model_id(model).clone(),
+                adapter: names.adapter_id(adapter).clone(),
+                backend: names.backend_id(idle).clone(),
+            });
+        }
+    }
+
     /// Tells whether a request should wait until its model is loaded.
     fn awaits_load(&self, now: Instant, slot: u32) -> bool {
         let Some(load) = self.cfg.load_on_demand else {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -197,6 +197,27 @@
         }
     }
 
+    /// Finds the server that would serve a request first if all held its adapter.
+    pub(crate) fn idlest_holder(
+        &self,
+        flight: &Flight,
+        model: u16,
+        now: Instant,
+    ) -> Option<(u32, f64)> {
+        let holders = self.holders[usize::from(model)].iter().copied();
+        let able = holders.filter(|b| {
+            let b = &self.backends[*b as usize];
+            b.takes_work(now) && b.service == flight.service
+        });
+        able.map(|b| {
+            (
+                b,
+                self.estimate(now, flight, b, None).first + self.risk(b, now),
+            )
+        })
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     /// Estimates the times of a request on a backend server.
     fn estimate(
         &self,
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -340,6 +340,15 @@
     },
     /// Tell all peers before any refusal that follows in the same list.
     ShareSuspects(Vec<SuspectMark>),
+    /// Ask the controller for another copy of an adapter, because the servers that hold it are busy.
+    Spread {
+        /// Base model.
+        model: ModelId,
+        /// Adapter.
+        adapter: AdapterId,
+        /// Backend server that should hold it too.
+        backend: BackendId,
+    },
     /// Ask the controller of the data centre for a model or adapter that is not resident.
     Want {
         /// Base model.
--- a/crates/route/tests/behaviour/first_token.rs
+++ b/crates/route/tests/behaviour/first_token.rs
@@ -1,6 +1,6 @@
 //! Choice by the time to the first token, replayed for the loads that it answers.
 
-use route::{Action, Estimates, Event, Holding, RetryLimits, SentLoad, Settings, Ticket};
+use route::{Action, Estimates, Event, Holding, RetryLimits, SentLoad, Settings, Target, Ticket};
 use types::{Code, Deadline, Incarnation, Micros, RequestId, RetryReason};
 
 use crate::fixture::{Host, LOCAL, model};
@@ -299,3 +299,55 @@
     assert_eq!(arriving, [(second, Code::NotResident)]);
     assert!(host.refused().is_empty());
 }
+
+/// Replays an adapter whose only worker has a long backlog: the request goes there, and another copy
+/// is asked for on the idlest worker of the model.
+#[test]
+fn a_busy_adapter_is_asked_for_on_another_worker() {
+    let mut host = warm(|_| {});
+    host.configure(2, with_adapter());
+    for worker in LOCAL {
+        hold(&mut host, worker, 1, &["m1"]);
+    }
+    host.step(Event::Resident {
+        backend: "w1".parse().expect("a name"),
+        model: "m1".parse().expect("a name"),
+        adapter: Some("a1".parse().expect("a name")),
+    });
+    let until = Deadline::after(host.now, Micros::from_secs(1));
+    let busy = ["w1", "w2"].map(|w| (w.parse().expect("a name"), sent(3, 1.0)));
+    host.step(Event::PeerLoad {
+        host: "h2".parse().expect("a name"),
+        sent: busy.to_vec(),
+        until,
+    });
+
+    host.send(|t| {
+        prompt(t, 7, 0, 300);
+        t.target = Target::Model {
+            model: "m1".parse().expect("a name"),
+            adapter: Some("a1".parse().expect("a name")),
+        };
+    });
+
+    assert_eq!(placed(&host).map(|d| d.1), Some("w1".to_owned()));
+    let asked = host.out.iter().find_map(|a| match a {
+        Action::Spread { backend, .. } => Some(backend.to_string()),
+        _ => None,
+    });
+    assert_eq!(asked, Some("w3".to_owned()));
+}
+
+fn with_adapter() -> config::Deployment {
+    let adapter = config::Adapter {
+        id: "a1".parse().expect("a name"),
+        version: "v1".parse().expect("a name"),
+        model: "m1".parse().expect("a name"),
+        bytes: types::Bytes::new(1),
+        priority: config::Priority::new(1),
+    };
+    config::Deployment {
+        adapters: vec![adapter],
+        ..crate::fixture::deployment()
+    }
+}
