Drop servers that left during a cut in time, and reset connections that are given up

A server's entry was removed while the host was cut off; the host kept missing entries for 2.5 s after it reached the platform again and was held to its bounds before. Change: missing entries count for 1.8 s, connections are closed by a reset, late answers of peers do not undo what was read since, and changes of backend servers are logged.

--- a/crates/celerytally/src/entry/beliefs.rs
+++ b/crates/celerytally/src/entry/beliefs.rs
@@ -17,7 +17,10 @@
 use registry::Registry;
 use route::{Event, Holding};
 use tokio::{sync::watch, time::timeout};
-use types::{AdapterId, BackendId, BootTime, Clock, ConfigVersion, Instant, ModelId, Registration};
+use types::{
+    AdapterId, BackendId, BootTime, Clock, ConfigVersion, Incarnation, Instant, ModelId,
+    Registration,
+};
 
 use crate::entry::EntryProxy;
 
@@ -76,6 +79,24 @@
     }
 }
 
+/// What is logged of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Known {
+    backend: BackendId,
+    life: Incarnation,
+    leaving: bool,
+}
+
+impl From<&Registration> for Known {
+    fn from(registration: &Registration) -> Self {
+        Self {
+            backend: registration.id.clone(),
+            life: registration.state.incarnation,
+            leaving: registration.leaving,
+        }
+    }
+}
+
 /// Beliefs of this host, and the router that works on them.
 #[derive(Debug)]
 pub(crate) struct Beliefs {
@@ -94,6 +115,8 @@
     news: watch::Sender<u64>,
     registry: Mutex<Registry>,
     keys: RwLock<Arc<Keys>>,
+    /// Backend servers as they were logged last, sorted by id.
+    logged: Mutex<Vec<Known>>,
     control: OnceLock<FleetHandle>,
     peers: AtomicUsize,
     /// Raised with every change, because the router takes only newer deployments.
@@ -113,6 +136,7 @@
             news: watch::Sender::new(0),
             registry: Mutex::default(),
             keys: RwLock::default(),
+            logged: Mutex::default(),
             control: OnceLock::new(),
             peers: AtomicUsize::default(),
             revision: AtomicU64::default(),
@@ -241,7 +265,8 @@
             None => {}
         }
         let (complete, set, removed) = (facts.complete, facts.set, facts.removed);
-        self.register(|registry, _| registry.told(complete, set, &removed));
+        let direct = *self.direct.borrow();
+        self.register(|registry, _| registry.told(direct, complete, set, &removed));
         *lock(&self.told) = (facts.source, facts.revision);
     }
 
@@ -275,6 +300,21 @@
         }
     }
 
+    /// Logs the backend servers that came, changed or went.
+    fn log_changes(&self, registered: &[&Registration]) {
+        let new: Vec<Known> = registered.iter().map(|r| Known::from(*r)).collect();
+        let mut logged = lock(&self.logged);
+        for known in new.iter().filter(|k| !logged.contains(k)) {
+            let (backend, life, leaving) = (&known.backend, known.life, known.leaving);
+            tracing::info!(belief = "backend", %backend, %life, leaving, "registered");
+        }
+        let gone = |k: &&Known| new.iter().all(|n| n.backend != k.backend);
+        for known in logged.iter().filter(gone) {
+            tracing::info!(belief = "backend", backend = %known.backend, "gone");
+        }
+        *logged = new;
+    }
+
     /// Tells the router of the deployment that follows from the routes and the registry.
     fn rebuild(&self) {
         let Some(table) = self.proxy.table() else {
@@ -293,6 +333,7 @@
             (server, r.state.incarnation)
         });
         self.proxy.set_servers(servers.collect());
+        self.log_changes(&registered);
         self.news.send_modify(|count| *count += 1);
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
         self.proxy
--- a/crates/celerytally/src/entry/follow.rs
+++ b/crates/celerytally/src/entry/follow.rs
@@ -5,7 +5,7 @@
 use platform::{CONFIG, ConfigSpec, Objects, ServerSpec};
 use store::{Category, Change, Kind, Platform, Revision};
 use tokio::time::sleep;
-use types::{BackendId, BootTime, Clock, Deadline, Instant, Micros};
+use types::{BackendId, BootTime, Clock, Instant, Micros};
 
 use crate::entry::beliefs::Beliefs;
 
@@ -15,7 +15,7 @@
 
 /// Time between two ticks of the router while requests are open, and while none are.
 const BUSY_TICK: Duration = Duration::from_millis(50);
-const IDLE_TICK: Duration = Duration::from_millis(250);
+const IDLE_TICK: Duration = Duration::from_millis(100);
 
 /// Pause after news, in which further changes gather for the next call.
 const GATHER: Duration = Duration::from_millis(120);
@@ -183,14 +183,10 @@
 
 /// Tells the registry and the router of the time that passes.
 pub(crate) async fn clock(beliefs: Arc<Beliefs>) {
-    let mut tick_registry = Deadline::at(Instant::ZERO);
     loop {
         let busy = beliefs.proxy().dispatcher().in_flight() > 0;
         sleep(if busy { BUSY_TICK } else { IDLE_TICK }).await;
         beliefs.proxy().dispatcher().feed(route::Event::Tick);
-        if tick_registry.is_past(BootTime.now()) {
-            tick_registry = Deadline::after(BootTime.now(), Micros::from_millis(250));
-            beliefs.register(registry::Registry::tick);
-        }
+        beliefs.register(registry::Registry::tick);
     }
 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -269,6 +269,8 @@
     if let Err(e) = options
         .set_tcp_user_timeout(Some(USER_TIMEOUT))
         .and_then(|()| options.set_tcp_keepalive(&probes))
+        // A request that is given up must not arrive later: a reset drops what is still queued.
+        .and_then(|()| options.set_linger(Some(Duration::ZERO)))
     {
         tracing::debug!(error = %e, "socket options not available");
     }
--- a/crates/registry/src/entries.rs
+++ b/crates/registry/src/entries.rs
@@ -4,8 +4,12 @@
 
 use types::{BackendId, Deadline, Instant, Micros, Registration};
 
-/// Time after the platform's return in which servers whose entries lapsed register again.
-const REGISTER_AGAIN: Micros = Micros::from_millis(2_500);
+/// Time after this host reached the platform again in which servers whose entries lapsed register
+/// again.
+///
+/// A server may also have left while the host was cut off, and must get no request once the host is
+/// held to its bounds again, three seconds after the cut.
+const REGISTER_AGAIN: Micros = Micros::from_millis(1_800);
 
 /// Removed entries that are remembered for hosts that ask for changes.
 const MAX_REMOVED: usize = 256;
@@ -135,8 +139,19 @@
 
     /// Takes what another host read of the platform; tells whether the belief changed.
     ///
-    /// `complete` says that all entries are told, and not only those that changed.
-    pub fn told(&mut self, complete: bool, set: Vec<Registration>, removed: &[BackendId]) -> bool {
+    /// `complete` says that all entries are told, and not only those that changed. A host that reads
+    /// the platform itself takes them only while it does not answer: an answer of a peer that was
+    /// on its way until then is older than what was read since.
+    pub fn told(
+        &mut self,
+        reads_platform: bool,
+        complete: bool,
+        set: Vec<Registration>,
+        removed: &[BackendId],
+    ) -> bool {
+        if reads_platform && !self.away {
+            return false;
+        }
         let is_set = |id: &BackendId| set.iter().any(|r| r.id == *id);
         let gone = |e: &Entry| {
             let id = &e.registration.id;
