Set each socket option on its own

Cause: the options were set in a chain, so the reset of given-up connections was not set where an earlier option is not available.

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -265,14 +265,15 @@
         .with_time(KEEPALIVE_TIME)
         .with_interval(KEEPALIVE_TIME)
         .with_retries(KEEPALIVE_PROBES);
-    // Without these options a silent connection is noticed later, by the deadline of its request.
-    if let Err(e) = options
-        .set_tcp_user_timeout(Some(USER_TIMEOUT))
-        .and_then(|()| options.set_tcp_keepalive(&probes))
-        // A request that is given up must not arrive later: a reset drops what is still queued.
-        .and_then(|()| options.set_linger(Some(Duration::ZERO)))
-    {
-        tracing::debug!(error = %e, "socket options not available");
+    // A request that is given up must not arrive later: a reset drops what is still queued. Without
+    // the other options a silent connection is noticed later, by the deadline of its request.
+    let set = [
+        options.set_linger(Some(Duration::ZERO)),
+        options.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+        options.set_tcp_keepalive(&probes),
+    ];
+    for e in set.into_iter().filter_map(Result::err) {
+        tracing::debug!(error = %e, "socket option not available");
     }
     socket.connect(addr).await
 }
