--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -20,7 +20,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use metrics::counter;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use tokio::{
     net::{TcpSocket, TcpStream},
     task::AbortHandle,
@@ -30,15 +30,6 @@
 /// Bounds a connection attempt; within a region a server answers in a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time without an acknowledgement after which the kernel gives a connection up.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Idle time after which the kernel probes a connection, and the time between two probes.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
-
-/// Probes without an answer after which a connection is broken.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// Bounds the wait until an idle connection takes the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -260,20 +251,8 @@
         TcpSocket::new_v6()?
     };
     socket.set_nodelay(true)?;
-    let options = SockRef::from(&socket);
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_TIME)
-        .with_retries(KEEPALIVE_PROBES);
-    // A request that is given up must not arrive later: a reset drops what is still queued. Without
-    // the other options a silent connection is noticed later, by the deadline of its request.
-    let set = [
-        options.set_linger(Some(Duration::ZERO)),
-        options.set_tcp_user_timeout(Some(USER_TIMEOUT)),
-        options.set_tcp_keepalive(&probes),
-    ];
-    for e in set.into_iter().filter_map(Result::err) {
-        tracing::debug!(error = %e, "socket option not available");
-    }
+    // A request that is given up must not arrive later: a reset drops what is still queued. For the
+    // same reason the kernel's own time-outs stay off; they end a connection without a reset.
+    SockRef::from(&socket).set_linger(Some(Duration::ZERO))?;
     socket.connect(addr).await
 }
