Tell loads of other hosts by sums of a data centre, and give duties to strong hosts

Cause: with 70 hosts each told all others every 1.4 s what it had sent, while prompts wait for a tenth of a second; estimates were off by a factor of five at the 90th percentile, and hosts sent to the same worker. Hosts with a tenth of a core could hold the lease or relay the platform's facts. Change: in fleets of more than twelve hosts the two strongest hosts of each data centre add up the loads of their neighbours every 150 ms, exchange the sums and tell the total; the demand goes to the lease holder alone. Rows of the exchange carry the processor capacity; duties go to strong hosts.

--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod source;
 mod stop;
+mod targets;
 
 use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
 
@@ -25,6 +26,7 @@
 
 use crate::{
     entry::{
+        beacons::Loads,
         beliefs::Beliefs,
         peers::{EntryPeers, Exchange, Served},
     },
@@ -114,6 +116,7 @@
         listen: settings.peers,
         advertise: None,
         http: settings.callers,
+        capacity: settings.machine.cpu,
         seeds: settings.seeds.clone(),
         token: peers::token(),
         period: EXCHANGE_PERIOD,
@@ -152,7 +155,14 @@
     let beacons = Beacons::bind(settings.beacons)
         .await
         .map_err(Error::usage)?;
-    let beacons = Arc::new(beacons);
+    let place = (settings.host.clone(), settings.dc.clone());
+    let loads = Loads::new(
+        beacons,
+        place,
+        exchange.clone(),
+        control.clone(),
+        Arc::clone(beliefs),
+    );
     let (exchange, control) = (|| exchange.clone(), || control.clone());
     let shared = || Arc::clone(beliefs);
     let host = settings.host.clone();
@@ -163,14 +173,13 @@
     tokio::spawn(peers::members(exchange(), control(), shared(), slack));
     tokio::spawn(peers::own_state(exchange(), control(), shared()));
     tokio::spawn(source::follow(
-        host.clone(),
+        host,
         settings.first_start,
         exchange(),
         shared(),
     ));
-    let sent = Arc::clone(&beacons);
-    tokio::spawn(beacons::send(sent, host, exchange(), control(), shared()));
-    tokio::spawn(beacons::receive(beacons, control(), shared()));
+    tokio::spawn(Arc::clone(&loads).send());
+    tokio::spawn(loads.receive());
     Ok(())
 }
 
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -19,6 +19,9 @@
 /// Token of the exchange; the network between hosts is closed and the settings carry no secret.
 const CLOSED_NETWORK: &str = "closed-network";
 
+/// Duty of placing models, under which the candidates for its lease are ranked.
+const PLACEMENT: &str = "placement";
+
 /// Exchange with the other entry hosts.
 pub(crate) type Exchange = Handle<Objects, BootTime, Served>;
 
@@ -142,8 +145,8 @@
     loop {
         let alive: Vec<HostId> = {
             let current = members.borrow_and_update();
-            let alive = current.iter().filter(|m| m.state == MemberState::Alive);
-            alive.map(|m| m.id.clone()).collect()
+            let ranked = peer::ranked(current.iter(), exchange.host(), PLACEMENT);
+            ranked.into_iter().map(|m| m.id.clone()).collect()
         };
         tracing::info!(
             belief = "members",
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -6,9 +6,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use peer::{Member, MemberState};
+use peer::Member;
 use tokio::time::sleep;
-use types::{BootTime, Clock, Deadline, HostId, Instant, Micros, score};
+use types::{BootTime, Clock, Deadline, HostId, Instant, Micros};
 
 use crate::entry::{beliefs::Beliefs, peers::Exchange};
 
@@ -18,8 +18,8 @@
 /// Hosts up to which all read the platform themselves, which recovers faster.
 const SMALL_FLEET: usize = 12;
 
-/// Key under which hosts are ranked as relays.
-const RELAY_KEY: &str = "relay";
+/// Duty of reading the platform for others, under which hosts are ranked.
+const RELAY_DUTY: &str = "relay";
 
 /// Time after the very first start in which hosts find each other, so that a large fleet does not
 /// read the platform on every host.
@@ -39,15 +39,9 @@
 const MAX_ASKED: usize = 3;
 
 /// Returns the live hosts in the order in which they are relays.
-fn ranked(members: &[Member], own: &HostId) -> Vec<HostId> {
-    let live = |m: &&Member| m.state == MemberState::Alive || m.id == *own;
-    let mut ranked: Vec<(f64, &HostId)> = members
-        .iter()
-        .filter(live)
-        .map(|m| (score(RELAY_KEY, m.id.as_str(), 1.0), &m.id))
-        .collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
-    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+fn relays(members: &[Member], own: &HostId) -> Vec<HostId> {
+    let ranked = peer::ranked(members.iter(), own, RELAY_DUTY);
+    ranked.into_iter().map(|m| m.id.clone()).collect()
 }
 
 /// Follows the best source for as long as the process runs.
@@ -63,7 +57,7 @@
     let mut direct_until = Deadline::at(Instant::ZERO);
     let mut refused = 0;
     loop {
-        let ranked = ranked(&exchange.members().borrow(), &own);
+        let ranked = relays(&exchange.members().borrow(), &own);
         let now = BootTime.now();
         let relays = &ranked[..ranked.len().min(RELAYS)];
         let reads = ranked.len() <= SMALL_FLEET || relays.contains(&own);
--- a/crates/celerytally/src/host.rs
+++ b/crates/celerytally/src/host.rs
@@ -21,7 +21,7 @@
 use route::Router;
 use store::HttpPlatform;
 use tokio::{net::TcpListener, sync::mpsc};
-use types::{BackendId, DataCentreId, HostId, LoadReport, Monotonic};
+use types::{BackendId, DataCentreId, HostId, LoadReport, Millicores, Monotonic};
 
 use crate::{
     error::{Error, Result, internal},
@@ -192,6 +192,7 @@
         listen: settings.listen_peers,
         advertise: settings.advertise_peers,
         http,
+        capacity: Millicores::default(),
         seeds: settings.seeds.clone(),
         token: settings.peer_token.clone(),
         period: settings.tuning.exchange_period,
--- a/crates/config/src/entry_host.rs
+++ b/crates/config/src/entry_host.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use types::{Bytes, DataCentreId, HostId, Micros, RegionId};
+use types::{Bytes, DataCentreId, HostId, Micros, Millicores, RegionId};
 
 use crate::deployment::DataCentre;
 
@@ -42,6 +42,8 @@
 /// What a machine gives a process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Machine {
+    /// Processor capacity.
+    pub cpu: Millicores,
     /// Memory above which the process is killed.
     pub memory: Bytes,
     /// Sockets that the process may have open.
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -115,7 +115,7 @@
         self.send(Input::Fleet(FleetEvent::Used(adapters)));
     }
 
-    /// Tells the live hosts, sorted.
+    /// Tells the live hosts, those that should hold the lease first.
     pub fn members(&self, hosts: Vec<HostId>) {
         self.send(Input::Members(hosts));
     }
--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -2,17 +2,19 @@
 //!
 //! A lost datagram is replaced by the next one, so nothing is acknowledged or repeated.
 
-use std::{io, net::SocketAddr};
+use std::{cmp::Reverse, io, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use types::HostId;
+use types::{DataCentreId, HostId};
 
 /// Largest datagram, which fits an Ethernet frame.
 const MAX_DATAGRAM: usize = 1_400;
 
-/// Entries of each list in one datagram; the largest loads and needs come first.
-const MAX_ENTRIES: usize = 60;
+/// Entries of each list in one datagram.
+const MAX_LOADS: usize = 160;
+const MAX_NEEDS: usize = 120;
+const MAX_ADAPTERS: usize = 120;
 
 /// Requests of a host at one backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -36,15 +38,58 @@
 
 /// What a host tells its peers.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct Beacon {
-    /// The host.
-    pub host: HostId,
-    /// Its requests, by backend server.
-    pub loads: Vec<Load>,
-    /// Demand of its callers; only now and then.
-    pub needs: Vec<Need>,
-    /// Keys of the adapters that its callers used since the last needs.
-    pub adapters: Vec<u32>,
+pub enum Datagram {
+    /// Requests of one host.
+    Host {
+        /// The host.
+        host: HostId,
+        /// Its requests, by backend server.
+        loads: Vec<Load>,
+    },
+    /// Requests of all hosts of a data centre.
+    DataCentre {
+        /// The data centre.
+        dc: DataCentreId,
+        /// Its requests, by backend server.
+        loads: Vec<Load>,
+    },
+    /// Requests of all hosts, the receiver included.
+    Fleet {
+        /// Host that added them up.
+        by: HostId,
+        /// All requests, by backend server.
+        loads: Vec<Load>,
+    },
+    /// Demand of one host's callers.
+    Demand {
+        /// The host.
+        host: HostId,
+        /// Demand by model.
+        needs: Vec<Need>,
+        /// Keys of the adapters that its callers used since the last time.
+        adapters: Vec<u32>,
+    },
+}
+
+impl Datagram {
+    /// Leaves out what does not fit a datagram; the largest loads and needs stay.
+    fn shorten(&mut self) {
+        match self {
+            Self::Host { loads, .. }
+            | Self::DataCentre { loads, .. }
+            | Self::Fleet { loads, .. } => {
+                loads.sort_by_key(|l| Reverse(l.work_ms));
+                loads.truncate(MAX_LOADS);
+            }
+            Self::Demand {
+                needs, adapters, ..
+            } => {
+                needs.sort_by_key(|n| Reverse(n.work_ms));
+                needs.truncate(MAX_NEEDS);
+                adapters.truncate(MAX_ADAPTERS);
+            }
+        }
+    }
 }
 
 /// Returns the key of a name, which all hosts compute alike.
@@ -69,30 +114,26 @@
         Ok(Self { socket })
     }
 
-    /// Sends a beacon to peers, as far as it fits a datagram.
+    /// Sends a datagram to peers, as far as it fits one.
     ///
     /// # Errors
-    /// When the beacon can't be encoded.
-    pub async fn send(&self, mut beacon: Beacon, peers: &[SocketAddr]) -> io::Result<()> {
-        beacon.loads.sort_by_key(|l| std::cmp::Reverse(l.work_ms));
-        beacon.loads.truncate(MAX_ENTRIES);
-        beacon.needs.sort_by_key(|n| std::cmp::Reverse(n.work_ms));
-        beacon.needs.truncate(MAX_ENTRIES);
-        beacon.adapters.truncate(MAX_ENTRIES);
-        let bytes = bincode::serialize(&beacon).map_err(io::Error::other)?;
+    /// When the datagram can't be encoded.
+    pub async fn send(&self, mut datagram: Datagram, peers: &[SocketAddr]) -> io::Result<()> {
+        datagram.shorten();
+        let bytes = bincode::serialize(&datagram).map_err(io::Error::other)?;
         for peer in peers {
             if let Err(e) = self.socket.send_to(&bytes, peer).await {
-                tracing::debug!(%peer, error = %e, "beacon not sent");
+                tracing::debug!(%peer, error = %e, "datagram not sent");
             }
         }
         Ok(())
     }
 
-    /// Receives the next beacon.
+    /// Receives the next datagram.
     ///
     /// # Errors
-    /// When the socket fails or a datagram is no beacon.
-    pub async fn receive(&self) -> io::Result<Beacon> {
+    /// When the socket fails or a datagram is not of the expected form.
+    pub async fn receive(&self) -> io::Result<Datagram> {
         let mut buf = [0; MAX_DATAGRAM + 1];
         let (len, _) = self.socket.recv_from(&mut buf).await?;
         bincode::deserialize(&buf[..len]).map_err(io::Error::other)
--- a/crates/peer/src/event.rs
+++ b/crates/peer/src/event.rs
@@ -4,7 +4,7 @@
 
 use config::{InForce, Manifest, Snapshot};
 use route::{BackendLoad, SuspectMark};
-use types::{BackendId, DataCentreId, Epoch, HostId, Incarnation, Micros, ModelId};
+use types::{BackendId, DataCentreId, Epoch, HostId, Incarnation, Micros, Millicores, ModelId};
 
 use crate::{
     hosts::{Host, Inventory},
@@ -51,6 +51,7 @@
     pub(crate) dc: DataCentreId,
     pub(crate) addr: SocketAddr,
     pub(crate) peer_addr: SocketAddr,
+    pub(crate) capacity: Millicores,
     pub(crate) incarnation: Incarnation,
     pub(crate) counter: u64,
     pub(crate) seeds: Vec<SocketAddr>,
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use types::{
     AdapterId, BackendId, Clock, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Micros,
-    ModelId,
+    Millicores, ModelId,
 };
 
 use crate::{
@@ -66,6 +66,8 @@
     pub advertise: Option<SocketAddr>,
     /// Address of this host for HTTP, to which requests are forwarded.
     pub http: SocketAddr,
+    /// Processor capacity of this machine, by which hosts choose who does duties for others.
+    pub capacity: Millicores,
     /// Addresses of entry hosts to contact first.
     pub seeds: Vec<SocketAddr>,
     /// Token shared by the entry hosts.
@@ -182,6 +184,7 @@
         dc: options.dc.clone(),
         addr: options.http,
         peer_addr: advertised,
+        capacity: options.capacity,
         incarnation: Incarnation::new(micros),
         counter: micros / options.period.get().max(1),
         seeds,
@@ -192,6 +195,12 @@
 }
 
 impl<P: Platform, C: Clock, S: Served> Handle<P, C, S> {
+    /// Returns the name of this host.
+    #[must_use]
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
+
     /// Returns the address at which peers reach this host.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,7 +7,7 @@
 //! ```
 //! use config::Secret;
 //! use peer::{Options, Served, Spread};
-//! use types::{AdapterId, Epoch, Micros, ModelId, Monotonic};
+//! use types::{AdapterId, Epoch, Micros, Millicores, ModelId, Monotonic};
 //!
 //! #[derive(Clone)]
 //! struct Process;
@@ -27,6 +27,7 @@
 //!     listen: "127.0.0.1:0".parse()?,
 //!     advertise: None,
 //!     http: "127.0.0.1:8080".parse()?,
+//!     capacity: Millicores::default(),
 //!     seeds: Vec::new(),
 //!     token: Secret::new("shared-by-all"),
 //!     period: Micros::from_millis(20),
@@ -44,12 +45,14 @@
 
 mod beacon;
 mod codec;
+mod duty;
 mod error;
 mod event;
 mod exchange;
 mod handle;
 mod hosts;
 mod load;
+mod load_sums;
 mod member;
 mod message;
 mod node;
@@ -61,11 +64,13 @@
 mod version;
 mod wire;
 
-pub use beacon::{Beacon, Beacons, Load, Need, key};
+pub use beacon::{Beacons, Datagram, Load, Need, key};
+pub use duty::ranked;
 pub use error::{Category, Error, Result};
 pub use event::Spread;
 pub use handle::{Convergence, Handle, Options, Shared, start};
 pub use hosts::{Host, Inventory};
+pub use load_sums::LoadSums;
 pub use member::{Member, MemberState};
 pub use message::{Facts, KnownFacts, MessageKind, OwnState};
 pub use node::{Heard, News};
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
-use types::{ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Instant, Micros};
+use types::{ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Instant, Micros, Millicores};
 
 use crate::{
     codec::{self, Reader},
@@ -57,6 +57,8 @@
     pub addr: SocketAddr,
     /// Address for other entry hosts.
     pub peer_addr: SocketAddr,
+    /// Processor capacity of its machine.
+    pub capacity: Millicores,
     /// Life of its process, as it says itself.
     pub incarnation: Incarnation,
     /// Whether it can be reached and takes work.
@@ -376,6 +378,7 @@
             dc: k.row.dc.clone(),
             addr: k.row.addr,
             peer_addr: k.row.peer_addr,
+            capacity: k.row.capacity,
             incarnation: k.row.incarnation,
             state: self.state(k, now),
             ready: k.row.state == OwnState::Ready,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,8 +6,8 @@
 use route::{Fingerprint, SuspectMark};
 use serde::{Deserialize, Serialize};
 use types::{
-    AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, ModelId,
-    Registration,
+    AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Millicores,
+    ModelId, Registration,
 };
 
 use crate::hosts::Host;
@@ -31,6 +31,7 @@
     pub(crate) dc: DataCentreId,
     pub(crate) addr: SocketAddr,
     pub(crate) peer_addr: SocketAddr,
+    pub(crate) capacity: Millicores,
     pub(crate) incarnation: Incarnation,
     /// Raised by the host with every change within its life.
     pub(crate) stamp: u32,
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -81,6 +81,7 @@
                 dc: params.dc.clone(),
                 addr: params.addr,
                 peer_addr: params.peer_addr,
+                capacity: params.capacity,
                 incarnation: params.incarnation,
                 stamp: 0,
                 state: OwnState::Starting,
--- a/crates/peer/tests/sockets.rs
+++ b/crates/peer/tests/sockets.rs
@@ -60,6 +60,7 @@
         listen: "127.0.0.1:0".parse().unwrap(),
         advertise,
         http: "127.0.0.1:9".parse().unwrap(),
+        capacity: types::Millicores::default(),
         seeds,
         token: Secret::new(token),
         period: Micros::from_millis(50),
--- a/crates/peer/tests/state/sim.rs
+++ b/crates/peer/tests/state/sim.rs
@@ -384,6 +384,7 @@
         dc: fixture::dc(i % size.dcs),
         addr: addr(i),
         peer_addr: addr(i),
+        capacity: types::Millicores::default(),
         incarnation: Incarnation::new(1),
         counter: 1_700_000_000,
         seeds: if i == 0 { vec![addr(1)] } else { vec![addr(0)] },
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -214,10 +214,10 @@
         /// Adapter, if one was asked for.
         adapter: Option<AdapterId>,
     },
-    /// A peer told what it has sent to backend servers.
+    /// A peer, or a sum over all peers, told what was sent to backend servers.
     PeerLoad {
-        /// The peer.
-        host: HostId,
+        /// The peer; without one, the load is the sum over all.
+        host: Option<HostId>,
         /// Its requests, by backend server.
         sent: Vec<(BackendId, SentLoad)>,
         /// Time until which the news counts.
--- a/crates/route/src/peer_load.rs
+++ b/crates/route/src/peer_load.rs
@@ -14,22 +14,30 @@
     pub work: f32,
 }
 
-/// What one peer has sent, with the time until which it counts.
+/// What one peer has sent, or all of them, with the time until which it counts.
 #[derive(Debug)]
 pub(crate) struct PeerLoad {
-    host: HostId,
+    /// The peer; without one, the load is the sum over all.
+    host: Option<HostId>,
     until: Deadline,
     sent: Vec<(BackendId, SentLoad)>,
 }
 
 impl Router {
     /// Takes the requests that a peer has sent; they count until a deadline or the next news.
+    ///
+    /// As long as a sum over all peers counts, single peers add nothing to it.
     pub(crate) fn peer_load(
         &mut self,
-        host: HostId,
+        host: Option<HostId>,
         sent: Vec<(BackendId, SentLoad)>,
         until: Deadline,
     ) {
+        if host.is_none() {
+            self.peer_loads.clear();
+        } else if self.peer_loads.first().is_some_and(|p| p.host.is_none()) {
+            return;
+        }
         match self.peer_loads.binary_search_by(|p| p.host.cmp(&host)) {
             Ok(at) => self.peer_loads[at] = PeerLoad { host, until, sent },
             Err(at) => self.peer_loads.insert(at, PeerLoad { host, until, sent }),
--- a/crates/route/tests/behaviour/first_token.rs
+++ b/crates/route/tests/behaviour/first_token.rs
@@ -106,7 +106,7 @@
     let busy = ["w1", "w3"].map(|w| (w.parse().expect("a name"), sent(3, 2.0)));
 
     host.step(Event::PeerLoad {
-        host: "h2".parse().expect("a name"),
+        host: Some("h2".parse().expect("a name")),
         sent: busy.to_vec(),
         until,
     });
@@ -122,7 +122,7 @@
     let until = Deadline::after(host.now, Micros::from_secs(1));
     let busy = LOCAL.map(|w| (w.parse().expect("a name"), sent(4, 9.0)));
     host.step(Event::PeerLoad {
-        host: "h2".parse().expect("a name"),
+        host: Some("h2".parse().expect("a name")),
         sent: busy.to_vec(),
         until,
     });
@@ -147,7 +147,7 @@
     let until = Deadline::after(host.now, Micros::from_secs(1));
     let idle = (other.parse().expect("a name"), sent(1, 0.01));
     host.step(Event::PeerLoad {
-        host: "h2".parse().expect("a name"),
+        host: Some("h2".parse().expect("a name")),
         sent: vec![idle, (owner.parse().expect("a name"), sent(2, 0.05))],
         until,
     });
@@ -181,7 +181,7 @@
     let until = Deadline::after(host.now, Micros::from_secs(1));
     let busy = LOCAL.map(|w| (w.parse().expect("a name"), sent(1, 3.0)));
     host.step(Event::PeerLoad {
-        host: "h2".parse().expect("a name"),
+        host: Some("h2".parse().expect("a name")),
         sent: busy.to_vec(),
         until,
     });
@@ -317,7 +317,7 @@
     let until = Deadline::after(host.now, Micros::from_secs(1));
     let busy = ["w1", "w2"].map(|w| (w.parse().expect("a name"), sent(3, 1.0)));
     host.step(Event::PeerLoad {
-        host: "h2".parse().expect("a name"),
+        host: Some("h2".parse().expect("a name")),
         sent: busy.to_vec(),
         until,
     });
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod code;
+mod cpu;
 mod error;
 mod id;
 mod load;
@@ -29,6 +30,7 @@
 mod unit;
 
 pub use code::{Code, Ran, RetryReason};
+pub use cpu::Millicores;
 pub use error::{Category, Error, Result};
 pub use id::{
     AdapterId, AttemptId, BackendId, CallerId, ConfigVersion, DataCentreId, Epoch, HostId,
