Avoid servers that owe answers or that several hosts cannot reach

Requests that reached no server were answered 502. Change: connection attempts end after 120 ms, and servers out of reach are left alone for up to two seconds; a server that owes an answer for four times the estimate counts as doubtful before its requests end; hosts tell which servers they can't reach with their loads, and two others suffice; nothing run is told as 503.

--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -191,11 +191,12 @@
         let own = self.heard().own.clone();
         let others = total.iter().map(|l| {
             let found = own.iter().find(|o| o.backend == l.backend);
-            let (requests, work_ms) = found.map_or((0, 0), |o| (o.requests, o.work_ms));
+            let own = found.copied().unwrap_or_default();
             Load {
                 backend: l.backend,
-                requests: l.requests.saturating_sub(requests),
-                work_ms: l.work_ms.saturating_sub(work_ms),
+                requests: l.requests.saturating_sub(own.requests),
+                work_ms: l.work_ms.saturating_sub(own.work_ms),
+                suspected_by: l.suspected_by.saturating_sub(own.suspected_by),
             }
         });
         self.feed(None, others.collect(), until);
@@ -320,19 +321,20 @@
     let sent = SentLoad {
         requests: load.requests,
         work: f32::from(load.work_ms) / 1e3,
+        suspected_by: load.suspected_by,
     };
     Some((keys.backend(load.backend)?.clone(), sent))
 }
 
 fn loads(beliefs: &Beliefs) -> Vec<Load> {
-    let sent = beliefs
-        .proxy()
-        .dispatcher()
-        .with_router(route::Router::sent_loads);
+    let now = beliefs.proxy().now();
+    let dispatcher = beliefs.proxy().dispatcher();
+    let sent = dispatcher.with_router(|router| router.sent_loads(now));
     let load = |(id, load): (BackendId, SentLoad)| Load {
         backend: key(id.as_str()),
         requests: load.requests,
         work_ms: millis(f64::from(load.work)),
+        suspected_by: load.suspected_by,
     };
     sent.into_iter().map(load).collect()
 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -27,8 +27,9 @@
     time::{Instant, timeout},
 };
 
-/// Bounds a connection attempt; within a region a server answers in a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bounds a connection attempt; within a region a server answers in a few milliseconds, and a
+/// request that was not sent can go to another one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Bounds the wait until an idle connection takes the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -12,12 +12,12 @@
 const MAX_DATAGRAM: usize = 1_400;
 
 /// Entries of each list in one datagram.
-const MAX_LOADS: usize = 160;
+const MAX_LOADS: usize = 130;
 const MAX_NEEDS: usize = 120;
 const MAX_ADAPTERS: usize = 120;
 
 /// Requests of a host at one backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Load {
     /// Key of the backend server's name.
     pub backend: u32,
@@ -25,6 +25,8 @@
     pub requests: u16,
     /// Milliseconds that the server needs to read their prompts.
     pub work_ms: u16,
+    /// Hosts that take the server to be out of reach.
+    pub suspected_by: u16,
 }
 
 /// Demand of a host's callers for one model.
@@ -78,7 +80,7 @@
             Self::Host { loads, .. }
             | Self::DataCentre { loads, .. }
             | Self::Fleet { loads, .. } => {
-                loads.sort_by_key(|l| Reverse(l.work_ms));
+                loads.sort_by_key(|l| Reverse((l.suspected_by, l.work_ms)));
                 loads.truncate(MAX_LOADS);
             }
             Self::Demand {
--- a/crates/peer/src/load_sums.rs
+++ b/crates/peer/src/load_sums.rs
@@ -65,6 +65,7 @@
         backend: a.backend,
         requests: a.requests.saturating_add(b.requests),
         work_ms: a.work_ms.saturating_add(b.work_ms),
+        suspected_by: a.suspected_by.saturating_add(b.suspected_by),
     };
     let groups = all.chunk_by(|a, b| a.backend == b.backend);
     groups
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -94,6 +94,7 @@
             attempts: 0,
             runs: 0,
             tried: Vec::new(),
+            answering: false,
             may_have_run: false,
             retry: None,
             as_suspect: false,
@@ -215,10 +216,10 @@
         let state = self.suspicion(&flight.ticket, now);
         let deadline = flight.ticket.deadline;
         if state == Some(SuspectState::Convicted) {
-            return self.give_up(rank, slot, Code::CrashingRequest, out);
+            return self.give_up(now, rank, slot, Code::CrashingRequest, out);
         }
         if deadline.is_past(now) {
-            return self.give_up(rank, slot, Code::DeadlineUnreachable, out);
+            return self.give_up(now, rank, slot, Code::DeadlineUnreachable, out);
         }
         let suspect = state.is_some() && self.cfg.suspect_slots;
         if suspect && (!flight.not_before.is_past(now) || self.suspect_runs(slot)) {
@@ -259,10 +260,17 @@
         self.cfg.early_refusal && seconds * self.cfg.margin > left
     }
 
-    fn give_up(&mut self, rank: Rank, slot: u32, code: Code, out: &mut Vec<Action>) -> Offer {
+    fn give_up(
+        &mut self,
+        now: Instant,
+        rank: Rank,
+        slot: u32,
+        code: Code,
+        out: &mut Vec<Action>,
+    ) -> Offer {
         self.unqueue(rank, slot);
         self.count_starved(rank);
-        let retry_after = code.may_resend().then(|| self.retry_after(slot));
+        let retry_after = code.may_resend().then(|| self.retry_after(now, slot));
         self.refuse(slot, code, retry_after, out);
         Offer::Left
     }
@@ -271,7 +279,7 @@
     ///
     /// It is the time in which the prompts that its servers already have are read, spread so that
     /// callers who are refused together do not return together.
-    fn retry_after(&mut self, slot: u32) -> Micros {
+    fn retry_after(&mut self, now: Instant, slot: u32) -> Micros {
         if self.cfg.estimates == Estimates::Finish {
             return RETRY_AFTER;
         }
@@ -286,7 +294,10 @@
             let b = &self.backends[*b as usize];
             b.own_work + b.others_work
         };
-        let soonest = servers.iter().map(backlog).fold(f32::INFINITY, f32::min);
+        let live = servers
+            .iter()
+            .filter(|b| self.backends[**b as usize].takes_work(now));
+        let soonest = live.map(backlog).fold(f32::INFINITY, f32::min);
         let load = self.cfg.load_on_demand.unwrap_or(RETRY_AFTER).as_secs_f64();
         let wait = if soonest.is_finite() {
             f64::from(soonest)
@@ -298,9 +309,9 @@
     }
 
     /// The same for a request that servers refused, where the time is estimated.
-    pub(crate) fn retry_after_failure(&mut self, slot: u32) -> Option<Micros> {
+    pub(crate) fn retry_after_failure(&mut self, now: Instant, slot: u32) -> Option<Micros> {
         let estimated = self.cfg.estimates == Estimates::FirstToken;
-        estimated.then(|| self.retry_after(slot))
+        estimated.then(|| self.retry_after(now, slot))
     }
 
     /// Forwards a request that is too late here if another data centre has room, or refuses it.
@@ -318,7 +329,7 @@
             return Offer::Left;
         }
         self.count_demand(now, slot, true);
-        self.give_up(rank, slot, code, out)
+        self.give_up(now, rank, slot, code, out)
     }
 
     /// Handles a request that no backend server of this data centre can serve.
@@ -332,7 +343,7 @@
     ) -> Offer {
         if code == Code::NotResident && self.lacks_only_adapter(now, slot) {
             if self.is_unplaceable(now, slot) {
-                return self.give_up(rank, slot, code, out);
+                return self.give_up(now, rank, slot, code, out);
             }
             self.want(now, slot, true, out);
             return Offer::Waits;
@@ -360,7 +371,7 @@
         } else {
             code
         };
-        self.give_up(rank, slot, code, out)
+        self.give_up(now, rank, slot, code, out)
     }
 
     /// Asks for another copy of an adapter if the servers that hold it are much busier than others.
@@ -527,6 +538,7 @@
         flight.work = work;
         b.own_work += work;
         flight.dispatched = now;
+        flight.answering = false;
         flight.attempts += 1;
         if self.cfg.prefix_hints {
             for &prefix in &flight.ticket.prefixes {
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -53,6 +53,14 @@
     pub leaving_by: Option<LeavingBy>,
     /// Time until which the server is avoided after it refused work.
     pub shunned: Deadline,
+    /// Connection attempts that failed in a row, up to a bound.
+    pub unreachable: u8,
+    /// When the server last answered this host.
+    pub heard: Instant,
+    /// Whether it owes this host an answer for too long.
+    pub overdue: bool,
+    /// Other hosts that take it to be out of reach.
+    pub suspected_by: u16,
     /// Own requests in flight.
     pub own: u16,
     /// Own suspects among them.
@@ -95,6 +103,10 @@
             liveness: Liveness::Live,
             leaving_by: None,
             shunned: Deadline::at(Instant::ZERO),
+            unreachable: 0,
+            heard: Instant::ZERO,
+            overdue: false,
+            suspected_by: 0,
             own: 0,
             suspects: 0,
             others: 0,
@@ -208,6 +220,9 @@
     /// Counts the end of an attempt.
     pub(crate) fn note_attempt(&mut self, failed: bool, now: Instant) {
         let outcome = f32::from(u8::from(failed));
+        if !failed {
+            self.unreachable = 0;
+        }
         self.failing = self.failing(now) * (1.0 - FAILING_WEIGHT) + outcome * FAILING_WEIGHT;
         self.failed_at = now;
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -192,7 +192,9 @@
         match self.cfg.estimates {
             Estimates::Finish => 0.0,
             Estimates::FirstToken => {
-                FAILURE_SECONDS * f64::from(self.backends[backend as usize].failing(now))
+                let b = &self.backends[backend as usize];
+                let doubt = f64::from(u8::from(b.is_doubtful()));
+                FAILURE_SECONDS * (f64::from(b.failing(now)) + doubt)
             }
         }
     }
@@ -283,15 +285,21 @@
         if !members.iter().any(|b| alive(&b)) {
             return Code::NoBackend;
         }
+        // Servers that were only out of reach have run nothing, so the caller may come back.
+        let all_tried = if flight.may_have_run {
+            Code::RetriesExhausted
+        } else {
+            Code::Unreachable
+        };
         let Some(model) = flight.model else {
-            return Code::RetriesExhausted;
+            return all_tried;
         };
         let mut holders = self.holders[usize::from(model)]
             .iter()
             .filter(alive)
             .peekable();
         if holders.peek().is_some() && holders.all(|b| flight.tried.contains(b)) {
-            Code::RetriesExhausted
+            all_tried
         } else {
             Code::NotResident
         }
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -9,8 +9,10 @@
     router::{Router, Scope},
 };
 
-/// Time for which a backend server that could not be reached gets no work.
+/// Time for which a backend server that could not be reached gets no work; it doubles with each
+/// further failure up to a bound.
 const SHUN_UNREACHABLE: Micros = Micros::from_millis(500);
+const MAX_SHUN_DOUBLINGS: u8 = 2;
 /// Time for which a backend server that refused a request gets no work.
 const SHUN_REFUSING: Micros = Micros::from_millis(100);
 /// Refusals by backend servers after which a request is not offered to another one.
@@ -57,8 +59,15 @@
             RetryReason::Leaving | RetryReason::NotResident | RetryReason::Refused
         );
         b.note_attempt(failed, now);
+        if !failed {
+            b.heard = now;
+        }
         match reason {
-            RetryReason::Unreachable => b.shunned = Deadline::after(now, SHUN_UNREACHABLE),
+            RetryReason::Unreachable => {
+                let time = Micros::new(SHUN_UNREACHABLE.get() << b.unreachable);
+                b.shunned = Deadline::after(now, time);
+                b.unreachable = (b.unreachable + 1).min(MAX_SHUN_DOUBLINGS);
+            }
             RetryReason::Refused => b.shunned = Deadline::after(now, SHUN_REFUSING),
             RetryReason::Leaving => b.leave(LeavingBy::Server),
             RetryReason::NotResident => self.forget_resident(backend, slot),
@@ -137,7 +146,9 @@
                 .flights
                 .get(slot)
                 .map_or(Code::Internal, |f| outcome(f, failure.reason, forwarded));
-            let after = code.may_resend().then(|| self.retry_after_failure(slot));
+            let after = code
+                .may_resend()
+                .then(|| self.retry_after_failure(now, slot));
             return self.refuse(slot, code, after.flatten(), out);
         }
         if let Some(flight) = self.flights.get_mut(slot) {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -38,6 +38,8 @@
     pub runs: u8,
     /// Backend servers that failed the request.
     pub tried: Vec<u32>,
+    /// Whether the answer to the last attempt has begun.
+    pub answering: bool,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
     pub retry: Option<RetryReason>,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -55,6 +55,7 @@
 mod remote;
 mod router;
 mod settings;
+mod silence;
 mod slots;
 mod suspect;
 mod view;
--- a/crates/route/src/peer_load.rs
+++ b/crates/route/src/peer_load.rs
@@ -12,6 +12,8 @@
     pub requests: u16,
     /// Seconds that the server needs to read their prompts.
     pub work: f32,
+    /// Hosts among those that tell this which take the server to be out of reach.
+    pub suspected_by: u16,
 }
 
 /// What one peer has sent, or all of them, with the time until which it counts.
@@ -62,27 +64,31 @@
         for b in &mut self.backends {
             b.others = 0;
             b.others_work = 0.0;
+            b.suspected_by = 0;
         }
         for (id, load) in self.peer_loads.iter().flat_map(|p| &p.sent) {
             if let Some(at) = names.backend(id) {
                 let b = &mut self.backends[at as usize];
                 b.others = b.others.saturating_add(load.requests);
                 b.others_work += load.work;
+                b.suspected_by = b.suspected_by.saturating_add(load.suspected_by);
             }
         }
     }
 
-    /// Returns what this host has sent to each backend server that it has requests at.
+    /// Returns what this host has sent to each backend server, and which it can't reach.
     #[must_use]
-    pub fn sent_loads(&self) -> Vec<(BackendId, SentLoad)> {
+    pub fn sent_loads(&self, now: Instant) -> Vec<(BackendId, SentLoad)> {
         let Some(names) = &self.names else {
             return Vec::new();
         };
-        let busy = (0_u32..).zip(&self.backends).filter(|(_, b)| b.own > 0);
-        busy.map(|(at, b)| {
+        let known = (0_u32..).zip(&self.backends);
+        let told = known.filter(|(_, b)| b.own > 0 || b.is_suspect(now));
+        told.map(|(at, b)| {
             let load = SentLoad {
                 requests: b.own,
                 work: b.own_work.max(0.0),
+                suspected_by: u16::from(b.is_suspect(now)),
             };
             (names.backend_id(at).clone(), load)
         })
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -176,6 +176,7 @@
         self.wanted.retain(|w| !w.2.is_past(now));
         self.unplaceable.retain(|w| !w.2.is_past(now));
         self.expire_peer_loads(now);
+        self.note_overdue(now);
         self.expire_asks(now, out);
         self.pump(now, Scope::All, out);
     }
@@ -184,6 +185,11 @@
         let Some(slot) = self.flights.find(id) else {
             return;
         };
+        let owing = self.flights.get(slot).and_then(|f| self.owing(now, f));
+        if let Some(b) = owing.and_then(|at| self.backends.get_mut(at as usize)) {
+            // The caller left because the server is silent.
+            b.note_attempt(true, now);
+        }
         let backend = self.release(now, slot, true);
         self.flights.remove(slot);
         if let Some(backend) = backend {
@@ -196,6 +202,7 @@
             && let Some(flight) = self.flights.get_mut(slot)
         {
             flight.may_have_run = true;
+            flight.answering = true;
             if let Phase::Running { backend, .. } = flight.phase {
                 self.prompt_read(now, slot, backend);
             }
@@ -204,6 +211,9 @@
 
     /// Takes the prompt of a request off the work that waits at its backend server.
     fn prompt_read(&mut self, now: Instant, slot: u32, backend: u32) {
+        if let Some(b) = self.backends.get_mut(backend as usize) {
+            b.heard = now;
+        }
         if self.cfg.estimates == Estimates::FirstToken {
             self.learn_first_token(now, slot, backend);
         }
@@ -245,6 +255,7 @@
                 self.learn(now, &flight, backend, tokens);
             }
             if let Some(b) = self.backends.get_mut(backend as usize) {
+                b.heard = now;
                 b.note_attempt(false, now);
             }
             self.clear_suspect(&flight, backend, out);
--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -6,5 +6,6 @@
 mod memory;
 mod properties;
 mod queueing;
+mod reach;
 mod retries;
 mod suspects;
