Read the platform on more hosts step by step while nobody tells its facts

Change: a host asks the one that told it facts last, then the relays and the first host of its data centre; the hosts that read the platform grow by six every half second of silence, four times slower while others answer that they do not reach it either.

--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -165,7 +165,7 @@
     );
     let (exchange, control) = (|| exchange.clone(), || control.clone());
     let shared = || Arc::clone(beliefs);
-    let host = settings.host.clone();
+    let place = (settings.host.clone(), settings.dc.clone());
     let slack = settings.bounds.retry_slack;
     tokio::spawn(follow::configuration(objects.clone(), shared()));
     tokio::spawn(follow::registrations(objects.clone(), shared()));
@@ -173,7 +173,7 @@
     tokio::spawn(peers::members(exchange(), control(), shared(), slack));
     tokio::spawn(peers::own_state(exchange(), control(), shared()));
     tokio::spawn(source::follow(
-        host,
+        place,
         settings.first_start,
         exchange(),
         shared(),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -59,6 +59,7 @@
 mod residents;
 mod serve;
 mod slot;
+mod source;
 mod state;
 mod traffic;
 mod version;
@@ -75,6 +76,7 @@
 pub use message::{Facts, KnownFacts, MessageKind, OwnState};
 pub use node::{Heard, News};
 pub use serve::Served;
+pub use source::{Reading, Source, Without};
 pub use traffic::Traffic;
 
 /// Hashes parts such that no two lists of parts are alike.
--- a/crates/peer/tests/duties.rs
+++ b/crates/peer/tests/duties.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use peer::{Load, LoadSums, Member, MemberState, ranked};
+use peer::{Load, LoadSums, Member, MemberState, Reading, Source, Without, ranked};
 use types::{Deadline, HostId, Incarnation, Instant, Micros, Millicores};
 
 fn id(name: &str) -> HostId {
@@ -78,3 +78,71 @@
     assert_eq!(all, [load(1, 3, 30), load(2, 5, 45)]);
     assert_eq!(later, [load(1, 2, 20), load(2, 5, 45)]);
 }
+
+fn fleet(hosts: usize) -> Vec<Member> {
+    let member = |at: usize| Member {
+        dc: if at % 2 == 0 { "akl-a" } else { "akl-b" }
+            .parse()
+            .expect("a name"),
+        ..member(&format!("host-{at:02}"), 500, MemberState::Alive)
+    };
+    (0..hosts).map(member).collect()
+}
+
+/// Returns the hosts that read the platform themselves after a time without facts.
+fn direct(members: &[Member], seconds: u64, how: Without) -> usize {
+    let reads = |m: &&Member| {
+        let mut source = Source::new(m.id.clone(), m.dc.clone());
+        source.nothing(Instant::ZERO, how);
+        let now = Instant::from_micros(seconds * 1_000_000);
+        matches!(source.choose(now, members), Reading::Direct(_))
+    };
+    members.iter().filter(reads).count()
+}
+
+/// Replays an outage of the store: all 70 hosts read the platform for three seconds at a time, which
+/// cost more than a twentieth of the payoff.
+#[test]
+fn few_hosts_of_a_large_fleet_read_the_platform_while_others_answer() {
+    let members = fleet(70);
+    let mut calm = Source::new(members[0].id.clone(), members[0].dc.clone());
+
+    let asks = matches!(
+        calm.choose(Instant::ZERO, &members),
+        Reading::Ask { wait: false, .. } | Reading::Direct(_)
+    );
+
+    assert!(asks);
+    assert!(direct(&members, 1, Without::Answered) <= 4);
+    assert!(direct(&members, 5, Without::Answered) <= 16);
+}
+
+/// Guards against hosts that know nothing for long because those that they ask are cut off.
+#[test]
+fn more_hosts_read_the_platform_the_longer_all_others_are_silent() {
+    let members = fleet(70);
+
+    assert!(direct(&members, 0, Without::Silent) >= 3);
+    assert!(direct(&members, 2, Without::Silent) >= 24);
+    assert_eq!(direct(&members, 7, Without::Silent), 70);
+}
+
+/// Guards against a host that asks relays in vain although its neighbour knows.
+#[test]
+fn a_host_stays_with_the_one_that_told_it_facts() {
+    let members = fleet(70);
+    let own = &members[33];
+    let mut source = Source::new(own.id.clone(), own.dc.clone());
+    source.nothing(Instant::ZERO, Without::Silent);
+    let Reading::Ask { hosts, .. } = source.choose(Instant::ZERO, &members) else {
+        return;
+    };
+
+    source.told(hosts[0].clone());
+    let next = source.choose(Instant::ZERO, &members);
+
+    assert!(
+        matches!(&next, Reading::Ask { hosts: again, wait: true } if again[0] == hosts[0]),
+        "{next:?}"
+    );
+}
