Pool what hosts learn of the paces of servers

Change: a pace is the mean of all relative times seen, older ones with less weight; hosts tell what they saw once a second by the same sums as the loads. The first host of a data centre reads the platform only after half a second without facts.

--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -9,8 +9,8 @@
 };
 
 use control::FleetHandle;
-use peer::{Beacons, Datagram, Load, LoadSums, Member, Need, key};
-use route::{Event, SentLoad};
+use peer::{Beacons, Datagram, Load, Member, Need, Pace, Summed, Sums, Told, key, without};
+use route::{Event, SeenPace, SentLoad};
 use tokio::{sync::watch, time::sleep};
 use types::{BackendId, DataCentreId, Deadline, HostId, Instant, Micros, ModelId};
 
@@ -29,8 +29,8 @@
 /// Time between two datagrams per peer where each host tells all others.
 const PERIOD_PER_PEER: Micros = Micros::from_millis(20);
 
-/// Time between two datagrams with the demand.
-const DEMAND_PERIOD: Micros = Micros::from_millis(1_000);
+/// Time between two datagrams with the demand, and between two with learned paces.
+const SLOW_PERIOD: Micros = Micros::from_millis(1_000);
 
 /// Periods without news after which what was heard no longer counts.
 const TTL_PERIODS: u64 = 8;
@@ -38,6 +38,10 @@
 /// Periods without a sum of the first summing host after which the second one tells its own.
 const TAKE_OVER_PERIODS: u64 = 3;
 
+/// Units of a datagram in one logarithm and in one sample.
+const LOG_UNITS: f32 = 100.0;
+const SAMPLE_UNITS: f32 = 10.0;
+
 fn times(period: Micros, factor: u64) -> Micros {
     Micros::new(period.get().saturating_mul(factor))
 }
@@ -48,14 +52,55 @@
     PERIOD.max(times(PERIOD_PER_PEER, peers))
 }
 
+/// What this host told and heard of one kind of news about backend servers.
+#[derive(Debug)]
+struct News<T> {
+    sums: Sums<T>,
+    /// Own part as it was told last; the total that comes back holds it.
+    own: Vec<T>,
+}
+
+impl<T> Default for News<T> {
+    fn default() -> Self {
+        Self {
+            sums: Sums::default(),
+            own: Vec::new(),
+        }
+    }
+}
+
+/// Sums of one kind of news.
+struct Totals<T> {
+    /// Over the own data centre.
+    own: Vec<T>,
+    /// Over all hosts.
+    all: Vec<T>,
+    /// Over all hosts but this one.
+    others: Vec<T>,
+}
+
+impl<T: Summed> News<T> {
+    /// Notes what this host tells now, and returns the sums with it.
+    fn tell(&mut self, host: &HostId, own: Vec<T>, now: Instant, until: Deadline) -> Totals<T> {
+        self.sums.host(host.clone(), own.clone(), until);
+        let all = self.sums.all(now);
+        let others = without(&all, &own);
+        self.own = own;
+        Totals {
+            own: self.sums.own(now),
+            all,
+            others,
+        }
+    }
+}
+
 /// What this host told and heard last.
 #[derive(Debug, Default)]
 struct Heard {
     targets: Targets,
-    sums: LoadSums,
-    /// Own requests as they were told last; the total that comes back holds them.
-    own: Vec<Load>,
-    /// Time until which the last total counts.
+    loads: News<Load>,
+    paces: News<Pace>,
+    /// Time until which the last total of loads counts.
     total_until: Option<Deadline>,
     /// Time until which the first summing host counts as at work.
     first_until: Option<Deadline>,
@@ -105,7 +150,7 @@
     pub(crate) async fn send(self: Arc<Self>) {
         let mut members = self.members.clone();
         self.choose_targets(&members.borrow_and_update().clone());
-        let mut next_demand = Deadline::at(Instant::ZERO);
+        let mut next_slow = Deadline::at(Instant::ZERO);
         let mut next_direct = Deadline::at(Instant::ZERO);
         loop {
             if members.has_changed().unwrap_or(false) {
@@ -116,16 +161,17 @@
             sleep(if targets.sums { SUMS_PERIOD } else { direct }.into()).await;
             let now = self.now();
             if targets.sums {
-                self.tell_sums(now, &targets).await;
+                self.tell_loads(now, &targets).await;
             }
             let informed = self.heard().total_until.is_some_and(|u| !u.is_past(now));
             if !(targets.sums && informed) && next_direct.is_past(now) {
                 next_direct = Deadline::after(now, direct);
                 self.tell_directly(&targets).await;
             }
-            if next_demand.is_past(now) {
-                next_demand = Deadline::after(now, DEMAND_PERIOD);
+            if next_slow.is_past(now) {
+                next_slow = Deadline::after(now, SLOW_PERIOD);
                 self.tell_demand(now, &targets).await;
+                self.tell_paces(now, &targets).await;
             }
         }
     }
@@ -141,77 +187,91 @@
         }
     }
 
-    fn own_datagram(&self, loads: Vec<Load>) -> Datagram {
-        let host = self.host.clone();
-        Datagram::Host { host, loads }
-    }
-
     /// Tells all other hosts of the own requests; nothing more once that there are none was told.
     async fn tell_directly(&self, targets: &Targets) {
         let loads = loads(&self.beliefs);
-        let before = std::mem::replace(&mut self.heard().own, loads.clone());
+        let before = std::mem::replace(&mut self.heard().loads.own, loads.clone());
         if !(loads.is_empty() && before.is_empty()) {
-            self.post(self.own_datagram(loads), &targets.all).await;
+            let datagram = Datagram::Host(self.host.clone(), Told::Loads(loads));
+            self.post(datagram, &targets.all).await;
         }
     }
 
     /// Tells the summing hosts of the own requests, or tells sums if this host is one of them.
-    async fn tell_sums(&self, now: Instant, targets: &Targets) {
+    async fn tell_loads(&self, now: Instant, targets: &Targets) {
         let loads = loads(&self.beliefs);
-        let before = std::mem::replace(&mut self.heard().own, loads.clone());
-        let silent = loads.is_empty() && before.is_empty();
-        if !silent && !targets.summing.is_empty() {
-            let datagram = self.own_datagram(loads.clone());
-            self.post(datagram, &targets.summing).await;
-        }
-        let Some(rank) = targets.rank else {
-            return;
-        };
         let until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
-        let (own, all, first) = {
+        let (sums, silent) = {
             let mut heard = self.heard();
-            heard.sums.host(self.host.clone(), loads, until);
-            heard.total_until = Some(until);
-            let first = rank == 0 || heard.first_until.is_none_or(|u| u.is_past(now));
-            (heard.sums.own(now), heard.sums.all(now), first)
+            let silent = loads.is_empty() && heard.loads.own.is_empty();
+            if targets.rank.is_some() {
+                heard.total_until = Some(until);
+            }
+            (
+                heard.loads.tell(&self.host, loads.clone(), now, until),
+                silent,
+            )
         };
-        self.take_total(&all, until);
-        let dc = self.dc.clone();
-        let own = Datagram::DataCentre { dc, loads: own };
-        self.post(own, &targets.other_sums).await;
-        if first {
-            let by = self.host.clone();
-            let total = Datagram::Fleet { by, loads: all };
-            self.post(total, &targets.neighbour_addrs).await;
+        if !silent {
+            let datagram = Datagram::Host(self.host.clone(), Told::Loads(loads));
+            self.post(datagram, &targets.summing).await;
+        }
+        if targets.rank.is_some() {
+            self.feed_loads(None, &sums.others, until);
+            self.tell_sums(now, targets, Told::Loads(sums.own), Told::Loads(sums.all))
+                .await;
         }
     }
 
-    /// Feeds the router with a total over all hosts, less the own requests in it.
-    fn take_total(&self, total: &[Load], until: Deadline) {
-        let own = self.heard().own.clone();
-        let others = total.iter().map(|l| {
-            let found = own.iter().find(|o| o.backend == l.backend);
-            let own = found.copied().unwrap_or_default();
-            Load {
-                backend: l.backend,
-                requests: l.requests.saturating_sub(own.requests),
-                work_ms: l.work_ms.saturating_sub(own.work_ms),
-                suspected_by: l.suspected_by.saturating_sub(own.suspected_by),
-            }
-        });
-        self.feed(None, others.collect(), until);
+    /// The same for the learned paces.
+    async fn tell_paces(&self, now: Instant, targets: &Targets) {
+        let paces = paces(&self.beliefs);
+        let until = Deadline::after(now, times(SLOW_PERIOD, TTL_PERIODS));
+        let sums = self
+            .heard()
+            .paces
+            .tell(&self.host, paces.clone(), now, until);
+        let datagram = Datagram::Host(self.host.clone(), Told::Paces(paces));
+        if !targets.sums {
+            self.post(datagram, &targets.all).await;
+            return self.feed_paces(&sums.others);
+        }
+        self.post(datagram, &targets.summing).await;
+        if targets.rank.is_some() {
+            self.feed_paces(&sums.others);
+            self.tell_sums(now, targets, Told::Paces(sums.own), Told::Paces(sums.all))
+                .await;
+        }
+    }
+
+    /// Tells the sum of this data centre to the others, and the total to the neighbours.
+    async fn tell_sums(&self, now: Instant, targets: &Targets, own: Told, all: Told) {
+        let dc = Datagram::DataCentre(self.dc.clone(), own);
+        self.post(dc, &targets.other_sums).await;
+        let first_at_work = self.heard().first_until.is_some_and(|u| !u.is_past(now));
+        if targets.rank == Some(0) || !first_at_work {
+            let total = Datagram::Fleet(self.host.clone(), all);
+            self.post(total, &targets.neighbour_addrs).await;
+        }
     }
 
-    fn feed(&self, host: Option<HostId>, loads: Vec<Load>, until: Deadline) {
+    fn feed_loads(&self, host: Option<HostId>, loads: &[Load], until: Deadline) {
         let keys = self.beliefs.keys();
         let sent = loads.iter().filter_map(|l| sent_load(&keys, l)).collect();
         let dispatcher = self.beliefs.proxy().dispatcher();
         dispatcher.feed(Event::PeerLoad { host, sent, until });
     }
 
+    fn feed_paces(&self, paces: &[Pace]) {
+        let keys = self.beliefs.keys();
+        let seen = paces.iter().filter_map(|p| seen_pace(&keys, p)).collect();
+        let dispatcher = self.beliefs.proxy().dispatcher();
+        dispatcher.feed(Event::PeerPaces(seen));
+    }
+
     /// Tells the demand of the own callers to the host that places models.
     async fn tell_demand(&self, now: Instant, targets: &Targets) {
-        let since = now.as_micros().saturating_sub(DEMAND_PERIOD.get());
+        let since = now.as_micros().saturating_sub(SLOW_PERIOD.get());
         let since = Instant::from_micros(since);
         let (needs, used) = self.beliefs.proxy().dispatcher().with_router(|router| {
             let demand = router.demand(now).filter(|d| d.tokens_per_second > 0.0);
@@ -262,25 +322,17 @@
 
     fn take(&self, datagram: Datagram) {
         let now = self.now();
-        let sums_until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
         match datagram {
-            Datagram::Host { host, loads } => self.take_host(now, host, loads),
-            Datagram::DataCentre { dc, loads } => {
-                self.heard().sums.data_centre(dc, loads, sums_until);
+            Datagram::Host(host, told) => self.take_host(now, host, told),
+            Datagram::DataCentre(dc, Told::Loads(loads)) => {
+                let until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
+                self.heard().loads.sums.data_centre(dc, loads, until);
             }
-            Datagram::Fleet { by, loads } => {
-                let first_until = Deadline::after(now, times(SUMS_PERIOD, TAKE_OVER_PERIODS));
-                let mut heard = self.heard();
-                if by != self.host {
-                    heard.first_until = Some(first_until);
-                }
-                heard.total_until = Some(sums_until);
-                let sums_itself = heard.targets.rank.is_some();
-                drop(heard);
-                if !sums_itself {
-                    self.take_total(&loads, sums_until);
-                }
+            Datagram::DataCentre(dc, Told::Paces(paces)) => {
+                let until = Deadline::after(now, times(SLOW_PERIOD, TTL_PERIODS));
+                self.heard().paces.sums.data_centre(dc, paces, until);
             }
+            Datagram::Fleet(by, told) => self.take_total(now, &by, told),
             Datagram::Demand {
                 host,
                 needs,
@@ -289,17 +341,55 @@
         }
     }
 
-    fn take_host(&self, now: Instant, host: HostId, loads: Vec<Load>) {
+    /// Takes a total over all hosts; a host that adds up by itself only notes that it came.
+    fn take_total(&self, now: Instant, by: &HostId, told: Told) {
+        let until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
         let mut heard = self.heard();
-        let sums = heard.targets.sums && heard.targets.rank.is_some();
-        if sums && heard.targets.neighbours.binary_search(&host).is_ok() {
-            let until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
-            heard.sums.host(host, loads, until);
+        if *by != self.host {
+            let at_work = times(SUMS_PERIOD, TAKE_OVER_PERIODS);
+            heard.first_until = Some(Deadline::after(now, at_work));
+        }
+        if heard.targets.rank.is_some() {
             return;
         }
-        let ttl = times(direct_period(heard.targets.all.len()), TTL_PERIODS);
-        drop(heard);
-        self.feed(Some(host), loads, Deadline::after(now, ttl));
+        match told {
+            Told::Loads(total) => {
+                heard.total_until = Some(until);
+                let others = without(&total, &heard.loads.own);
+                drop(heard);
+                self.feed_loads(None, &others, until);
+            }
+            Told::Paces(total) => {
+                let others = without(&total, &heard.paces.own);
+                drop(heard);
+                self.feed_paces(&others);
+            }
+        }
+    }
+
+    fn take_host(&self, now: Instant, host: HostId, told: Told) {
+        let mut heard = self.heard();
+        let targets = &heard.targets;
+        let small = !targets.sums;
+        let neighbour = targets.neighbours.binary_search(&host).is_ok();
+        let adds_up = targets.rank.is_some() && neighbour;
+        let direct = direct_period(targets.all.len());
+        match told {
+            Told::Loads(loads) if !small && adds_up => {
+                let until = Deadline::after(now, times(SUMS_PERIOD, TTL_PERIODS));
+                heard.loads.sums.host(host, loads, until);
+            }
+            Told::Loads(loads) => {
+                drop(heard);
+                let until = Deadline::after(now, times(direct, TTL_PERIODS));
+                self.feed_loads(Some(host), &loads, until);
+            }
+            Told::Paces(paces) if small || adds_up => {
+                let until = Deadline::after(now, times(SLOW_PERIOD, TTL_PERIODS));
+                heard.paces.sums.host(host, paces, until);
+            }
+            Told::Paces(_) => {}
+        }
     }
 
     fn take_demand(&self, host: HostId, needs: &[Need], adapters: &[u32]) {
@@ -339,6 +429,31 @@
     sent.into_iter().map(load).collect()
 }
 
+fn paces(beliefs: &Beliefs) -> Vec<Pace> {
+    let now = beliefs.proxy().now();
+    let dispatcher = beliefs.proxy().dispatcher();
+    let seen = dispatcher.with_router(|router| router.seen_paces(now));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float-to-integer cast saturates, which suits a datagram"
+    )]
+    let pace = |(id, seen): (BackendId, SeenPace)| Pace {
+        backend: key(id.as_str()),
+        log_sum: (seen.log_sum * LOG_UNITS) as i16,
+        samples: (seen.samples * SAMPLE_UNITS) as u16,
+    };
+    seen.into_iter().map(pace).collect()
+}
+
+fn seen_pace(keys: &Keys, pace: &Pace) -> Option<(BackendId, SeenPace)> {
+    let seen = SeenPace {
+        log_sum: f32::from(pace.log_sum) / LOG_UNITS,
+        samples: f32::from(pace.samples) / SAMPLE_UNITS,
+    };
+    Some((keys.backend(pace.backend)?.clone(), seen))
+}
+
 /// Turns seconds into whole milliseconds.
 fn millis(seconds: f64) -> u16 {
     #[expect(
--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -8,11 +8,14 @@
 use tokio::net::UdpSocket;
 use types::{DataCentreId, HostId};
 
+use crate::sums::Summed;
+
 /// Largest datagram, which fits an Ethernet frame.
 const MAX_DATAGRAM: usize = 1_400;
 
 /// Entries of each list in one datagram.
 const MAX_LOADS: usize = 130;
+const MAX_PACES: usize = 160;
 const MAX_NEEDS: usize = 120;
 const MAX_ADAPTERS: usize = 120;
 
@@ -38,30 +41,35 @@
     pub work_ms: u16,
 }
 
+/// Learned pace of one backend server, in units that sums keep whole.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Pace {
+    /// Key of the backend server's name.
+    pub backend: u32,
+    /// Sum of the logarithms of relative times, in hundredths.
+    pub log_sum: i16,
+    /// Weight of the requests that it was learned from, in tenths.
+    pub samples: u16,
+}
+
+/// What a host tells of backend servers.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum Told {
+    /// Requests there.
+    Loads(Vec<Load>),
+    /// Paces learned from them.
+    Paces(Vec<Pace>),
+}
+
 /// What a host tells its peers.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Datagram {
-    /// Requests of one host.
-    Host {
-        /// The host.
-        host: HostId,
-        /// Its requests, by backend server.
-        loads: Vec<Load>,
-    },
-    /// Requests of all hosts of a data centre.
-    DataCentre {
-        /// The data centre.
-        dc: DataCentreId,
-        /// Its requests, by backend server.
-        loads: Vec<Load>,
-    },
-    /// Requests of all hosts, the receiver included.
-    Fleet {
-        /// Host that added them up.
-        by: HostId,
-        /// All requests, by backend server.
-        loads: Vec<Load>,
-    },
+    /// What one host knows by itself.
+    Host(HostId, Told),
+    /// Sum over all hosts of a data centre.
+    DataCentre(DataCentreId, Told),
+    /// Sum over all hosts, the receiver included, and the host that added them up.
+    Fleet(HostId, Told),
     /// Demand of one host's callers.
     Demand {
         /// The host.
@@ -73,16 +81,75 @@
     },
 }
 
-impl Datagram {
-    /// Leaves out what does not fit a datagram; the largest loads and needs stay.
+impl Summed for Load {
+    fn backend(&self) -> u32 {
+        self.backend
+    }
+
+    fn plus(self, other: &Self) -> Self {
+        Self {
+            backend: self.backend,
+            requests: self.requests.saturating_add(other.requests),
+            work_ms: self.work_ms.saturating_add(other.work_ms),
+            suspected_by: self.suspected_by.saturating_add(other.suspected_by),
+        }
+    }
+
+    fn minus(self, part: &Self) -> Self {
+        Self {
+            backend: self.backend,
+            requests: self.requests.saturating_sub(part.requests),
+            work_ms: self.work_ms.saturating_sub(part.work_ms),
+            suspected_by: self.suspected_by.saturating_sub(part.suspected_by),
+        }
+    }
+}
+
+impl Summed for Pace {
+    fn backend(&self) -> u32 {
+        self.backend
+    }
+
+    fn plus(self, other: &Self) -> Self {
+        Self {
+            backend: self.backend,
+            log_sum: self.log_sum.saturating_add(other.log_sum),
+            samples: self.samples.saturating_add(other.samples),
+        }
+    }
+
+    fn minus(self, part: &Self) -> Self {
+        Self {
+            backend: self.backend,
+            log_sum: self.log_sum.saturating_sub(part.log_sum),
+            samples: self.samples.saturating_sub(part.samples),
+        }
+    }
+}
+
+impl Told {
+    /// Leaves out what does not fit a datagram; the largest entries stay.
     fn shorten(&mut self) {
         match self {
-            Self::Host { loads, .. }
-            | Self::DataCentre { loads, .. }
-            | Self::Fleet { loads, .. } => {
+            Self::Loads(loads) => {
                 loads.sort_by_key(|l| Reverse((l.suspected_by, l.work_ms)));
                 loads.truncate(MAX_LOADS);
             }
+            Self::Paces(paces) => {
+                paces.sort_by_key(|p| Reverse(p.samples));
+                paces.truncate(MAX_PACES);
+            }
+        }
+    }
+}
+
+impl Datagram {
+    /// Leaves out what does not fit a datagram; the largest entries stay.
+    fn shorten(&mut self) {
+        match self {
+            Self::Host(_, told) | Self::DataCentre(_, told) | Self::Fleet(_, told) => {
+                told.shorten();
+            }
             Self::Demand {
                 needs, adapters, ..
             } => {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -52,7 +52,6 @@
 mod handle;
 mod hosts;
 mod load;
-mod load_sums;
 mod member;
 mod message;
 mod node;
@@ -61,22 +60,23 @@
 mod slot;
 mod source;
 mod state;
+mod sums;
 mod traffic;
 mod version;
 mod wire;
 
-pub use beacon::{Beacons, Datagram, Load, Need, key};
+pub use beacon::{Beacons, Datagram, Load, Need, Pace, Told, key};
 pub use duty::ranked;
 pub use error::{Category, Error, Result};
 pub use event::Spread;
 pub use handle::{Convergence, Handle, Options, Shared, start};
 pub use hosts::{Host, Inventory};
-pub use load_sums::LoadSums;
 pub use member::{Member, MemberState};
 pub use message::{Facts, KnownFacts, MessageKind, OwnState};
 pub use node::{Heard, News};
 pub use serve::Served;
 pub use source::{Reading, Source, Without};
+pub use sums::{Summed, Sums, without};
 pub use traffic::Traffic;
 
 /// Hashes parts such that no two lists of parts are alike.
--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -139,11 +139,15 @@
         let Some((since, how)) = self.without else {
             return RELAYS;
         };
+        let waited = now.since(since).get();
+        if waited < STEP.get() {
+            return RELAYS;
+        }
         let step = match how {
             Without::Answered => STEP.get() * SLOW_FACTOR,
             Without::Silent => STEP.get(),
         };
-        let steps = now.since(since).get() / step;
+        let steps = waited / step;
         let more = usize::try_from(steps * HOSTS_PER_STEP).unwrap_or(usize::MAX);
         (RELAYS + 1).saturating_add(more)
     }
--- a/crates/peer/tests/duties.rs
+++ b/crates/peer/tests/duties.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use peer::{Load, LoadSums, Member, MemberState, Reading, Source, Without, ranked};
+use peer::{Load, Member, MemberState, Reading, Source, Sums, Without, ranked, without};
 use types::{Deadline, HostId, Incarnation, Instant, Micros, Millicores};
 
 fn id(name: &str) -> HostId {
@@ -63,7 +63,7 @@
 /// Guards against loads that are counted twice or kept after their host fell silent.
 #[test]
 fn sums_hold_the_last_word_of_each_host_and_data_centre() {
-    let mut sums = LoadSums::default();
+    let mut sums = Sums::default();
     sums.host(id("h1"), vec![load(1, 9, 900)], until(1));
     sums.host(id("h1"), vec![load(1, 2, 20), load(2, 1, 5)], until(3));
     sums.host(id("h2"), vec![load(1, 1, 10)], until(1));
@@ -72,10 +72,12 @@
 
     let own = sums.own(Instant::ZERO);
     let all = sums.all(Instant::ZERO);
+    let others = without(&all, &[load(1, 2, 20)]);
     let later = sums.all(Instant::from_micros(2_000_000));
 
     assert_eq!(own, [load(1, 3, 30), load(2, 1, 5)]);
     assert_eq!(all, [load(1, 3, 30), load(2, 5, 45)]);
+    assert_eq!(others, [load(1, 1, 10), load(2, 5, 45)]);
     assert_eq!(later, [load(1, 2, 20), load(2, 5, 45)]);
 }
 
@@ -122,7 +124,8 @@
 fn more_hosts_read_the_platform_the_longer_all_others_are_silent() {
     let members = fleet(70);
 
-    assert!(direct(&members, 0, Without::Silent) >= 3);
+    assert_eq!(direct(&members, 0, Without::Silent), 2);
+    assert!(direct(&members, 1, Without::Silent) >= 12);
     assert!(direct(&members, 2, Without::Silent) >= 24);
     assert_eq!(direct(&members, 7, Without::Silent), 70);
 }
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -2,7 +2,7 @@
 
 use types::{Deadline, Incarnation, Instant, Micros};
 
-use crate::{event::Liveness, prefix::Prefixes};
+use crate::{event::Liveness, pace::Paces, prefix::Prefixes};
 
 /// Changes of the own count that are kept to correct a lagging report.
 const HISTORY: usize = 32;
@@ -81,6 +81,8 @@
     pub tokens_per_second: f32,
     /// Learned time relative to the configured speed.
     pub pace: f32,
+    /// What the pace was learned from, where it is pooled over all hosts.
+    pub paces: Paces,
     /// Models, sorted.
     pub residents: Vec<Resident>,
     /// Adapters, sorted.
@@ -118,6 +120,7 @@
             measured: Instant::ZERO,
             tokens_per_second: 0.0,
             pace: 1.0,
+            paces: Paces::default(),
             residents: Vec::new(),
             adapters: Vec::new(),
             residents_check: 0,
--- a/crates/route/src/first_token.rs
+++ b/crates/route/src/first_token.rs
@@ -119,7 +119,7 @@
             *pace = new.clamp(MODEL_PACE_RANGE.0, MODEL_PACE_RANGE.1);
         }
         if let Some(b) = self.backends.get_mut(backend as usize) {
-            b.learn(None, ratio);
+            b.see_pace(now, ratio);
         }
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -49,6 +49,7 @@
 mod flight;
 mod names;
 mod observe;
+mod pace;
 mod peer_load;
 mod prefix;
 mod queue;
@@ -66,6 +67,7 @@
     Action, BackendLoad, Event, Failure, Fingerprint, Holding, Liveness, Needs, SuspectMark,
     SuspectState, Target, Ticket,
 };
+pub use pace::SeenPace;
 pub use peer_load::SentLoad;
 pub use router::Router;
 pub use settings::{Estimates, Settings};
--- a/crates/route/tests/behaviour/first_token.rs
+++ b/crates/route/tests/behaviour/first_token.rs
@@ -376,3 +376,31 @@
         ..crate::fixture::deployment()
     }
 }
+
+/// Replays a large fleet in which one host sends a slow worker one request in ten seconds: it went
+/// on to send it as many as to the fast ones, although others had seen that it is slow.
+#[test]
+fn a_worker_that_other_hosts_saw_to_be_slow_is_chosen_last() {
+    let mut host = warm(|_| {});
+    let seen = |worker: &str, pace: f32| {
+        let seen = route::SeenPace {
+            log_sum: pace.ln() * 40.0,
+            samples: 40.0,
+        };
+        (worker.parse().expect("a name"), seen)
+    };
+
+    host.step(Event::PeerPaces(vec![
+        seen("w1", 2.2),
+        seen("w2", 1.0),
+        seen("w3", 1.0),
+    ]));
+    let chosen: Vec<String> = (0..4)
+        .map(|_| {
+            host.send(|t| prompt(t, 7, 0, 4_000));
+            placed(&host).expect("a dispatch").1
+        })
+        .collect();
+
+    assert!(chosen.iter().all(|w| w != "w1"), "{chosen:?}");
+}
