--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -60,7 +60,10 @@
     let output = output.map_err(|e| format!("bench: {e}"))?;
     let table = String::from_utf8_lossy(&output.stdout);
     print!("{table}");
-    let path = root().join("target").join("bench-table.txt");
+    let dir = root().join("target");
+    // Builds may go to another folder.
+    fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    let path = dir.join("bench-table.txt");
     fs::write(&path, table.as_bytes()).map_err(|e| format!("{}: {e}", path.display()))?;
     if output.status.success() {
         Ok(())
