--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -264,7 +264,7 @@
 
     fn feed_paces(&self, paces: &[Pace]) {
         let keys = self.beliefs.keys();
-        let seen = paces.iter().filter_map(|p| seen_pace(&keys, p)).collect();
+        let seen = paces.iter().filter_map(|p| seen_pace(&keys, *p)).collect();
         let dispatcher = self.beliefs.proxy().dispatcher();
         dispatcher.feed(Event::PeerPaces(seen));
     }
@@ -446,7 +446,7 @@
     seen.into_iter().map(pace).collect()
 }
 
-fn seen_pace(keys: &Keys, pace: &Pace) -> Option<(BackendId, SeenPace)> {
+fn seen_pace(keys: &Keys, pace: Pace) -> Option<(BackendId, SeenPace)> {
     let seen = SeenPace {
         log_sum: f32::from(pace.log_sum) / LOG_UNITS,
         samples: f32::from(pace.samples) / SAMPLE_UNITS,
--- a/crates/peer/src/sums.rs
+++ b/crates/peer/src/sums.rs
@@ -84,7 +84,7 @@
     all.sort_by_key(Summed::backend);
     let groups = all.chunk_by(|a, b| a.backend() == b.backend());
     groups
-        .map(|group| group[1..].iter().fold(group[0], |a, b| a.plus(b)))
+        .map(|group| group[1..].iter().fold(group[0], T::plus))
         .collect()
 }
 
--- a/crates/peer/tests/duties.rs
+++ b/crates/peer/tests/duties.rs
@@ -83,9 +83,13 @@
 
 fn fleet(hosts: usize) -> Vec<Member> {
     let member = |at: usize| Member {
-        dc: if at % 2 == 0 { "akl-a" } else { "akl-b" }
-            .parse()
-            .expect("a name"),
+        dc: if at.is_multiple_of(2) {
+            "akl-a"
+        } else {
+            "akl-b"
+        }
+        .parse()
+        .expect("a name"),
         ..member(&format!("host-{at:02}"), 500, MemberState::Alive)
     };
     (0..hosts).map(member).collect()
