Let the first host of each data centre read the platform for it

The trace shows both relays silent to the hosts of two data centres. Change: the first host of each data centre reads for it; duties go to hosts with three quarters of the strongest one's capacity; questions for facts end after 0.85 and 0.3 s.

--- a/crates/celerytally/src/entry/beliefs.rs
+++ b/crates/celerytally/src/entry/beliefs.rs
@@ -25,7 +25,7 @@
 use crate::entry::EntryProxy;
 
 /// Time for which a question for facts waits for news.
-const FACTS_WAIT: Duration = Duration::from_secs(1);
+const FACTS_WAIT: Duration = Duration::from_millis(500);
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -19,7 +19,7 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
 
 /// Time within which a host that is in reach answers a question that does not wait for news.
-const ANSWER_TIME: Micros = Micros::from_millis(350);
+const ANSWER_TIME: Micros = Micros::from_millis(250);
 
 /// Follows the best source for as long as the process runs.
 pub(crate) async fn follow(
--- a/crates/peer/src/duty.rs
+++ b/crates/peer/src/duty.rs
@@ -6,8 +6,8 @@
 
 /// Returns the live hosts in the order in which they take a duty, this host included.
 ///
-/// Hosts with at least half of the strongest one's processor capacity come first: a weak one would
-/// do the duty late. Among these the name of the duty decides, so that duties are spread.
+/// Hosts with at least three quarters of the strongest one's processor capacity come first: a weak
+/// one would do the duty late. Among these the name of the duty decides, so that duties are spread.
 #[must_use]
 pub fn ranked<'a>(
     members: impl Iterator<Item = &'a Member>,
@@ -18,7 +18,7 @@
     let mut live: Vec<&Member> = members.filter(live).collect();
     let strongest = live.iter().map(|m| m.capacity.get()).max().unwrap_or(0);
     let rank = |m: &Member| {
-        let strong = m.capacity.get() >= strongest.div_ceil(2);
+        let strong = m.capacity.get() >= strongest - strongest / 4;
         (strong, score(duty, m.id.as_str(), 1.0))
     };
     live.sort_by(|a, b| {
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -46,9 +46,10 @@
 /// Bounds the wait for a placement, within which a model is loaded.
 const PLACE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Bounds the question for facts, and one that waits for news.
-const FACTS_TIMEOUT: Duration = Duration::from_millis(400);
-const FACTS_WAIT_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Bounds the question for facts, and one that waits for news; both together, and a list of the
+/// platform, must fit the time in which a configuration is in force.
+const FACTS_TIMEOUT: Duration = Duration::from_millis(300);
+const FACTS_WAIT_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Bounds the other questions.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -1,13 +1,14 @@
 //! From whom a host learns what the platform holds: the platform itself, or another host.
 //!
-//! Each call of the platform is priced and its rate is bounded, so only a few hosts read it and
-//! tell the others. While these know nothing, more hosts read it step by step.
+//! Each call of the platform is priced and its rate is bounded, so only the first host of each data
+//! centre reads it and tells the others there, whatever happens to the links between data centres.
+//! While these know nothing, more hosts read it step by step.
 
 use types::{DataCentreId, HostId, Instant, Micros};
 
 use crate::{duty::ranked, member::Member};
 
-/// Hosts that read the platform for the others in a large fleet.
+/// Hosts that read the platform for the others where all are in one data centre.
 const RELAYS: usize = 2;
 
 /// Hosts up to which all read the platform themselves, which recovers faster.
@@ -28,8 +29,9 @@
 /// Time for which a host that began to read the platform goes on.
 const FALL_BACK: Micros = Micros::from_secs(3);
 
-/// Hosts that are asked in one round.
-const MAX_ASKED: usize = 4;
+/// Hosts that are asked in one round, and those of them in the own data centre.
+const MAX_ASKED: usize = 5;
+const LOCAL_ASKED: usize = 3;
 
 /// What a host does next to learn what the platform holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -82,18 +84,12 @@
     /// Chooses between the platform and other hosts.
     pub fn choose(&mut self, now: Instant, members: &[Member]) -> Reading {
         let order = ranked(members.iter(), &self.own, DUTY);
-        let local = order.iter().find(|m| m.dc == self.dc).map(|m| &m.id);
-        let rank = order.iter().position(|m| m.id == self.own);
-        let rank = match rank {
-            // The first host of a data centre reads for it if the relays are cut off.
-            Some(rank) if local == Some(&self.own) => rank.min(RELAYS),
-            rank => rank.unwrap_or(0),
-        };
-        let reads = order.len() <= SMALL_FLEET || rank < RELAYS;
-        if !reads && self.is_next(now, rank) {
+        let relays = relays(&order);
+        let reads = order.len() <= SMALL_FLEET || relays.contains(&&self.own);
+        if !reads && self.is_next(now, &order) {
             self.direct_until = now + FALL_BACK;
         }
-        let hosts = self.hosts(now, &order, local);
+        let hosts = self.hosts(&order, &relays);
         if reads || now < self.direct_until {
             return Reading::Direct(hosts);
         }
@@ -101,21 +97,20 @@
         Reading::Ask { hosts, wait }
     }
 
-    /// Returns the hosts to ask; once the relays were asked in vain, those after them come first.
-    fn hosts(&self, now: Instant, order: &[&Member], local: Option<&HostId>) -> Vec<HostId> {
-        let relays = order.iter().take(RELAYS).map(|m| &m.id);
-        let readers = order.iter().take(self.readers(now)).map(|m| &m.id);
-        let mut hosts: Vec<HostId> = if self.without.is_some() {
-            local.into_iter().chain(readers.rev()).cloned().collect()
+    /// Returns the hosts to ask: those of the own data centre first.
+    ///
+    /// Once the relays told nothing, the hosts that read the platform after them are asked too.
+    fn hosts(&self, order: &[&Member], relays: &[&HostId]) -> Vec<HostId> {
+        let here = order.iter().filter(|m| m.dc == self.dc).map(|m| &m.id);
+        let here = here.take(if self.without.is_some() {
+            LOCAL_ASKED
         } else {
-            self.last
-                .iter()
-                .chain(relays)
-                .chain(local)
-                .cloned()
-                .collect()
-        };
-        hosts.retain(|h| *h != self.own && order.iter().any(|m| m.id == *h));
+            1
+        });
+        let known = |h: &&HostId| order.iter().any(|m| m.id == **h);
+        let last = self.last.iter().filter(known);
+        let all = last.chain(here).chain(relays.iter().copied());
+        let mut hosts: Vec<HostId> = all.filter(|h| **h != self.own).cloned().collect();
         dedup(&mut hosts);
         hosts.truncate(MAX_ASKED);
         hosts
@@ -134,27 +129,40 @@
         self.without = Some((since, how));
     }
 
-    /// Returns the number of hosts that read the platform by now.
-    fn readers(&self, now: Instant) -> usize {
+    /// Tells whether this host's turn to read the platform has come.
+    ///
+    /// If all are silent, the hosts of each data centre follow its first one. While others answer that
+    /// they do not reach the platform either, fewer do so, over all data centres.
+    fn is_next(&self, now: Instant, order: &[&Member]) -> bool {
         let Some((since, how)) = self.without else {
-            return RELAYS;
+            return false;
         };
-        let waited = now.since(since).get();
-        if waited < STEP.get() {
-            return RELAYS;
-        }
+        let same = |m: &&&Member| how == Without::Answered || m.dc == self.dc;
+        let mut before = order.iter().filter(same);
+        let rank = before.position(|m| m.id == self.own).unwrap_or(0);
         let step = match how {
             Without::Answered => STEP.get() * SLOW_FACTOR,
             Without::Silent => STEP.get(),
         };
-        let steps = waited / step;
-        let more = usize::try_from(steps * HOSTS_PER_STEP).unwrap_or(usize::MAX);
-        (RELAYS + 1).saturating_add(more)
+        let steps = now.since(since).get() / step;
+        u64::try_from(rank).unwrap_or(u64::MAX) < steps * HOSTS_PER_STEP
     }
+}
 
-    fn is_next(&self, now: Instant, rank: usize) -> bool {
-        self.without.is_some() && rank < self.readers(now)
+/// Returns the hosts that read the platform in calm times: the first one of each data centre.
+fn relays<'a>(order: &[&'a Member]) -> Vec<&'a HostId> {
+    let mut seen: Vec<&DataCentreId> = Vec::new();
+    let mut relays: Vec<&HostId> = Vec::new();
+    for member in order {
+        if !seen.contains(&&member.dc) {
+            seen.push(&member.dc);
+            relays.push(&member.id);
+        }
+    }
+    if relays.len() < RELAYS {
+        relays = order.iter().take(RELAYS).map(|m| &m.id).collect();
     }
+    relays
 }
 
 /// Removes all but the first of equal hosts.
