--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -42,7 +42,9 @@
 const ADAPTER_REST: Micros = Micros::from_millis(1_800);
 
 /// Loads from the weight store that may be under way at once, however slow it is.
-const MIN_LOADS_AT_ONCE: usize = 2;
+///
+/// Some are left for models that callers wait for, so fewer would never give a model another copy.
+const MIN_LOADS_AT_ONCE: usize = 3;
 
 /// Demand of a model below which it counts as none, in seconds of a worker a second.
 const MIN_NEED: f64 = 0.001;
--- a/crates/control/tests/fleet.rs
+++ b/crates/control/tests/fleet.rs
@@ -450,3 +450,24 @@
 
     assert!(world.store_loads.len() >= 5, "{:?}", world.store_loads);
 }
+
+/// Replays a slow weight store, which serves fewer than two loads at once: with as many loads allowed
+/// as are left for waiting callers, a busy model never got a copy that no worker had at hand.
+#[test]
+fn a_busy_model_gets_another_copy_from_a_slow_weight_store() {
+    let mut world = World::new(1, 0.0);
+    world.begin(Micros::ZERO);
+    let on_other_workers = |world: &World| {
+        let held = |w: &&Worker| w.state.model(&model("m4")).is_some();
+        world.workers.iter().filter(held).count()
+    };
+    let before = on_other_workers(&world);
+
+    for _ in 0..4 {
+        world.needs(&[("m4", 1.5)]);
+        world.pass(1_000);
+    }
+
+    assert_eq!(before, 1);
+    assert!(on_other_workers(&world) > 1);
+}
