Wait for connections of callers when a host stops

The stop waited for requests that were read and for flights, and neither existed yet, so the process ended after the flush of 100 ms. Change: the stop waits up to a second after the close for connections that are still open, too.

--- a/crates/gate/src/proxy/connection.rs
+++ b/crates/gate/src/proxy/connection.rs
@@ -1,6 +1,14 @@
 //! Connections of callers and of the balancer.
 
-use std::{convert::Infallible, pin::pin, sync::atomic::Ordering, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -8,7 +16,10 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
 
 use crate::{
     dispatcher::Step,
@@ -28,6 +39,9 @@
 /// Pause after a failed accept, which happens when no socket is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after the close within which the connections of callers end.
+const CONNECTIONS_END: Duration = Duration::from_secs(1);
+
 /// Path of the metrics page.
 const METRICS: &str = "/metrics";
 
@@ -53,6 +67,7 @@
     }
 
     async fn serve_connection(self, stream: TcpStream) {
+        let _open = Counted::new(&self.0.open_connections);
         if let Err(e) = stream.set_nodelay(true) {
             tracing::debug!(error = %e, "socket option not set");
         }
@@ -63,7 +78,7 @@
         let service = service_fn(move |req: Request<Incoming>| {
             let proxy = proxy.clone();
             async move {
-                let open = OpenRequest::new(proxy.clone());
+                let open = Counted::new(&proxy.0.open_requests);
                 let response = proxy.answer(req).await;
                 drop(open);
                 Ok::<_, Infallible>(response)
@@ -110,10 +125,18 @@
         .await;
     }
 
-    /// Waits until no request is being answered.
+    /// Waits until no request is being answered, and for a while until all connections have ended.
+    ///
+    /// A connection that was accepted before the close may bring its request after it, and the end of
+    /// a response may still be in a buffer. One that stays silent is not waited for.
     pub async fn drained(&self) {
         const POLL: Duration = Duration::from_millis(20);
-        while self.open_requests() > 0 || self.0.dispatcher.in_flight() > 0 {
+        let waits = Instant::now() + CONNECTIONS_END;
+        let connected = || self.0.open_connections.load(Ordering::Relaxed) > 0;
+        while self.open_requests() > 0
+            || self.0.dispatcher.in_flight() > 0
+            || (connected() && Instant::now() < waits)
+        {
             tokio::time::sleep(POLL).await;
         }
     }
@@ -125,19 +148,19 @@
     }
 }
 
-/// Counts a request until it has the head of its response.
-struct OpenRequest<R: Step, N: Peers, D: Dialect>(Proxy<R, N, D>);
+/// One more of what is counted, for as long as it lives.
+struct Counted(Arc<AtomicUsize>);
 
-impl<R: Step, N: Peers, D: Dialect> OpenRequest<R, N, D> {
-    fn new(proxy: Proxy<R, N, D>) -> Self {
-        proxy.0.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(proxy)
+impl Counted {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
     }
 }
 
-impl<R: Step, N: Peers, D: Dialect> Drop for OpenRequest<R, N, D> {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -73,7 +73,9 @@
     /// Lives of backend servers, sorted by id.
     lives: RwLock<Vec<(BackendId, Incarnation)>>,
     phase: AtomicU8,
-    open_requests: AtomicUsize,
+    open_requests: Arc<AtomicUsize>,
+    /// Connections of callers.
+    open_connections: Arc<AtomicUsize>,
     closing: CancellationToken,
 }
 
@@ -125,7 +127,8 @@
             table: RwLock::default(),
             lives: RwLock::default(),
             phase: AtomicU8::new(SERVING),
-            open_requests: AtomicUsize::default(),
+            open_requests: Arc::default(),
+            open_connections: Arc::default(),
             closing: CancellationToken::new(),
         }))
     }
