Log and count which read of the platform a host acts on

Facts of a peer now carry the version and the platform's revision that their sender has read, their age, and the time for which the request was held. Lines on configurations and backend servers name the source, the revision and the age; a line tells when another host than before answers, and whether it is behind. A histogram holds the ages, and two gauges the version and the revision in use. No decision depends on them yet.

--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -18,11 +18,21 @@
 use route::{BackendRegistration, Event};
 use tokio::{sync::watch, time::timeout};
 use types::{
-    AdapterId, BackendId, BootTime, Clock, ConfigVersion, Incarnation, Instant, ModelId,
-    Registration,
+    AdapterId, BackendId, BootTime, Clock, ConfigVersion, HostId, Incarnation, Instant, Micros,
+    ModelId, Registration, StoreRevision,
 };
 
-use crate::entry::EntryProxy;
+use crate::entry::{
+    EntryProxy,
+    reads::{LastReads, Read, ReadBy},
+};
+
+/// Histogram of the time from the read of the platform to the use of its result.
+const FACTS_AGE_METRIC: &str = "celerytally_facts_age_seconds";
+
+/// Gauges of the version of the configuration and the revision of the registrations in use.
+const VERSION_METRIC: &str = "celerytally_configuration_version";
+const REVISION_METRIC: &str = "celerytally_registrations_revision";
 
 /// Longest time for which a request for facts waits for changes.
 const MAX_FACTS_WAIT: Duration = Duration::from_millis(500);
@@ -35,6 +45,13 @@
     facts.complete || facts.config.is_some() || !facts.set.is_empty() || !facts.removed.is_empty()
 }
 
+/// Returns the origin of a read and its age in milliseconds, for log lines.
+fn describe(read: Option<&Read>) -> (String, Option<u64>) {
+    let source = read.map(|r| r.by.to_string()).unwrap_or_default();
+    let age_ms = read.map(|r| r.age(BootTime.now()).get() / 1_000);
+    (source, age_ms)
+}
+
 /// Names by the hashes that stand for them in datagrams, each list sorted by hash.
 #[derive(Debug, Default)]
 pub(crate) struct NameHashes {
@@ -111,6 +128,8 @@
     source_id: u64,
     /// Source id and revision of the facts that a peer sent last.
     peer_facts: Mutex<(u64, u64)>,
+    /// Reads from which the configuration and the registrations come.
+    last_reads: Mutex<LastReads>,
     /// Whether this host reads the platform itself.
     reads_platform: watch::Sender<bool>,
     /// Incremented with every change, for peers that wait for one.
@@ -138,6 +157,7 @@
             config: Mutex::default(),
             source_id: rand::rng().next_u64(),
             peer_facts: Mutex::default(),
+            last_reads: Mutex::default(),
             reads_platform: watch::Sender::new(false),
             changes: watch::Sender::new(0),
             registry: Mutex::default(),
@@ -226,6 +246,13 @@
     ///
     /// If `known.wait` is set and nothing has changed, waits for a change or [`MAX_FACTS_WAIT`].
     pub(crate) async fn facts(&self, known: KnownFacts) -> Option<Facts> {
+        let asked_at = BootTime.now();
+        let facts = self.wait_for_facts(known).await?;
+        let held = BootTime.now().since(asked_at);
+        Some(Facts { held, ..facts })
+    }
+
+    async fn wait_for_facts(&self, known: KnownFacts) -> Option<Facts> {
         let mut changed = self.changes.subscribe();
         let first = self.current_facts(known)?;
         if !known.wait || has_changes(&first) {
@@ -244,6 +271,7 @@
         if registry.is_platform_unavailable() || !*self.reads_platform.borrow() {
             return None;
         }
+        let (age, read_revision) = self.age_and_revision()?;
         let config = lock(&self.config);
         let config = config.as_ref().filter(|_| version > known.version);
         let changes = if known.source == self.source_id {
@@ -260,11 +288,41 @@
             complete,
             set: set.into_iter().cloned().collect(),
             removed: removed.into_iter().cloned().collect(),
+            version,
+            read_revision,
+            age,
+            held: Micros::ZERO,
         })
     }
 
-    /// Applies what a peer read from the platform.
-    pub(crate) fn apply_peer_facts(&self, facts: Facts) {
+    fn age_and_revision(&self) -> Option<(Micros, StoreRevision)> {
+        let reads = lock(&self.last_reads);
+        let age = reads.age(BootTime.now())?;
+        Some((age, reads.registrations.as_ref()?.revision))
+    }
+
+    /// Records a read of the configuration.
+    pub(crate) fn record_configuration_read(&self, read: Read) {
+        lock(&self.last_reads).configuration = Some(read);
+    }
+
+    /// Records a read of the registrations.
+    pub(crate) fn record_registrations_read(&self, read: Read) {
+        metrics::gauge!(REVISION_METRIC).set(read.revision.get() as f64);
+        lock(&self.last_reads).registrations = Some(read);
+    }
+
+    /// Applies what a peer that was asked at a time read from the platform.
+    pub(crate) fn apply_peer_facts(&self, from: &HostId, asked_at: Instant, facts: Facts) {
+        let read_at = asked_at.as_micros() + facts.held.get();
+        let read = Read {
+            by: ReadBy::Peer(from.clone()),
+            at: Instant::from_micros(read_at.saturating_sub(facts.age.get())),
+            revision: facts.read_revision,
+        };
+        self.log_source(&read, facts.version);
+        self.record_configuration_read(read.clone());
+        self.record_registrations_read(read);
         let spec = facts
             .config
             .map(|c| serde_json::from_slice::<ConfigSpec>(&c));
@@ -281,6 +339,27 @@
         *lock(&self.peer_facts) = (facts.source, facts.revision);
     }
 
+    /// Records the age of facts of a peer, and logs them if another source provided the last ones.
+    fn log_source(&self, read: &Read, version: ConfigVersion) {
+        let age = read.age(BootTime.now());
+        metrics::histogram!(FACTS_AGE_METRIC).record(age.as_secs_f64());
+        let last = lock(&self.last_reads)
+            .registrations
+            .as_ref()
+            .map(|r| (r.by.clone(), r.revision));
+        if last.as_ref().is_none_or(|(by, _)| *by != read.by) {
+            tracing::info!(
+                belief = "facts",
+                source = %read.by,
+                revision = %read.revision,
+                known_revision = ?last.map(|(_, revision)| revision.get()),
+                %version,
+                age_ms = age.get() / 1_000,
+                "source of facts answered"
+            );
+        }
+    }
+
     fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
     }
@@ -297,7 +376,16 @@
         };
         let (version, routes) = (table.version, table.routes().len());
         if self.proxy.set_route_table(Arc::new(table)) {
-            tracing::info!(belief = "configuration", %version, routes, "configuration in force");
+            metrics::gauge!(VERSION_METRIC).set(version.get() as f64);
+            let (source, age_ms) = describe(lock(&self.last_reads).configuration.as_ref());
+            tracing::info!(
+                belief = "configuration",
+                %version,
+                routes,
+                source,
+                age_ms,
+                "configuration in force"
+            );
             *lock(&self.config) = Some(spec);
             self.publish_deployment();
         }
@@ -315,6 +403,12 @@
     fn log_changes(&self, registered: &[&Registration]) {
         let new: Vec<LoggedBackend> = registered.iter().map(|r| LoggedBackend::from(*r)).collect();
         let mut logged = lock(&self.logged);
+        let (source, revision, age_ms) = {
+            let reads = lock(&self.last_reads);
+            let read = reads.registrations.as_ref();
+            let (source, age_ms) = describe(read);
+            (source, read.map(|r| r.revision.get()), age_ms)
+        };
         for server in new.iter().filter(|s| !logged.contains(s)) {
             let (backend, incarnation, leaving) =
                 (&server.backend, server.incarnation, server.leaving);
@@ -323,12 +417,22 @@
                 %backend,
                 life = %incarnation,
                 leaving,
+                source,
+                revision,
+                age_ms,
                 "registered"
             );
         }
         let is_gone = |s: &&LoggedBackend| new.iter().all(|n| n.backend != s.backend);
         for server in logged.iter().filter(is_gone) {
-            tracing::info!(belief = "backend", backend = %server.backend, "gone");
+            tracing::info!(
+                belief = "backend",
+                backend = %server.backend,
+                source,
+                revision,
+                age_ms,
+                "gone"
+            );
         }
         *logged = new;
     }
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod fleet_state;
 mod logs;
 mod peers;
+mod reads;
 mod shutdown;
 mod source;
 mod targets;
--- /dev/null
+++ b/crates/celerytally/src/entry/reads.rs
@@ -0,0 +1,54 @@
+//! Reads of the platform from which this host's configuration and registrations come.
+
+use std::fmt;
+
+use types::{HostId, Instant, Micros, StoreRevision};
+
+/// Origin of a read of the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum ReadBy {
+    /// This host read the platform itself.
+    Own,
+    /// Another host read it and passed on the result.
+    Peer(HostId),
+}
+
+impl fmt::Display for ReadBy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own => f.write_str("platform"),
+            Self::Peer(host) => host.fmt(f),
+        }
+    }
+}
+
+/// State of the platform that a host read, directly or through another host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Read {
+    pub(crate) by: ReadBy,
+    /// Latest time by which everything acknowledged is certain to be included.
+    pub(crate) at: Instant,
+    /// Revision of the platform, which only the reads of registrations record.
+    pub(crate) revision: StoreRevision,
+}
+
+impl Read {
+    pub(crate) fn age(&self, now: Instant) -> Micros {
+        now.since(self.at)
+    }
+}
+
+/// Last reads of the two kinds of objects.
+#[derive(Debug, Default)]
+pub(crate) struct LastReads {
+    pub(crate) configuration: Option<Read>,
+    pub(crate) registrations: Option<Read>,
+}
+
+impl LastReads {
+    /// Returns the time from the older of the two reads, or `None` if one is missing.
+    pub(crate) fn age(&self, now: Instant) -> Option<Micros> {
+        let configuration = self.configuration.as_ref()?.age(now);
+        Some(configuration.max(self.registrations.as_ref()?.age(now)))
+    }
+}
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -2,12 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{CONFIG_OBJECT_NAME, ConfigSpec, ObjectClient, ServerSpec};
+use platform::{CONFIG_OBJECT_NAME, ChangeBatch, ConfigSpec, ObjectClient, ServerSpec, WATCH_WAIT};
 use store::{Category, Change, Kind, Platform, Revision};
 use tokio::time::sleep;
 use types::{BackendId, BootTime, Clock, Instant, Micros};
 
-use crate::entry::fleet_state::FleetState;
+use crate::entry::{
+    fleet_state::FleetState,
+    reads::{Read, ReadBy},
+};
 
 /// Delay after the first failed call to the platform; it doubles with each further failure.
 const MIN_RETRY_DELAY: Micros = Micros::from_millis(100);
@@ -102,8 +105,30 @@
     }
 }
 
+/// Returns the read of a call that was sent at a time and showed the state at a revision.
+fn own_read(at: Instant, revision: &Revision) -> Read {
+    Read {
+        by: ReadBy::Own,
+        at,
+        revision: revision.position().unwrap_or_default(),
+    }
+}
+
+/// Returns the time up to which the response to a watch that was sent at a time is complete.
+///
+/// Without changes, the platform held the watch open for its whole wait time.
+fn watched_until<T>(sent_at: Instant, response: &ChangeBatch<T>) -> Instant {
+    if response.changes.is_empty() {
+        BootTime.now().min(sent_at + WATCH_WAIT)
+    } else {
+        sent_at
+    }
+}
+
 async fn list_configuration(objects: &ObjectClient, fleet: &FleetState) -> store::Result<Revision> {
+    let sent_at = BootTime.now();
     let listed = objects.list::<ConfigSpec>().await?;
+    fleet.record_configuration_read(own_read(sent_at, &listed.revision));
     for object in listed
         .items
         .into_iter()
@@ -119,7 +144,10 @@
     since: &Revision,
     fleet: &FleetState,
 ) -> store::Result<Revision> {
+    let sent_at = BootTime.now();
     let new = objects.poll_changes::<ConfigSpec>(since).await?;
+    let read = own_read(watched_until(sent_at, &new), &new.revision);
+    fleet.record_configuration_read(read);
     for change in new.changes {
         if let Change::Set(object) = change
             && object.name == CONFIG_OBJECT_NAME
@@ -157,7 +185,9 @@
 }
 
 async fn list_registrations(objects: &ObjectClient, fleet: &FleetState) -> store::Result<Revision> {
+    let sent_at = BootTime.now();
     let listed = objects.list::<ServerSpec>().await?;
+    fleet.record_registrations_read(own_read(sent_at, &listed.revision));
     let entries = listed.items.iter();
     let entries = entries.filter_map(|o| platform::decode_registration(&o.name, &o.value));
     let entries = entries.collect();
@@ -170,7 +200,10 @@
     since: &Revision,
     fleet: &FleetState,
 ) -> store::Result<Revision> {
+    let sent_at = BootTime.now();
     let new = objects.poll_changes::<ServerSpec>(since).await?;
+    let read = own_read(watched_until(sent_at, &new), &new.revision);
+    fleet.record_registrations_read(read);
     fleet.update_registry(|registry, now| {
         let mut changed = false;
         for change in &new.changes {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,8 +6,8 @@
 use route::{Fingerprint, SuspectRecord};
 use serde::{Deserialize, Serialize};
 use types::{
-    AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Millicores,
-    ModelId, Registration,
+    AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Micros,
+    Millicores, ModelId, Registration, StoreRevision,
 };
 
 use crate::hosts::Host;
@@ -127,6 +127,14 @@
     pub set: Vec<Registration>,
     /// Backend servers that were deregistered.
     pub removed: Vec<BackendId>,
+    /// Version of the sender's configuration.
+    pub version: ConfigVersion,
+    /// Revision of the platform up to which the sender knows the registrations.
+    pub read_revision: StoreRevision,
+    /// Time from the sender's last read of the platform to the answer.
+    pub age: Micros,
+    /// Time from the arrival of the request to the answer.
+    pub held: Micros,
 }
 
 /// Request to a peer.
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use types::StoreRevision;
 
 /// Kind of object that the system keeps on the platform.
 pub trait Kind: Clone + fmt::Debug + DeserializeOwned + Send + Serialize + Sync + 'static {
@@ -10,7 +11,7 @@
     const PLURAL: &'static str;
 }
 
-/// Opaque revision of an object or a listing, compared only for equality.
+/// Revision of an object or a listing, opaque except on platforms that number their changes.
 #[derive(Clone, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Revision(String);
@@ -27,6 +28,12 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Returns the position in the order of all changes, or `None` if the platform has no such order.
+    #[must_use]
+    pub fn position(&self) -> Option<StoreRevision> {
+        self.0.parse().ok()
+    }
 }
 
 impl fmt::Debug for Revision {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -34,7 +34,8 @@
 pub use error::{Category, Error, Result};
 pub use id::{
     AdapterId, AttemptId, BackendId, CallerId, ConfigVersion, DataCentreId, Epoch, HostId,
-    Incarnation, ModelId, OrderId, RegionId, RequestId, ServiceName, VersionTag, WorkerId,
+    Incarnation, ModelId, OrderId, RegionId, RequestId, ServiceName, StoreRevision, VersionTag,
+    WorkerId,
 };
 pub use load::{LoadReport, Resident};
 pub use order::{Order, OrderOp, OrderState, OrderStatus};
