Order reads of the registrations by the platform's revision

Cause: registrations had no order. A host took whatever it was told last, so a relay that was behind brought back servers that had left or were leaving; a relay that returned from an outage passed on entries that it merely retained; and a discarded answer still advanced the revision that a host asked from, so that it missed changes for good.

Why this works: the platform numbers all changes with one counter. Each read, own or passed on, now carries the revision that it shows, each entry that of its last change, and a read below the last one is ignored and counted. Hosts ask for changes since a revision of the platform instead of one of a process, so any source can answer, nothing is skipped, and a host that changes its source gets the changes instead of the whole registry. Retention is local: facts hold what the platform holds.

The grace for entries that expired in an outage now needs a time without reads in which entries can expire (2.2 s of two missed heartbeats). Before, one failed call delayed every removal by 1.8 s.

--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -13,8 +13,7 @@
 use engine::Server;
 use peer::{Facts, KnownFacts, name_hash};
 use platform::ConfigSpec;
-use rand::Rng;
-use registry::Registry;
+use registry::{Applied, EntryChange, ReadPoint, Registry};
 use route::{BackendRegistration, Event};
 use tokio::{sync::watch, time::timeout};
 use types::{
@@ -30,6 +29,9 @@
 /// Histogram of the time from the read of the platform to the use of its result.
 const FACTS_AGE_METRIC: &str = "celerytally_facts_age_seconds";
 
+/// Counter of reads that were ignored because a newer one had been applied.
+const OUTDATED_METRIC: &str = "celerytally_outdated_reads_total";
+
 /// Gauges of the version of the configuration and the revision of the registrations in use.
 const VERSION_METRIC: &str = "celerytally_configuration_version";
 const REVISION_METRIC: &str = "celerytally_registrations_revision";
@@ -124,10 +126,6 @@
     datagram_port: u16,
     /// Configuration as it was read, for peers that do not read the platform.
     config: Mutex<Option<ConfigSpec>>,
-    /// Random id of this process as a source of facts.
-    source_id: u64,
-    /// Source id and revision of the facts that a peer sent last.
-    peer_facts: Mutex<(u64, u64)>,
     /// Reads from which the configuration and the registrations come.
     last_reads: Mutex<LastReads>,
     /// Whether this host reads the platform itself.
@@ -155,8 +153,6 @@
             data_centres,
             datagram_port,
             config: Mutex::default(),
-            source_id: rand::rng().next_u64(),
-            peer_facts: Mutex::default(),
             last_reads: Mutex::default(),
             reads_platform: watch::Sender::new(false),
             changes: watch::Sender::new(0),
@@ -233,10 +229,8 @@
 
     /// Returns what this host knows, for a request for facts to a peer.
     pub(crate) fn known_facts(&self, wait: bool) -> KnownFacts {
-        let (source, revision) = *lock(&self.peer_facts);
         KnownFacts {
-            source,
-            revision,
+            revision: self.registry().revision(),
             version: self.version().unwrap_or_default(),
             wait,
         }
@@ -271,58 +265,84 @@
         if registry.is_platform_unavailable() || !*self.reads_platform.borrow() {
             return None;
         }
-        let (age, read_revision) = self.age_and_revision()?;
+        let age = lock(&self.last_reads).age(BootTime.now())?;
         let config = lock(&self.config);
         let config = config.as_ref().filter(|_| version > known.version);
-        let changes = if known.source == self.source_id {
-            registry.changes_since(known.revision)
+        let removed = registry.removed_since(known.revision);
+        let complete = removed.is_none();
+        let since = if complete {
+            StoreRevision::default()
         } else {
-            None
+            known.revision
         };
-        let complete = changes.is_none();
-        let (set, removed) = changes.unwrap_or_else(|| (registry.registrations(), Vec::new()));
         Some(Facts {
-            source: self.source_id,
             revision: registry.revision(),
-            config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
             complete,
-            set: set.into_iter().cloned().collect(),
-            removed: removed.into_iter().cloned().collect(),
+            set: registry.listed_since(since),
+            removed: removed.unwrap_or_default(),
             version,
-            read_revision,
+            config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
             age,
             held: Micros::ZERO,
         })
     }
 
-    fn age_and_revision(&self) -> Option<(Micros, StoreRevision)> {
-        let reads = lock(&self.last_reads);
-        let age = reads.age(BootTime.now())?;
-        Some((age, reads.registrations.as_ref()?.revision))
-    }
-
     /// Records a read of the configuration.
     pub(crate) fn record_configuration_read(&self, read: Read) {
         lock(&self.last_reads).configuration = Some(read);
     }
 
-    /// Records a read of the registrations.
-    pub(crate) fn record_registrations_read(&self, read: Read) {
+    /// Applies a read of the registrations and, if an entry changed, updates the router.
+    pub(crate) fn apply_registrations(
+        &self,
+        read: Read,
+        apply: impl FnOnce(&mut Registry, Instant, ReadPoint) -> Applied,
+    ) -> Applied {
+        let point = ReadPoint {
+            revision: read.revision,
+            at: read.at,
+        };
+        let applied = {
+            let mut registry = self.registry();
+            if read.by == ReadBy::Own {
+                registry.set_platform_unavailable(false);
+            }
+            apply(&mut registry, BootTime.now(), point)
+        };
+        if applied == Applied::Outdated {
+            tracing::warn!(
+                belief = "facts",
+                source = %read.by,
+                revision = %read.revision,
+                known_revision = %self.registry().revision(),
+                "ignored an outdated read of registrations"
+            );
+            metrics::counter!(OUTDATED_METRIC).increment(1);
+            return applied;
+        }
         metrics::gauge!(REVISION_METRIC).set(read.revision.get() as f64);
         lock(&self.last_reads).registrations = Some(read);
+        if applied == Applied::Changed {
+            self.publish_deployment();
+        }
+        applied
     }
 
     /// Applies what a peer that was asked at a time read from the platform.
-    pub(crate) fn apply_peer_facts(&self, from: &HostId, asked_at: Instant, facts: Facts) {
-        let read_at = asked_at.as_micros() + facts.held.get();
+    ///
+    /// Returns false if the peer is behind this host.
+    pub(crate) fn apply_peer_facts(&self, from: &HostId, asked_at: Instant, facts: Facts) -> bool {
+        let answered_at = asked_at.as_micros() + facts.held.get();
         let read = Read {
             by: ReadBy::Peer(from.clone()),
-            at: Instant::from_micros(read_at.saturating_sub(facts.age.get())),
-            revision: facts.read_revision,
+            at: Instant::from_micros(answered_at.saturating_sub(facts.age.get())),
+            revision: facts.revision,
         };
         self.log_source(&read, facts.version);
-        self.record_configuration_read(read.clone());
-        self.record_registrations_read(read);
+        let config_is_current = self.version() <= Some(facts.version);
+        if config_is_current {
+            self.record_configuration_read(read.clone());
+        }
         let spec = facts
             .config
             .map(|c| serde_json::from_slice::<ConfigSpec>(&c));
@@ -331,12 +351,15 @@
             Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
             None => {}
         }
-        let (complete, set, removed) = (facts.complete, facts.set, facts.removed);
-        let direct = *self.reads_platform.borrow();
-        self.update_registry(|registry, _| {
-            registry.apply_peer_update(direct, complete, set, &removed)
+        let applied = self.apply_registrations(read, |registry, now, read| {
+            if facts.complete {
+                return registry.apply_listing(now, read, facts.set);
+            }
+            let removed = facts.removed.into_iter().map(EntryChange::Removed);
+            let set = facts.set.into_iter().map(EntryChange::Set);
+            registry.apply_changes(now, read, removed.chain(set).collect())
         });
-        *lock(&self.peer_facts) = (facts.source, facts.revision);
+        config_is_current && applied != Applied::Outdated
     }
 
     /// Records the age of facts of a peer, and logs them if another source provided the last ones.
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -77,8 +77,9 @@
         let asked_at = BootTime.now();
         let known = fleet.known_facts(wait && at == 0);
         if let Some(facts) = exchange.facts(host, known).await {
-            fleet.apply_peer_facts(host, asked_at, facts);
-            return Ok(host.clone());
+            if fleet.apply_peer_facts(host, asked_at, facts) {
+                return Ok(host.clone());
+            }
         }
         if BootTime.now().since(asked_at) < RESPONSE_TIMEOUT {
             reason = NoFacts::Answered;
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -3,9 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use platform::{CONFIG_OBJECT_NAME, ChangeBatch, ConfigSpec, ObjectClient, ServerSpec, WATCH_WAIT};
-use store::{Category, Change, Kind, Platform, Revision};
+use registry::{Applied, EntryChange};
+use store::{Category, Change, Kind, Object, Platform, Revision};
 use tokio::time::sleep;
-use types::{BackendId, BootTime, Clock, Instant, Micros};
+use types::{BootTime, Clock, Instant, Micros, RevisedRegistration};
 
 use crate::entry::{
     fleet_state::FleetState,
@@ -174,7 +175,7 @@
             && e.category() != Category::Expired
         {
             fleet.update_registry(|registry, _| {
-                registry.mark_platform_unavailable();
+                registry.set_platform_unavailable(true);
                 false
             });
         }
@@ -187,12 +188,12 @@
 async fn list_registrations(objects: &ObjectClient, fleet: &FleetState) -> store::Result<Revision> {
     let sent_at = BootTime.now();
     let listed = objects.list::<ServerSpec>().await?;
-    fleet.record_registrations_read(own_read(sent_at, &listed.revision));
-    let entries = listed.items.iter();
-    let entries = entries.filter_map(|o| platform::decode_registration(&o.name, &o.value));
-    let entries = entries.collect();
-    fleet.update_registry(|registry, now| registry.apply_listing(now, entries));
-    Ok(listed.revision)
+    let read = own_read(sent_at, &listed.revision);
+    let entries = listed.items.iter().filter_map(decode).collect();
+    let applied = fleet.apply_registrations(read, |registry, now, read| {
+        registry.apply_listing(now, read, entries)
+    });
+    check_order(applied, listed.revision)
 }
 
 async fn watch_registrations(
@@ -203,26 +204,42 @@
     let sent_at = BootTime.now();
     let new = objects.poll_changes::<ServerSpec>(since).await?;
     let read = own_read(watched_until(sent_at, &new), &new.revision);
-    fleet.record_registrations_read(read);
-    fleet.update_registry(|registry, now| {
-        let mut changed = false;
-        for change in &new.changes {
-            changed |= match change {
-                Change::Set(o) => match platform::decode_registration(&o.name, &o.value) {
-                    Some(registration) => registry.apply_registration(now, registration),
-                    None => remove(registry, now, &o.name),
-                },
-                Change::Deleted(name) => remove(registry, now, name),
-            };
-        }
-        changed
+    let changes = new.changes.iter().filter_map(entry_change).collect();
+    let applied = fleet.apply_registrations(read, |registry, now, read| {
+        registry.apply_changes(now, read, changes)
     });
-    Ok(new.revision)
+    check_order(applied, new.revision)
+}
+
+/// Returns the revision of a response, or an error if a newer one has been applied.
+fn check_order(applied: Applied, revision: Revision) -> store::Result<Revision> {
+    match applied {
+        Applied::Changed | Applied::Unchanged => Ok(revision),
+        Applied::Outdated => Err(store::Error::new(
+            Category::Expired,
+            ServerSpec::PLURAL,
+            "a newer revision is known",
+        )),
+    }
+}
+
+fn decode(object: &Object<ServerSpec>) -> Option<RevisedRegistration> {
+    Some(RevisedRegistration {
+        revision: object.revision.position().unwrap_or_default(),
+        registration: platform::decode_registration(&object.name, &object.value)?,
+    })
 }
 
-fn remove(registry: &mut registry::Registry, now: Instant, name: &str) -> bool {
-    let id: Result<BackendId, _> = name.parse();
-    id.is_ok_and(|id| registry.apply_removal(now, &id))
+/// Returns the change of an entry; one that can't be decoded counts as removed.
+fn entry_change(change: &Change<ServerSpec>) -> Option<EntryChange> {
+    let name = match change {
+        Change::Set(object) => match decode(object) {
+            Some(registration) => return Some(EntryChange::Set(registration)),
+            None => &object.name,
+        },
+        Change::Deleted(name) => name,
+    };
+    name.parse().ok().map(EntryChange::Removed)
 }
 
 /// Feeds the router clock ticks and removes expired entries from the registry.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use types::{
     AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Micros,
-    Millicores, ModelId, Registration, StoreRevision,
+    Millicores, ModelId, RevisedRegistration, StoreRevision,
 };
 
 use crate::hosts::Host;
@@ -102,10 +102,8 @@
 /// Platform facts that the requester already has.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct KnownFacts {
-    /// Incarnation of the process that sent the registrations.
-    pub source: u64,
-    /// Revision of the registrations in that incarnation.
-    pub revision: u64,
+    /// Revision of the platform up to which the requester knows the registrations.
+    pub revision: StoreRevision,
     /// Version of the configuration.
     pub version: ConfigVersion,
     /// Whether the peer should delay its answer for a while until something changes.
@@ -115,22 +113,18 @@
 /// Platform facts that a host passes on to a peer that does not read the platform.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Facts {
-    /// Incarnation of the process that sends the registrations.
-    pub source: u64,
-    /// Revision of the registrations in that incarnation.
-    pub revision: u64,
-    /// The operator's configuration as it was read, if it is newer than the requester's.
-    pub config: Option<Vec<u8>>,
+    /// Revision of the platform up to which the sender knows the registrations.
+    pub revision: StoreRevision,
     /// Whether `set` holds all registrations instead of only the changed ones.
     pub complete: bool,
     /// Registered backend servers.
-    pub set: Vec<Registration>,
+    pub set: Vec<RevisedRegistration>,
     /// Backend servers that were deregistered.
     pub removed: Vec<BackendId>,
     /// Version of the sender's configuration.
     pub version: ConfigVersion,
-    /// Revision of the platform up to which the sender knows the registrations.
-    pub read_revision: StoreRevision,
+    /// The operator's configuration as it was read, if it is newer than the requester's.
+    pub config: Option<Vec<u8>>,
     /// Time from the sender's last read of the platform to the answer.
     pub age: Micros,
     /// Time from the arrival of the request to the answer.
--- a/crates/registry/src/entries.rs
+++ b/crates/registry/src/entries.rs
@@ -2,39 +2,88 @@
 
 use std::collections::VecDeque;
 
-use types::{BackendId, Deadline, Instant, Micros, Registration};
+use types::{
+    BackendId, Deadline, Instant, Micros, Registration, RevisedRegistration, StoreRevision,
+};
 
-/// Time after this host reaches the platform again in which servers with expired entries can
-/// register again.
+/// Time without a read after which missing entries may have expired because servers could not renew
+/// them; entries expire after three heartbeats of more than a second.
+///
+/// Below it, a missing server has left, and it must get no more requests within the drain bound.
+const MIN_OUTAGE: Micros = Micros::from_millis(2_200);
+
+/// Time after an outage in which servers with expired entries can register again.
 ///
 /// A server may also have left while the host was disconnected. It must get no requests from the
 /// time at which the host's bounds apply again, three seconds after the disconnection.
 const REREGISTRATION_GRACE: Micros = Micros::from_millis(1_800);
 
-/// Number of removals that are kept for hosts that request changes.
+/// Maximum number of removals that are kept for hosts that request changes.
 const MAX_REMOVALS: usize = 256;
 
+/// State of the platform that was read, by this host or by a peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadPoint {
+    /// Revision of the platform.
+    pub revision: StoreRevision,
+    /// Time by which everything acknowledged is included.
+    pub at: Instant,
+}
+
+/// Change of an entry.
+#[derive(Clone, Debug, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "nearly all changes are writes")]
+pub enum EntryChange {
+    /// The entry was written.
+    Set(RevisedRegistration),
+    /// The entry was removed.
+    Removed(BackendId),
+}
+
+/// Effect of a read on the registry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Applied {
+    /// An entry changed.
+    Changed,
+    /// No entry changed.
+    Unchanged,
+    /// The read is older than the last one and was ignored.
+    Outdated,
+}
+
+impl From<bool> for Applied {
+    fn from(changed: bool) -> Self {
+        if changed {
+            Self::Changed
+        } else {
+            Self::Unchanged
+        }
+    }
+}
+
 /// Registration and the state of its retention.
 #[derive(Clone, Debug)]
 struct Entry {
     registration: Registration,
-    /// Revision of its last change.
-    changed_at: u64,
+    /// Revision of the platform at its last change.
+    revision: StoreRevision,
     /// Time until which the entry is retained although the platform has no such entry.
     retained_until: Option<Deadline>,
 }
 
 /// Registered backend servers, as known to this host.
+///
+/// The platform's revision orders all reads, whichever host made them: a read never replaces one at
+/// a higher revision.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     /// Sorted by id.
     entries: Vec<Entry>,
-    /// Incremented with every change of an entry.
-    revision: u64,
-    /// Revisions at which entries were removed, oldest first.
-    removed: VecDeque<(u64, BackendId)>,
+    last_read: Option<ReadPoint>,
+    /// Removed entries with the revision of the read that showed the removal, oldest first.
+    removed: VecDeque<(StoreRevision, BackendId)>,
     /// Revision since which `removed` is complete.
-    complete_since: u64,
+    complete_since: StoreRevision,
     /// Whether the platform is unavailable.
     platform_unavailable: bool,
     /// End of the grace period after an outage.
@@ -59,180 +108,184 @@
         self.entries.binary_search_by(|e| e.registration.id.cmp(id))
     }
 
-    /// Records that the platform does not respond to this host.
-    pub fn mark_platform_unavailable(&mut self) {
-        self.platform_unavailable = true;
+    /// Returns whether the platform has an entry, which is not merely retained.
+    fn is_listed(&self, id: &BackendId) -> bool {
+        let at = self.position(id);
+        at.is_ok_and(|at| self.entries[at].retained_until.is_none())
     }
 
-    /// Returns whether the platform does not respond to this host.
+    /// Returns the newest read that was applied.
     #[must_use]
-    pub fn is_platform_unavailable(&self) -> bool {
-        self.platform_unavailable
+    pub fn last_read(&self) -> Option<ReadPoint> {
+        self.last_read
     }
 
-    /// Records that the platform responds; after an outage, starts the grace period.
-    fn mark_platform_available(&mut self, now: Instant) {
-        if std::mem::take(&mut self.platform_unavailable) {
-            self.grace_until = Some(Deadline::after(now, REREGISTRATION_GRACE));
-        }
+    /// Returns the revision of the newest read that was applied.
+    #[must_use]
+    pub fn revision(&self) -> StoreRevision {
+        self.last_read.map(|r| r.revision).unwrap_or_default()
     }
 
-    /// Returns the end of the grace period if it has not passed.
-    fn grace_end(&self, now: Instant) -> Option<Deadline> {
-        self.grace_until.filter(|until| !until.is_past(now))
+    /// Sets whether the platform fails to respond to this host.
+    pub fn set_platform_unavailable(&mut self, unavailable: bool) {
+        self.platform_unavailable = unavailable;
     }
 
-    /// Applies a listing of all registrations on the platform; returns whether an entry changed.
-    pub fn apply_listing(&mut self, now: Instant, listed: Vec<Registration>) -> bool {
-        self.mark_platform_available(now);
+    /// Returns whether the platform does not respond to this host.
+    #[must_use]
+    pub fn is_platform_unavailable(&self) -> bool {
+        self.platform_unavailable
+    }
+
+    /// Applies a listing of all registrations on the platform.
+    pub fn apply_listing(
+        &mut self,
+        now: Instant,
+        read: ReadPoint,
+        listed: Vec<RevisedRegistration>,
+    ) -> Applied {
+        if !self.advance(now, read) {
+            return Applied::Outdated;
+        }
+        let is_listed = |e: &&Entry| {
+            let id = &e.registration.id;
+            listed.iter().any(|r| r.registration.id == *id)
+        };
+        let missing = self.entries.iter().filter(|e| !is_listed(e));
+        let missing: Vec<BackendId> = missing.map(|e| e.registration.id.clone()).collect();
         let mut changed = false;
-        let known: Vec<BackendId> = self
-            .entries
-            .iter()
-            .map(|e| e.registration.id.clone())
-            .collect();
-        for id in known {
-            if listed.iter().all(|r| r.id != id) {
-                changed |= self.apply_removal(now, &id);
-            }
+        for id in missing {
+            changed |= self.remove(now, &id);
         }
         for registration in listed {
-            changed |= self.apply_registration(now, registration);
+            changed |= self.upsert(registration);
         }
-        changed
+        changed.into()
     }
 
-    fn next_revision(&mut self) -> u64 {
-        self.revision += 1;
-        self.revision
+    /// Applies changes of the platform since the last read, in their order.
+    pub fn apply_changes(
+        &mut self,
+        now: Instant,
+        read: ReadPoint,
+        changes: Vec<EntryChange>,
+    ) -> Applied {
+        if !self.advance(now, read) {
+            return Applied::Outdated;
+        }
+        let mut has_effect = false;
+        for change in changes {
+            has_effect |= match change {
+                EntryChange::Set(registration) => self.upsert(registration),
+                EntryChange::Removed(id) => self.remove(now, &id),
+            };
+        }
+        has_effect.into()
     }
 
-    fn remove_entry(&mut self, at: usize) {
-        let entry = self.entries.remove(at);
-        let revision = self.next_revision();
-        self.removed.push_back((revision, entry.registration.id));
-        if self.removed.len() > MAX_REMOVALS
-            && let Some((revision, _)) = self.removed.pop_front()
-        {
-            self.complete_since = revision;
+    /// Starts applying a read; returns false if it is older than the last one.
+    fn advance(&mut self, now: Instant, read: ReadPoint) -> bool {
+        let last = match self.last_read {
+            Some(last) if read.revision < last.revision => return false,
+            Some(last) => last,
+            None => {
+                self.complete_since = read.revision;
+                read
+            }
+        };
+        if read.at.since(last.at) > MIN_OUTAGE {
+            self.grace_until = Some(Deadline::after(now, REREGISTRATION_GRACE));
         }
+        self.last_read = Some(ReadPoint {
+            revision: read.revision,
+            at: read.at.max(last.at),
+        });
+        true
+    }
+
+    /// Returns the end of the grace period if it has not passed.
+    fn grace_end(&self, now: Instant) -> Option<Deadline> {
+        self.grace_until.filter(|until| !until.is_past(now))
     }
 
-    /// Returns the revision of the entries.
+    /// Returns the registrations on the platform that changed after a revision, without those that
+    /// are only retained.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn listed_since(&self, revision: StoreRevision) -> Vec<RevisedRegistration> {
+        let listed = self.entries.iter().filter(|e| e.retained_until.is_none());
+        let changed = listed.filter(|e| e.revision > revision);
+        let revised = changed.map(|e| RevisedRegistration {
+            revision: e.revision,
+            registration: e.registration.clone(),
+        });
+        revised.collect()
     }
 
-    /// Returns the registrations that changed and those that were removed since a revision.
-    ///
-    /// Returns `None` when the removals since then are no longer known.
+    /// Returns the entries that were removed after a revision and not written again, or `None` if
+    /// they are not known.
     #[must_use]
-    pub fn changes_since(&self, revision: u64) -> Option<(Vec<&Registration>, Vec<&BackendId>)> {
-        if revision < self.complete_since || revision > self.revision {
+    pub fn removed_since(&self, revision: StoreRevision) -> Option<Vec<BackendId>> {
+        if self.last_read.is_none() || revision < self.complete_since {
             return None;
         }
-        let set = self.entries.iter().filter(|e| e.changed_at > revision);
         let removed = self.removed.iter().filter(|(at, _)| *at > revision);
-        Some((
-            set.map(|e| &e.registration).collect(),
-            removed.map(|(_, id)| id).collect(),
-        ))
-    }
-
-    /// Applies registrations that a peer read from the platform; returns whether an entry changed.
-    ///
-    /// `complete` means that `set` holds all registrations, not only changed ones. A host that
-    /// reads the platform itself applies them only while the platform is unavailable: a delayed
-    /// response of a peer is older than what the host has read since.
-    pub fn apply_peer_update(
-        &mut self,
-        reads_platform: bool,
-        complete: bool,
-        set: Vec<Registration>,
-        removed: &[BackendId],
-    ) -> bool {
-        if reads_platform && !self.platform_unavailable {
-            return false;
-        }
-        let is_set = |id: &BackendId| set.iter().any(|r| r.id == *id);
-        let is_removed = |e: &Entry| {
-            let id = &e.registration.id;
-            !is_set(id) && (complete || removed.contains(id))
-        };
-        let positions: Vec<usize> = (0..self.entries.len())
-            .filter(|at| is_removed(&self.entries[*at]))
-            .collect();
-        // In descending order, so that the remaining positions stay valid.
-        for at in positions.iter().rev() {
-            self.remove_entry(*at);
-        }
-        let mut changed = !positions.is_empty();
-        for registration in set {
-            changed |= self.upsert(registration);
-        }
-        changed
-    }
-
-    /// Applies a registration that was written; returns whether an entry changed.
-    pub fn apply_registration(&mut self, now: Instant, registration: Registration) -> bool {
-        self.mark_platform_available(now);
-        self.upsert(registration)
+        let removed = removed.map(|(_, id)| id.clone());
+        Some(removed.filter(|id| !self.is_listed(id)).collect())
     }
 
-    fn upsert(&mut self, registration: Registration) -> bool {
-        let mut entry = Entry {
-            registration,
-            changed_at: self.revision,
+    fn upsert(&mut self, new: RevisedRegistration) -> bool {
+        let entry = Entry {
+            registration: new.registration,
+            revision: new.revision,
             retained_until: None,
         };
         match self.position(&entry.registration.id) {
+            Ok(at) if entry.revision < self.entries[at].revision => false,
             Ok(at) => {
-                let old = &self.entries[at];
-                let changed = old.registration != entry.registration;
-                entry.changed_at = if changed {
-                    self.next_revision()
-                } else {
-                    old.changed_at
-                };
+                let changed = self.entries[at].registration != entry.registration;
                 self.entries[at] = entry;
                 changed
             }
             Err(at) => {
-                entry.changed_at = self.next_revision();
                 self.entries.insert(at, entry);
                 true
             }
         }
     }
 
-    /// Applies the removal of a registration; returns whether an entry changed.
-    pub fn apply_removal(&mut self, now: Instant, id: &BackendId) -> bool {
-        self.mark_platform_available(now);
+    /// Applies a removal; returns whether an entry changed.
+    fn remove(&mut self, now: Instant, id: &BackendId) -> bool {
         let Ok(at) = self.position(id) else {
             return false;
         };
+        if self.entries[at].retained_until.is_none() {
+            self.record_removal(id.clone());
+        }
         if let Some(until) = self.grace_end(now) {
             self.entries[at].retained_until.get_or_insert(until);
             return false;
         }
-        self.remove_entry(at);
+        self.entries.remove(at);
         true
     }
 
+    fn record_removal(&mut self, id: BackendId) {
+        self.removed.push_back((self.revision(), id));
+        if self.removed.len() > MAX_REMOVALS
+            && let Some((revision, _)) = self.removed.pop_front()
+        {
+            self.complete_since = revision;
+        }
+    }
+
     /// Removes entries that are missing after the grace period; returns whether an entry changed.
     pub fn remove_expired(&mut self, now: Instant) -> bool {
         if self.platform_unavailable {
             return false;
         }
+        let before = self.entries.len();
         let is_expired = |e: &Entry| e.retained_until.is_some_and(|until| until.is_past(now));
-        let positions: Vec<usize> = (0..self.entries.len())
-            .filter(|at| is_expired(&self.entries[*at]))
-            .collect();
-        // In descending order, so that the remaining positions stay valid.
-        for at in positions.iter().rev() {
-            self.remove_entry(*at);
-        }
-        !positions.is_empty()
+        self.entries.retain(|e| !is_expired(e));
+        self.entries.len() < before
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -2,16 +2,17 @@
 //!
 //! Backend servers register themselves on the platform, and their entries expire when they are not
 //! renewed, which also happens during an outage of the platform. A [`Registry`] applies the entries
-//! that were read and keeps a server whose entry expired during an outage for a grace period in
+//! that were read, in the order of the platform's revisions, and keeps a server whose entry expired during an outage for a grace period in
 //! which it can register again. [`build_deployment`] combines the registry and the operator's
 //! routes into the deployment that the router uses.
 //!
 //! ```
-//! use registry::Registry;
-//! use types::Instant;
+//! use registry::{Applied, ReadPoint, Registry};
+//! use types::{Instant, StoreRevision};
 //!
 //! let mut registry = Registry::default();
-//! assert!(!registry.apply_listing(Instant::ZERO, Vec::new()));
+//! let read = ReadPoint { revision: StoreRevision::new(7), at: Instant::ZERO };
+//! assert_eq!(registry.apply_listing(Instant::ZERO, read, Vec::new()), Applied::Unchanged);
 //! assert!(registry.registrations().is_empty());
 //! ```
 
@@ -19,4 +20,4 @@
 mod entries;
 
 pub use deployment::build_deployment;
-pub use entries::Registry;
+pub use entries::{Applied, EntryChange, ReadPoint, Registry};
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -40,7 +40,7 @@
 pub use load::{LoadReport, Resident};
 pub use order::{Order, OrderOp, OrderState, OrderStatus};
 pub use rate::Rate;
-pub use registration::{Registration, ServedModel, WorkerState};
+pub use registration::{Registration, RevisedRegistration, ServedModel, WorkerState};
 pub use rendezvous::{rendezvous_rank, rendezvous_score};
 pub use size::{Bytes, Tokens};
 pub use time::{BootTime, Clock, Deadline, Instant, Micros, Monotonic};
--- a/crates/types/src/registration.rs
+++ b/crates/types/src/registration.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{AdapterId, BackendId, DataCentreId, Incarnation, ModelId, ServiceName},
+    id::{AdapterId, BackendId, DataCentreId, Incarnation, ModelId, ServiceName, StoreRevision},
     time::Micros,
 };
 
@@ -31,6 +31,15 @@
     pub state: WorkerState,
 }
 
+/// Entry of a backend server and the revision of the platform at which it last changed.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct RevisedRegistration {
+    /// Revision of the last change.
+    pub revision: StoreRevision,
+    /// Entry.
+    pub registration: Registration,
+}
+
 /// Reported state of a worker.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct WorkerState {
