Bound the age of facts that hosts pass on

Cause: a host could not tell how old the facts of its relay were. A relay cut off from the platform answered 'nothing new' until its watch had failed (2.0 s and 0.8 s of margin), the next readers followed after two seconds and later, and nobody had added up the steps. The class is information that passes over several hosts without its age.

Evidence: with both relays of 14 hosts cut off, all others learned of a version or a leaving server after 6.81 to 6.97 s; the bound there is 3.0 s. The lines show the watch, and then answers without facts until a host's turn came.

Why this works: facts carry the age of the read from which they come, over any number of hosts. At half of the bound a host drops its source, and a source without a fresh read says so. The rest is enough for the next steps: three hosts of each data centre read the platform at once, and any host with fresh facts may answer, also one that does not read the platform itself. A relay's watch waits for a sixth of the bound, since only its end shows that the platform is in reach. All times are shares of the installation's bounds. Both kinds count: facts are as old as the older of the two watches, so a silent watch of the configuration alone shows as well.

A host that started to read the platform went on for good; it now asks other hosts after 3 s.

--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -12,7 +12,7 @@
 use control::FleetHandle;
 use engine::Server;
 use peer::{Facts, KnownFacts, name_hash};
-use platform::ConfigSpec;
+use platform::{ConfigSpec, WATCH_WAIT};
 use registry::{Applied, EntryChange, ReadPoint, Registry};
 use route::{BackendRegistration, Event};
 use tokio::{sync::watch, time::timeout};
@@ -24,6 +24,7 @@
 use crate::entry::{
     EntryProxy,
     reads::{LastReads, Read, ReadBy},
+    timing::FactsTiming,
 };
 
 /// Histogram of the time from the read of the platform to the use of its result.
@@ -124,6 +125,7 @@
     proxy: EntryProxy,
     data_centres: Vec<DataCentre>,
     datagram_port: u16,
+    timing: FactsTiming,
     /// Configuration as it was read, for peers that do not read the platform.
     config: Mutex<Option<ConfigSpec>>,
     /// Reads from which the configuration and the registrations come.
@@ -147,11 +149,13 @@
         proxy: EntryProxy,
         data_centres: Vec<DataCentre>,
         datagram_port: u16,
+        timing: FactsTiming,
     ) -> Self {
         Self {
             proxy,
             data_centres,
             datagram_port,
+            timing,
             config: Mutex::default(),
             last_reads: Mutex::default(),
             reads_platform: watch::Sender::new(false),
@@ -190,6 +194,30 @@
         self.peer_count.load(Ordering::Relaxed)
     }
 
+    /// Returns how long a watch of the platform waits for a change.
+    ///
+    /// A relay's watch is short, because without its end the relay can't tell whether it still
+    /// reaches the platform.
+    pub(crate) fn watch_wait(&self) -> Micros {
+        if peer::uses_relays(self.peer_count() + 1) {
+            self.timing.relay_watch
+        } else {
+            WATCH_WAIT
+        }
+    }
+
+    /// Returns the longest delay between two reads of the registrations.
+    pub(crate) fn max_batch_delay(&self) -> Duration {
+        self.timing.max_batch_delay.into()
+    }
+
+    /// Returns the time until the facts of this host are too old, zero if they are.
+    pub(crate) fn remaining_freshness(&self) -> Micros {
+        let age = lock(&self.last_reads).age(BootTime.now());
+        let fresh = |age: Micros| self.timing.max_age.get().saturating_sub(age.get());
+        age.map_or(Micros::ZERO, |age| Micros::new(fresh(age)))
+    }
+
     /// Returns the names by their hashes in datagrams.
     pub(crate) fn name_hashes(&self) -> Arc<NameHashes> {
         let hashes = self
@@ -212,6 +240,8 @@
             changed
         });
         if changed {
+            // Whether the platform answers is not known until this host has called it.
+            self.registry().set_platform_unavailable(false);
             tracing::info!(belief = "source", direct, "source of facts changed");
         }
     }
@@ -236,9 +266,11 @@
         }
     }
 
-    /// Returns what this host read from the platform, or `None` if it does not read it.
+    /// Returns what this host knows of the platform, or `None` if it reads the platform in vain or the
+    /// last read is too old to be passed on.
     ///
-    /// If `known.wait` is set and nothing has changed, waits for a change or [`MAX_FACTS_WAIT`].
+    /// If `known.wait` is set and
+    /// nothing has changed, waits for a change, the next read or [`MAX_FACTS_WAIT`].
     pub(crate) async fn facts(&self, known: KnownFacts) -> Option<Facts> {
         let asked_at = BootTime.now();
         let facts = self.wait_for_facts(known).await?;
@@ -262,10 +294,13 @@
     fn current_facts(&self, known: KnownFacts) -> Option<Facts> {
         let registry = self.registry();
         let version = self.version()?;
-        if registry.is_platform_unavailable() || !*self.reads_platform.borrow() {
+        if registry.is_platform_unavailable() {
             return None;
         }
         let age = lock(&self.last_reads).age(BootTime.now())?;
+        if age > self.timing.max_age {
+            return None;
+        }
         let config = lock(&self.config);
         let config = config.as_ref().filter(|_| version > known.version);
         let removed = registry.removed_since(known.revision);
@@ -282,6 +317,7 @@
             removed: removed.unwrap_or_default(),
             version,
             config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
+            direct: *self.reads_platform.borrow(),
             age,
             held: Micros::ZERO,
         })
@@ -324,13 +360,16 @@
         lock(&self.last_reads).registrations = Some(read);
         if applied == Applied::Changed {
             self.publish_deployment();
+        } else {
+            // Hosts that wait for changes learn that the last read is newer.
+            self.changes.send_modify(|count| *count += 1);
         }
         applied
     }
 
     /// Applies what a peer that was asked at a time read from the platform.
     ///
-    /// Returns false if the peer is behind this host.
+    /// Returns whether what this host knows is fresh afterwards.
     pub(crate) fn apply_peer_facts(&self, from: &HostId, asked_at: Instant, facts: Facts) -> bool {
         let answered_at = asked_at.as_micros() + facts.held.get();
         let read = Read {
@@ -339,8 +378,7 @@
             revision: facts.revision,
         };
         self.log_source(&read, facts.version);
-        let config_is_current = self.version() <= Some(facts.version);
-        if config_is_current {
+        if self.version() <= Some(facts.version) {
             self.record_configuration_read(read.clone());
         }
         let spec = facts
@@ -351,7 +389,7 @@
             Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
             None => {}
         }
-        let applied = self.apply_registrations(read, |registry, now, read| {
+        self.apply_registrations(read, |registry, now, read| {
             if facts.complete {
                 return registry.apply_listing(now, read, facts.set);
             }
@@ -359,7 +397,7 @@
             let set = facts.set.into_iter().map(EntryChange::Set);
             registry.apply_changes(now, read, removed.chain(set).collect())
         });
-        config_is_current && applied != Applied::Outdated
+        self.remaining_freshness() > Micros::ZERO
     }
 
     /// Records the age of facts of a peer, and logs them if another source provided the last ones.
@@ -414,6 +452,12 @@
         }
     }
 
+    /// Records that the platform does not answer this host, and tells the hosts that wait for facts.
+    pub(crate) fn record_platform_unavailable(&self) {
+        self.registry().set_platform_unavailable(true);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Updates the registry and, if it changed, the router.
     pub(crate) fn update_registry(&self, change: impl FnOnce(&mut Registry, Instant) -> bool) {
         let changed = change(&mut self.registry(), BootTime.now());
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod shutdown;
 mod source;
 mod targets;
+mod timing;
 mod watch;
 
 use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
@@ -30,6 +31,7 @@
         beacons::LoadExchange,
         fleet_state::FleetState,
         peers::{EntryPeers, Exchange, PeerRequestHandler},
+        timing::FactsTiming,
     },
     error::{Error, Result, internal},
 };
@@ -91,6 +93,7 @@
         proxy.clone(),
         settings.data_centres.clone(),
         settings.beacons.port(),
+        FactsTiming::from(&settings.bounds),
     );
     let fleet = Arc::new(fleet);
     fleet.set_control(control.clone());
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use peer::{NoFacts, ReadPlan, SourceSelector};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use types::{BootTime, Clock, DataCentreId, HostId, Micros};
 
 use crate::entry::{fleet_state::FleetState, peers::Exchange};
@@ -15,7 +15,7 @@
 /// Period of the check of the members while this host reads the platform.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Delay before hosts that returned no facts are asked again.
+/// Delay before hosts that returned no facts, or facts of another host, are asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Time within which a reachable host answers a request that does not wait for changes.
@@ -46,7 +46,11 @@
             ReadPlan::Ask { hosts, wait } => {
                 fleet.set_reads_platform(false);
                 match fetch_facts(&hosts, wait, &exchange, &fleet).await {
-                    Ok(host) => source.record_facts(host),
+                    Ok((host, true)) => source.record_facts(host),
+                    Ok((_, false)) => {
+                        source.record_indirect_facts();
+                        sleep(RETRY_DELAY).await;
+                    }
                     Err(reason) => {
                         tracing::warn!(
                             dependency = "relays",
@@ -63,7 +67,8 @@
     }
 }
 
-/// Asks hosts in turn until one of them returns facts, and returns that host.
+/// Asks hosts in turn until one of them returns facts, and returns that host and whether it reads the
+/// platform itself.
 ///
 /// With `wait`, the first host may wait for changes before it answers.
 async fn fetch_facts(
@@ -71,14 +76,18 @@
     wait: bool,
     exchange: &Exchange,
     fleet: &FleetState,
-) -> Result<HostId, NoFacts> {
+) -> Result<(HostId, bool), NoFacts> {
     let mut reason = NoFacts::Silent;
     for (at, host) in hosts.iter().enumerate() {
         let asked_at = BootTime.now();
         let known = fleet.known_facts(wait && at == 0);
-        if let Some(facts) = exchange.facts(host, known).await {
+        // A source that does not answer is left before the facts that it gave become too old.
+        let limit = fleet.remaining_freshness().max(RESPONSE_TIMEOUT);
+        let answer = timeout(limit.into(), exchange.facts(host, known)).await;
+        if let Ok(Some(facts)) = answer {
+            let direct = facts.direct;
             if fleet.apply_peer_facts(host, asked_at, facts) {
-                return Ok(host.clone());
+                return Ok((host.clone(), direct));
             }
         }
         if BootTime.now().since(asked_at) < RESPONSE_TIMEOUT {
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{CONFIG_OBJECT_NAME, ChangeBatch, ConfigSpec, ObjectClient, ServerSpec, WATCH_WAIT};
+use platform::{CONFIG_OBJECT_NAME, ChangeBatch, ConfigSpec, ObjectClient, ServerSpec};
 use registry::{Applied, EntryChange};
 use store::{Category, Change, Kind, Object, Platform, Revision};
 use tokio::time::sleep;
@@ -118,9 +118,9 @@
 /// Returns the time up to which the response to a watch that was sent at a time is complete.
 ///
 /// Without changes, the platform held the watch open for its whole wait time.
-fn watched_until<T>(sent_at: Instant, response: &ChangeBatch<T>) -> Instant {
+fn watched_until<T>(sent_at: Instant, wait: Micros, response: &ChangeBatch<T>) -> Instant {
     if response.changes.is_empty() {
-        BootTime.now().min(sent_at + WATCH_WAIT)
+        BootTime.now().min(sent_at + wait)
     } else {
         sent_at
     }
@@ -146,8 +146,9 @@
     fleet: &FleetState,
 ) -> store::Result<Revision> {
     let sent_at = BootTime.now();
-    let new = objects.poll_changes::<ConfigSpec>(since).await?;
-    let read = own_read(watched_until(sent_at, &new), &new.revision);
+    let wait = fleet.watch_wait();
+    let new = objects.poll_changes::<ConfigSpec>(since, wait).await?;
+    let read = own_read(watched_until(sent_at, wait, &new), &new.revision);
     fleet.record_configuration_read(read);
     for change in new.changes {
         if let Change::Set(object) = change
@@ -174,14 +175,10 @@
         if let Err(e) = &step
             && e.category() != Category::Expired
         {
-            fleet.update_registry(|registry, _| {
-                registry.set_platform_unavailable(true);
-                false
-            });
+            fleet.record_platform_unavailable();
         }
         since = next_revision(&mut availability, step).await;
-        let peers = u32::try_from(fleet.peer_count()).unwrap_or(u32::MAX);
-        sleep(BATCH_DELAY.max(BATCH_DELAY_PER_PEER.saturating_mul(peers))).await;
+        sleep(batch_delay(&fleet)).await;
     }
 }
 
@@ -202,8 +199,9 @@
     fleet: &FleetState,
 ) -> store::Result<Revision> {
     let sent_at = BootTime.now();
-    let new = objects.poll_changes::<ServerSpec>(since).await?;
-    let read = own_read(watched_until(sent_at, &new), &new.revision);
+    let wait = fleet.watch_wait();
+    let new = objects.poll_changes::<ServerSpec>(since, wait).await?;
+    let read = own_read(watched_until(sent_at, wait, &new), &new.revision);
     let changes = new.changes.iter().filter_map(entry_change).collect();
     let applied = fleet.apply_registrations(read, |registry, now, read| {
         registry.apply_changes(now, read, changes)
@@ -211,6 +209,12 @@
     check_order(applied, new.revision)
 }
 
+fn batch_delay(fleet: &FleetState) -> Duration {
+    let peers = u32::try_from(fleet.peer_count()).unwrap_or(u32::MAX);
+    let delay = BATCH_DELAY.max(BATCH_DELAY_PER_PEER.saturating_mul(peers));
+    delay.min(fleet.max_batch_delay())
+}
+
 /// Returns the revision of a response, or an error if a newer one has been applied.
 fn check_order(applied: Applied, revision: Revision) -> store::Result<Revision> {
     match applied {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -77,7 +77,7 @@
 pub use member::{Member, MemberState};
 pub use message::{Facts, KnownFacts, MessageKind, Readiness};
 pub use node::{AckOnDrop, PeerUpdate};
-pub use source::{NoFacts, ReadPlan, SourceSelector};
+pub use source::{NoFacts, ReadPlan, SourceSelector, uses_relays};
 pub use sums::{ReportSums, Summable, subtract};
 pub use traffic::Traffic;
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -110,7 +110,7 @@
     pub wait: bool,
 }
 
-/// Platform facts that a host passes on to a peer that does not read the platform.
+/// Platform facts that a host read, or got from another one, and passes on to a peer.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Facts {
     /// Revision of the platform up to which the sender knows the registrations.
@@ -125,7 +125,9 @@
     pub version: ConfigVersion,
     /// The operator's configuration as it was read, if it is newer than the requester's.
     pub config: Option<Vec<u8>>,
-    /// Time from the sender's last read of the platform to the answer.
+    /// Whether the sender reads the platform itself.
+    pub direct: bool,
+    /// Time from the last read of the platform that the sender knows of to the answer.
     pub age: Micros,
     /// Time from the arrival of the request to the answer.
     pub held: Micros,
--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -22,17 +22,28 @@
 const FALLBACK_STEP: Micros = Micros::from_millis(500);
 
 /// Factor for the step while hosts answer that they cannot reach the platform either.
-const ANSWERED_STEP_FACTOR: u64 = 4;
+const ANSWERED_STEP_FACTOR: u64 = 2;
 
-/// Number of hosts that start to read the platform in each step.
+/// Hosts of each data centre that read the platform as soon as hosts answer so, the relay included.
+///
+/// If only the relays lost the platform, the others must learn of changes within their bounds.
+const FIRST_READERS: u64 = 3;
+
+/// Number of hosts of each data centre that follow them in each step.
+const ANSWERED_HOSTS_PER_STEP: u64 = 1;
+
+/// Number of hosts of a data centre that start to read the platform in each step.
 const HOSTS_PER_STEP: u64 = 6;
 
 /// Time for which a host that started to read the platform continues.
 const DIRECT_READ_PERIOD: Micros = Micros::from_secs(3);
 
-/// Maximum number of hosts asked in one round, and of those in the same data centre.
-const MAX_ASKED: usize = 5;
+/// Maximum number of hosts asked in one round.
+const MAX_ASKED: usize = 6;
+
+/// Number of hosts of the same data centre asked, and of any others, while relays have no facts.
 const LOCAL_ASKED: usize = 3;
+const OTHERS_ASKED: usize = 2;
 
 /// How a host obtains platform facts next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,6 +78,8 @@
     last_source: Option<HostId>,
     /// Start of the time without facts and the reason from the last round.
     no_facts: Option<(Instant, NoFacts)>,
+    /// Number of rounds without facts, by which the other hosts to ask rotate.
+    failed_rounds: usize,
     direct_until: Instant,
 }
 
@@ -79,6 +92,7 @@
             dc,
             last_source: None,
             no_facts: None,
+            failed_rounds: 0,
             direct_until: Instant::ZERO,
         }
     }
@@ -87,11 +101,13 @@
     pub fn choose(&mut self, now: Instant, members: &[Member]) -> ReadPlan {
         let order = rank_hosts(members.iter(), &self.own, DUTY);
         let relays = relays(&order);
-        let is_reader = order.len() <= SMALL_FLEET || relays.contains(&&self.own);
+        let is_reader = !uses_relays(order.len()) || relays.contains(&&self.own);
+        let hosts = self.hosts_to_ask(&order, &relays);
         if !is_reader && self.is_own_turn(now, &order) {
             self.direct_until = now + DIRECT_READ_PERIOD;
+            // Other hosts are asked again afterwards, so that not all hosts read the platform for good.
+            self.no_facts = None;
         }
-        let hosts = self.hosts_to_ask(&order, &relays);
         if is_reader || now < self.direct_until {
             return ReadPlan::Direct(hosts);
         }
@@ -101,57 +117,79 @@
 
     /// Returns the hosts to ask: the last source, then hosts of the same data centre, then relays.
     ///
-    /// When the relays have no facts, this includes the hosts that read the platform after them.
+    /// When the relays have no facts, this includes the hosts that read the platform after them, and
+    /// other hosts in turn, whose source may still reach the platform.
     fn hosts_to_ask(&self, order: &[&Member], relays: &[&HostId]) -> Vec<HostId> {
-        let local = order.iter().filter(|m| m.dc == self.dc).map(|m| &m.id);
-        let local = local.take(if self.no_facts.is_some() {
-            LOCAL_ASKED
-        } else {
-            1
-        });
+        let (local, others) = match self.no_facts {
+            Some(_) => (LOCAL_ASKED, OTHERS_ASKED),
+            None => (1, 0),
+        };
         let known = |h: &&HostId| order.iter().any(|m| m.id == **h);
         let last = self.last_source.iter().filter(known);
-        let all = last.chain(local).chain(relays.iter().copied());
+        let local = order.iter().filter(|m| m.dc == self.dc).take(local);
+        let first_other = self.failed_rounds.wrapping_mul(OTHERS_ASKED);
+        let others = order
+            .iter()
+            .cycle()
+            .skip(first_other % order.len().max(1))
+            .take(others);
+        let all = last.chain(local.chain(others).map(|m| &m.id));
+        let all = all.chain(relays.iter().copied());
         let mut hosts: Vec<HostId> = all.filter(|h| **h != self.own).cloned().collect();
         dedup(&mut hosts);
         hosts.truncate(MAX_ASKED);
         hosts
     }
 
-    /// Records that a host provided facts.
+    /// Records that a host provided facts that it read from the platform.
     pub fn record_facts(&mut self, from: HostId) {
         self.last_source = Some(from);
         self.no_facts = None;
     }
 
+    /// Records that a host provided facts that it got from another one; it does not become the source.
+    pub fn record_indirect_facts(&mut self) {
+        self.last_source = None;
+        self.no_facts = None;
+    }
+
     /// Records that no host provided facts in a round.
     pub fn record_no_facts(&mut self, now: Instant, how: NoFacts) {
         self.last_source = None;
+        self.failed_rounds = self.failed_rounds.wrapping_add(1);
         let since = self.no_facts.map_or(now, |(since, _)| since);
         self.no_facts = Some((since, how));
     }
 
     /// Returns whether it is this host's turn to read the platform.
     ///
-    /// If no host answers, the turns follow the ranks within each data centre. If hosts answer that
-    /// they cannot reach the platform either, the turns follow the ranks over all data centres,
-    /// with longer steps, so that fewer hosts read the platform.
+    /// The turns follow the ranks within each data centre, so that hosts find a reader among the
+    /// first ones of their own. If hosts answer that they cannot reach the platform either, a few
+    /// hosts read it at once, and the next ones follow in longer steps.
     fn is_own_turn(&self, now: Instant, order: &[&Member]) -> bool {
         let Some((since, how)) = self.no_facts else {
             return false;
         };
-        let same = |m: &&&Member| how == NoFacts::Answered || m.dc == self.dc;
-        let mut before = order.iter().filter(same);
-        let rank = before.position(|m| m.id == self.own).unwrap_or(0);
-        let step = match how {
-            NoFacts::Answered => FALLBACK_STEP.get() * ANSWERED_STEP_FACTOR,
-            NoFacts::Silent => FALLBACK_STEP.get(),
-        };
-        let steps = now.since(since).get() / step;
-        u64::try_from(rank).unwrap_or(u64::MAX) < steps * HOSTS_PER_STEP
+        let mut local = order.iter().filter(|m| m.dc == self.dc);
+        let rank = local.position(|m| m.id == self.own).unwrap_or(0);
+        let rank = u64::try_from(rank).unwrap_or(u64::MAX);
+        let elapsed = now.since(since).get();
+        match how {
+            NoFacts::Answered => {
+                let steps = elapsed / (FALLBACK_STEP.get() * ANSWERED_STEP_FACTOR);
+                rank < FIRST_READERS + steps * ANSWERED_HOSTS_PER_STEP
+            }
+            NoFacts::Silent => rank < elapsed / FALLBACK_STEP.get() * HOSTS_PER_STEP,
+        }
     }
 }
 
+/// Returns whether a fleet of this number of hosts reads the platform through relays.
+#[must_use]
+pub fn uses_relays(hosts: usize) -> bool {
+    hosts > SMALL_FLEET
+}
+
 /// Returns the hosts that normally read the platform: the highest-ranked one of each data centre.
 fn relays<'a>(order: &[&'a Member]) -> Vec<&'a HostId> {
     let mut seen: Vec<&DataCentreId> = Vec::new();
