--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -40,6 +40,9 @@
 /// Time before the end of the server's keep-alive time from which a connection is not reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(800);
 
+/// Maximum size of a response's head, after which the connection counts as broken.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 24;
 
@@ -188,7 +191,10 @@
         let stream = timeout(CONNECT_TIMEOUT, connect(addr))
             .await
             .map_err(|_elapsed| ConnectError::new(&"connection attempt timed out"))??;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, driver) = handshake.map_err(|e| ConnectError::new(&e))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = driver.await {
--- a/crates/gate/src/proxy/events.rs
+++ b/crates/gate/src/proxy/events.rs
@@ -3,6 +3,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of one event; the stream of a larger one counts as broken.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -28,6 +31,11 @@
         CompleteEvents { bytes, last_id }
     }
 
+    /// Returns whether the partial event exceeds the maximum size.
+    pub(crate) fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards a partial event of a broken stream.
     pub(crate) fn discard_partial(&mut self) {
         self.buffer.clear();
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -77,12 +77,15 @@
             let timeout = self.frame_timeout_at();
             let response = self.response.as_mut()?;
             let failed = match timeout_at(timeout, response.body.frame()).await {
+                // A timeout does not end a wait for data that are always there.
+                Ok(_) if self.is_past_deadline() => RetryReason::Silent,
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
                     match self.accept_data(data) {
                         Some(bytes) => return Some(Ok(bytes)),
+                        None if self.events.is_oversized() => RetryReason::Truncated,
                         None => continue,
                     }
                 }
@@ -96,6 +99,10 @@
         }
     }
 
+    fn is_past_deadline(&self) -> bool {
+        TokioInstant::now() >= self.exchange.inbound.deadline_at
+    }
+
     /// Returns the time at which waiting for the next frame is abandoned.
     fn frame_timeout_at(&self) -> TokioInstant {
         let inbound = &self.exchange.inbound;
@@ -172,8 +179,8 @@
         };
         self.events.discard_partial();
         let timing = self.timing();
+        let expired = self.is_past_deadline();
         let exchange = &mut self.exchange;
-        let expired = TokioInstant::now() >= exchange.inbound.deadline_at;
         let resumes = exchange.inbound.policy.retry_policy == RetryPolicy::Resume && !expired;
         let backend = response.backend.clone();
         // Close the connection so that the old server stops before another one resumes.
