Open a new connection to the platform after one fell silent

What callers would have seen: a host that reads an older state than the bounds allow, for more than four seconds after all its open connections went silent.

A silent watch is given up after 2.8 s; the list that follows took another idle connection, silent as well, and waited 1.2 s more.

Why this works: a call without a response discards the idle connections to the platform, so the next one opens a connection.

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -244,6 +244,11 @@
         });
     }
 
+    /// Closes all idle connections to a server, because one of them fell silent.
+    pub fn discard_idle(&self, addr: SocketAddr) {
+        self.lock().retain(|(a, _)| *a != addr);
+    }
+
     /// Closes idle connections that have expired or whose server is no longer known.
     pub fn prune(&self, is_known: impl Fn(&SocketAddr) -> bool) {
         let now = Instant::now();
