--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -21,15 +21,17 @@
 /// Time without facts after which the next hosts read the platform.
 const FALLBACK_STEP: Micros = Micros::from_millis(500);
 
-/// Factor for the step while hosts answer that they cannot reach the platform either.
-const ANSWERED_STEP_FACTOR: u64 = 2;
+/// Number of steps of normal length while hosts answer that they cannot reach the platform either, and
+/// the factor for the length of the further ones.
+const SHORT_ANSWERED_STEPS: u64 = 2;
+const ANSWERED_STEP_FACTOR: u64 = 4;
 
 /// Hosts of each data centre that read the platform as soon as hosts answer so, the relay included.
 ///
 /// If only the relays lost the platform, the others must learn of changes within their bounds.
 const FIRST_READERS: u64 = 3;
 
-/// Number of hosts of each data centre that follow them in each step.
+/// Number of hosts of each data centre that follow the first readers in each step.
 const ANSWERED_HOSTS_PER_STEP: u64 = 1;
 
 /// Number of hosts of a data centre that start to read the platform in each step.
@@ -165,7 +167,7 @@
     ///
     /// The turns follow the ranks within each data centre, so that hosts find a reader among the
     /// first ones of their own. If hosts answer that they cannot reach the platform either, a few
-    /// hosts read it at once, and the next ones follow in longer steps.
+    /// hosts read it at once, and the next ones follow in a few short steps and then in longer ones.
     fn is_own_turn(&self, now: Instant, order: &[&Member]) -> bool {
         let Some((since, how)) = self.no_facts else {
             return false;
@@ -173,13 +175,15 @@
         let mut local = order.iter().filter(|m| m.dc == self.dc);
         let rank = local.position(|m| m.id == self.own).unwrap_or(0);
         let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-        let elapsed = now.since(since).get();
+        let (elapsed, step) = (now.since(since).get(), FALLBACK_STEP.get());
         match how {
             NoFacts::Answered => {
-                let steps = elapsed / (FALLBACK_STEP.get() * ANSWERED_STEP_FACTOR);
-                rank < FIRST_READERS + steps * ANSWERED_HOSTS_PER_STEP
+                let short = (elapsed / step).min(SHORT_ANSWERED_STEPS);
+                let long = elapsed.saturating_sub(SHORT_ANSWERED_STEPS * step)
+                    / (step * ANSWERED_STEP_FACTOR);
+                rank < FIRST_READERS + (short + long) * ANSWERED_HOSTS_PER_STEP
             }
-            NoFacts::Silent => rank < elapsed / FALLBACK_STEP.get() * HOSTS_PER_STEP,
+            NoFacts::Silent => rank < elapsed / step * HOSTS_PER_STEP,
         }
     }
 }
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -45,7 +45,7 @@
         "--test",
         "fleet",
     ];
-    let only = ["--", "soak::promises", "--nocapture"];
+    let only = ["--", "soak", "--nocapture"];
     let mut command = steps::cargo(&[&args[..], &only[..]].concat());
     if let Some((name, value)) = variable {
         println!("== soak {name}={value}");
