Move the exchange of facts into a module of its own, and keep small fleets able to ask

Facts may be as old as two watches at least. In a fleet of up to twelve hosts a watch lasts 2 s, so with half of a bound of 2 s a working reader would have refused to answer for half of the time. Only hosts that do not reach the platform ask there.

--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -11,14 +11,14 @@
 use config::{ActiveConfig, DataCentre, Deployment};
 use control::FleetHandle;
 use engine::Server;
-use peer::{Facts, KnownFacts, name_hash};
+use peer::name_hash;
 use platform::{ConfigSpec, WATCH_WAIT};
-use registry::{Applied, EntryChange, ReadPoint, Registry};
+use registry::{Applied, ReadPoint, Registry};
 use route::{BackendRegistration, Event};
-use tokio::{sync::watch, time::timeout};
+use tokio::sync::watch;
 use types::{
-    AdapterId, BackendId, BootTime, Clock, ConfigVersion, HostId, Incarnation, Instant, Micros,
-    ModelId, Registration, StoreRevision,
+    AdapterId, BackendId, BootTime, Clock, ConfigVersion, Incarnation, Instant, Micros, ModelId,
+    Registration,
 };
 
 use crate::entry::{
@@ -27,9 +27,6 @@
     timing::FactsTiming,
 };
 
-/// Histogram of the time from the read of the platform to the use of its result.
-const FACTS_AGE_METRIC: &str = "celerytally_facts_age_seconds";
-
 /// Counter of reads that were ignored because a newer one had been applied.
 const OUTDATED_METRIC: &str = "celerytally_outdated_reads_total";
 
@@ -37,17 +34,10 @@
 const VERSION_METRIC: &str = "celerytally_configuration_version";
 const REVISION_METRIC: &str = "celerytally_registrations_revision";
 
-/// Longest time for which a request for facts waits for changes.
-const MAX_FACTS_WAIT: Duration = Duration::from_millis(500);
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn has_changes(facts: &Facts) -> bool {
-    facts.complete || facts.config.is_some() || !facts.set.is_empty() || !facts.removed.is_empty()
-}
-
 /// Returns the origin of a read and its age in milliseconds, for log lines.
 fn describe(read: Option<&Read>) -> (String, Option<u64>) {
     let source = read.map(|r| r.by.to_string()).unwrap_or_default();
@@ -127,13 +117,13 @@
     datagram_port: u16,
     timing: FactsTiming,
     /// Configuration as it was read, for peers that do not read the platform.
-    config: Mutex<Option<ConfigSpec>>,
+    pub(super) config: Mutex<Option<ConfigSpec>>,
     /// Reads from which the configuration and the registrations come.
-    last_reads: Mutex<LastReads>,
+    pub(super) last_reads: Mutex<LastReads>,
     /// Whether this host reads the platform itself.
-    reads_platform: watch::Sender<bool>,
+    pub(super) reads_platform: watch::Sender<bool>,
     /// Incremented with every change, for peers that wait for one.
-    changes: watch::Sender<u64>,
+    pub(super) changes: watch::Sender<u64>,
     registry: Mutex<Registry>,
     name_hashes: RwLock<Arc<NameHashes>>,
     /// Backend servers as they were last logged, sorted by id.
@@ -211,10 +201,20 @@
         self.timing.max_batch_delay.into()
     }
 
+    /// Returns the age from which facts are not passed on.
+    ///
+    /// The facts of a working reader are as old as two watches. In a small fleet, whose watches are
+    /// long, only hosts that do not reach the platform ask for facts, and the bounds do not hold for
+    /// these.
+    pub(super) fn max_age(&self) -> Micros {
+        let two_watches = Micros::new(self.watch_wait().get() * 2);
+        self.timing.max_age.max(two_watches)
+    }
+
     /// Returns the time until the facts of this host are too old, zero if they are.
     pub(crate) fn remaining_freshness(&self) -> Micros {
         let age = lock(&self.last_reads).age(BootTime.now());
-        let fresh = |age: Micros| self.timing.max_age.get().saturating_sub(age.get());
+        let fresh = |age: Micros| self.max_age().get().saturating_sub(age.get());
         age.map_or(Micros::ZERO, |age| Micros::new(fresh(age)))
     }
 
@@ -257,72 +257,6 @@
         true
     }
 
-    /// Returns what this host knows, for a request for facts to a peer.
-    pub(crate) fn known_facts(&self, wait: bool) -> KnownFacts {
-        KnownFacts {
-            revision: self.registry().revision(),
-            version: self.version().unwrap_or_default(),
-            wait,
-        }
-    }
-
-    /// Returns what this host knows of the platform, or `None` if it reads the platform in vain or the
-    /// last read is too old to be passed on.
-    ///
-    /// If `known.wait` is set and
-    /// nothing has changed, waits for a change, the next read or [`MAX_FACTS_WAIT`].
-    pub(crate) async fn facts(&self, known: KnownFacts) -> Option<Facts> {
-        let asked_at = BootTime.now();
-        let facts = self.wait_for_facts(known).await?;
-        let held = BootTime.now().since(asked_at);
-        Some(Facts { held, ..facts })
-    }
-
-    async fn wait_for_facts(&self, known: KnownFacts) -> Option<Facts> {
-        let mut changed = self.changes.subscribe();
-        let first = self.current_facts(known)?;
-        if !known.wait || has_changes(&first) {
-            return Some(first);
-        }
-        // An answer without changes still shows that this host reaches the platform.
-        match timeout(MAX_FACTS_WAIT, changed.changed()).await {
-            Ok(_) => self.current_facts(known),
-            Err(_elapsed) => self.current_facts(known),
-        }
-    }
-
-    fn current_facts(&self, known: KnownFacts) -> Option<Facts> {
-        let registry = self.registry();
-        let version = self.version()?;
-        if registry.is_platform_unavailable() {
-            return None;
-        }
-        let age = lock(&self.last_reads).age(BootTime.now())?;
-        if age > self.timing.max_age {
-            return None;
-        }
-        let config = lock(&self.config);
-        let config = config.as_ref().filter(|_| version > known.version);
-        let removed = registry.removed_since(known.revision);
-        let complete = removed.is_none();
-        let since = if complete {
-            StoreRevision::default()
-        } else {
-            known.revision
-        };
-        Some(Facts {
-            revision: registry.revision(),
-            complete,
-            set: registry.listed_since(since),
-            removed: removed.unwrap_or_default(),
-            version,
-            config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
-            direct: *self.reads_platform.borrow(),
-            age,
-            held: Micros::ZERO,
-        })
-    }
-
     /// Records a read of the configuration.
     pub(crate) fn record_configuration_read(&self, read: Read) {
         lock(&self.last_reads).configuration = Some(read);
@@ -367,61 +301,7 @@
         applied
     }
 
-    /// Applies what a peer that was asked at a time read from the platform.
-    ///
-    /// Returns whether what this host knows is fresh afterwards.
-    pub(crate) fn apply_peer_facts(&self, from: &HostId, asked_at: Instant, facts: Facts) -> bool {
-        let answered_at = asked_at.as_micros() + facts.held.get();
-        let read = Read {
-            by: ReadBy::Peer(from.clone()),
-            at: Instant::from_micros(answered_at.saturating_sub(facts.age.get())),
-            revision: facts.revision,
-        };
-        self.log_source(&read, facts.version);
-        if self.version() <= Some(facts.version) {
-            self.record_configuration_read(read.clone());
-        }
-        let spec = facts
-            .config
-            .map(|c| serde_json::from_slice::<ConfigSpec>(&c));
-        match spec {
-            Some(Ok(spec)) => self.apply_config(spec),
-            Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
-            None => {}
-        }
-        self.apply_registrations(read, |registry, now, read| {
-            if facts.complete {
-                return registry.apply_listing(now, read, facts.set);
-            }
-            let removed = facts.removed.into_iter().map(EntryChange::Removed);
-            let set = facts.set.into_iter().map(EntryChange::Set);
-            registry.apply_changes(now, read, removed.chain(set).collect())
-        });
-        self.remaining_freshness() > Micros::ZERO
-    }
-
-    /// Records the age of facts of a peer, and logs them if another source provided the last ones.
-    fn log_source(&self, read: &Read, version: ConfigVersion) {
-        let age = read.age(BootTime.now());
-        metrics::histogram!(FACTS_AGE_METRIC).record(age.as_secs_f64());
-        let last = lock(&self.last_reads)
-            .registrations
-            .as_ref()
-            .map(|r| (r.by.clone(), r.revision));
-        if last.as_ref().is_none_or(|(by, _)| *by != read.by) {
-            tracing::info!(
-                belief = "facts",
-                source = %read.by,
-                revision = %read.revision,
-                known_revision = ?last.map(|(_, revision)| revision.get()),
-                %version,
-                age_ms = age.get() / 1_000,
-                "source of facts answered"
-            );
-        }
-    }
-
-    fn registry(&self) -> MutexGuard<'_, Registry> {
+    pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
     }
 
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Entry host on the users' platform; an environment variable names the file of its settings.
 
 mod beacons;
+mod facts;
 mod fleet_state;
 mod logs;
 mod peers;
