Count facts whose configuration can't be decoded as no facts, and never let a read get older

Found while reading the change: an answer whose configuration could not be decoded confirmed a version that the host did not have, and an answer at the same revision with an older read made the known read older than it is.

--- a/crates/celerytally/src/entry/facts.rs
+++ b/crates/celerytally/src/entry/facts.rs
@@ -33,11 +33,11 @@
         }
     }
 
-    /// Returns what this host knows of the platform, or `None` if it reads the platform in vain or the
-    /// last read is too old to be passed on.
+    /// Returns what this host knows of the platform, or `None` if the platform does not answer it or
+    /// its last read is too old to be passed on.
     ///
-    /// If `known.wait` is set and
-    /// nothing has changed, waits for a change, the next read or [`MAX_FACTS_WAIT`].
+    /// If `known.wait` is set and nothing has changed, waits for a change, the next read or
+    /// [`MAX_FACTS_WAIT`].
     pub(crate) async fn facts(&self, known: KnownFacts) -> Option<Facts> {
         let asked_at = BootTime.now();
         let facts = self.wait_for_facts(known).await?;
@@ -101,16 +101,19 @@
             revision: facts.revision,
         };
         self.log_source(&read, facts.version);
+        let spec = facts.config.map(|c| serde_json::from_slice(&c)).transpose();
+        let spec: Option<ConfigSpec> = match spec {
+            Ok(spec) => spec,
+            Err(e) => {
+                tracing::warn!(error = %e, "undecodable configuration from a peer");
+                return false;
+            }
+        };
         if self.version() <= Some(facts.version) {
             self.record_configuration_read(read.clone());
         }
-        let spec = facts
-            .config
-            .map(|c| serde_json::from_slice::<ConfigSpec>(&c));
-        match spec {
-            Some(Ok(spec)) => self.apply_config(spec),
-            Some(Err(e)) => tracing::warn!(error = %e, "undecodable configuration from a peer"),
-            None => {}
+        if let Some(spec) = spec {
+            self.apply_config(spec);
         }
         self.apply_registrations(read, |registry, now, read| {
             if facts.complete {
--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -259,7 +259,7 @@
 
     /// Records a read of the configuration.
     pub(crate) fn record_configuration_read(&self, read: Read) {
-        lock(&self.last_reads).configuration = Some(read);
+        lock(&self.last_reads).record_configuration(read);
     }
 
     /// Applies a read of the registrations and, if an entry changed, updates the router.
@@ -291,7 +291,7 @@
             return applied;
         }
         metrics::gauge!(REVISION_METRIC).set(read.revision.get() as f64);
-        lock(&self.last_reads).registrations = Some(read);
+        lock(&self.last_reads).record_registrations(read);
         if applied == Applied::Changed {
             self.publish_deployment();
         } else {
--- a/crates/celerytally/src/entry/reads.rs
+++ b/crates/celerytally/src/entry/reads.rs
@@ -45,7 +45,22 @@
     pub(crate) registrations: Option<Read>,
 }
 
+/// Replaces a read by a later one.
+fn replace_older(last: &mut Option<Read>, new: Read) {
+    if last.as_ref().is_none_or(|last| last.at <= new.at) {
+        *last = Some(new);
+    }
+}
+
 impl LastReads {
+    pub(crate) fn record_configuration(&mut self, read: Read) {
+        replace_older(&mut self.configuration, read);
+    }
+
+    pub(crate) fn record_registrations(&mut self, read: Read) {
+        replace_older(&mut self.registrations, read);
+    }
+
     /// Returns the time from the older of the two reads, or `None` if one is missing.
     pub(crate) fn age(&self, now: Instant) -> Option<Micros> {
         let configuration = self.configuration.as_ref()?.age(now);
--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -2,8 +2,8 @@
 //!
 //! Calls of the platform cost money and are rate-limited. Therefore only the highest-ranked host of
 //! each data centre reads the platform and serves the others there, which keeps working when links
-//! between data centres fail. While these relays have no facts, more hosts read the platform, step
-//! by step.
+//! between data centres fail. While these relays have no facts, a few more hosts read the platform at
+//! once and others step by step, and hosts ask any others that may have fresh facts.
 
 use types::{DataCentreId, HostId, Instant, Micros};
 
