Log and count failed requests for facts, and the versions a host knows

A request for facts that ended early left no line, and nothing showed whether a host knew of a newer version, so the hypotheses could not be told apart. Now each request without a reply logs the asked host, its duration, the reason and the bytes received meanwhile, and counts by reason; a received configuration logs its size and duration; a host logs and exposes the newest version that it knows to exist beside the one in force, with the time between them. Requests to peers return the reason in place of nothing. A request that ends because the facts at hand become too old now also closes its connection, as every other failed request does.

--- a/crates/celerytally/src/entry/facts.rs
+++ b/crates/celerytally/src/entry/facts.rs
@@ -101,6 +101,17 @@
             revision: facts.revision,
         };
         self.log_source(&read, facts.version);
+        self.record_known_version(facts.version, &read.by);
+        if let Some(config) = &facts.config {
+            tracing::info!(
+                belief = "configuration",
+                version = %facts.version,
+                source = %from,
+                bytes = config.len(),
+                duration_ms = BootTime.now().since(asked_at).get() / 1_000,
+                "configuration received"
+            );
+        }
         let spec = facts.config.map(|c| serde_json::from_slice(&c)).transpose();
         let spec: Option<ConfigSpec> = match spec {
             Ok(spec) => spec,
--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -30,8 +30,10 @@
 /// Counter of reads that were ignored because a newer one had been applied.
 const OUTDATED_METRIC: &str = "celerytally_outdated_reads_total";
 
-/// Gauges of the version of the configuration and the revision of the registrations in use.
+/// Gauges of the version of the configuration in force, of the newest one that is known to exist, and
+/// of the revision of the registrations in use.
 const VERSION_METRIC: &str = "celerytally_configuration_version";
+const KNOWN_VERSION_METRIC: &str = "celerytally_configuration_known_version";
 const REVISION_METRIC: &str = "celerytally_registrations_revision";
 
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -109,6 +111,13 @@
     }
 }
 
+/// Version of the configuration, and since when it is known to exist.
+#[derive(Clone, Copy, Debug)]
+struct KnownVersion {
+    version: ConfigVersion,
+    since: Instant,
+}
+
 /// Configuration and registry of this host, and the proxy whose router uses them.
 #[derive(Debug)]
 pub(crate) struct FleetState {
@@ -118,6 +127,8 @@
     timing: FactsTiming,
     /// Configuration as it was read, for peers that do not read the platform.
     pub(super) config: Mutex<Option<ConfigSpec>>,
+    /// Newest version of the configuration that is known to exist.
+    known_version: Mutex<Option<KnownVersion>>,
     /// Reads from which the configuration and the registrations come.
     pub(super) last_reads: Mutex<LastReads>,
     /// Whether this host reads the platform itself.
@@ -147,6 +158,7 @@
             datagram_port,
             timing,
             config: Mutex::default(),
+            known_version: Mutex::default(),
             last_reads: Mutex::default(),
             reads_platform: watch::Sender::new(false),
             changes: watch::Sender::new(0),
@@ -310,21 +322,52 @@
         self.proxy.route_table().map(|t| t.version)
     }
 
+    /// Records that a version of the configuration exists, whether or not this host has it.
+    pub(crate) fn record_known_version(&self, version: ConfigVersion, source: &ReadBy) {
+        let mut known = lock(&self.known_version);
+        if known.is_some_and(|known| known.version >= version) {
+            return;
+        }
+        let since = BootTime.now();
+        *known = Some(KnownVersion { version, since });
+        metrics::gauge!(KNOWN_VERSION_METRIC).set(version.get() as f64);
+        tracing::info!(
+            belief = "known_version",
+            %version,
+            in_force = self.version().map(ConfigVersion::get),
+            %source,
+            "configuration announced"
+        );
+    }
+
+    /// Returns the time since a version is known to exist, if it is the newest one.
+    fn time_known(&self, version: ConfigVersion) -> Option<Micros> {
+        let known = (*lock(&self.known_version)).filter(|known| known.version == version)?;
+        Some(BootTime.now().since(known.since))
+    }
+
     /// Applies a configuration unless a newer one is in force.
     pub(crate) fn apply_config(&self, spec: ConfigSpec) {
         let Some(table) = platform::decode_route_table(&spec) else {
             return;
         };
         let (version, routes) = (table.version, table.routes().len());
+        let source = lock(&self.last_reads)
+            .configuration
+            .as_ref()
+            .map(|r| r.by.clone());
+        self.record_known_version(version, &source.unwrap_or(ReadBy::Own));
         if self.proxy.set_route_table(Arc::new(table)) {
             metrics::gauge!(VERSION_METRIC).set(version.get() as f64);
             let (source, age_ms) = describe(lock(&self.last_reads).configuration.as_ref());
+            let known_ms = self.time_known(version).map(|known| known.get() / 1_000);
             tracing::info!(
                 belief = "configuration",
                 %version,
                 routes,
                 source,
                 age_ms,
+                known_ms,
                 "configuration in force"
             );
             *lock(&self.config) = Some(spec);
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use peer::{NoFacts, ReadPlan, SourceSelector};
-use tokio::time::{sleep, timeout};
-use types::{BootTime, Clock, DataCentreId, HostId, Micros};
+use peer::{NoFacts, ReadPlan, RequestError, SourceSelector};
+use tokio::time::sleep;
+use types::{BootTime, Clock, DataCentreId, HostId, Instant, Micros};
 
 use crate::entry::{fleet_state::FleetState, peers::Exchange};
 
@@ -21,6 +21,9 @@
 /// Time within which a reachable host answers a request that does not wait for changes.
 const RESPONSE_TIMEOUT: Micros = Micros::from_millis(250);
 
+/// Counter of requests for facts without a reply, labelled by reason.
+const FAILED_REQUESTS_METRIC: &str = "celerytally_facts_requests_failed_total";
+
 /// Selects a source and, if it is another host, reads from it, for as long as the process runs.
 pub(crate) async fn run(
     (own, dc): (HostId, DataCentreId),
@@ -83,12 +86,15 @@
         let known = fleet.known_facts(wait && at == 0);
         // A source that does not answer is left before the facts that it gave become too old.
         let limit = fleet.remaining_freshness().max(RESPONSE_TIMEOUT);
-        let answer = timeout(limit.into(), exchange.facts(host, known)).await;
-        if let Ok(Some(facts)) = answer {
-            let direct = facts.direct;
-            if fleet.apply_peer_facts(host, asked_at, facts) {
-                return Ok((host.clone(), direct));
+        match exchange.facts(host, known, limit.into()).await {
+            Ok(Some(facts)) => {
+                let direct = facts.direct;
+                if fleet.apply_peer_facts(host, asked_at, facts) {
+                    return Ok((host.clone(), direct));
+                }
             }
+            Ok(None) => {}
+            Err(e) => log_failure(host, asked_at, &e),
         }
         if BootTime.now().since(asked_at) < RESPONSE_TIMEOUT {
             reason = NoFacts::Answered;
@@ -96,3 +102,16 @@
     }
     Err(reason)
 }
+
+/// Logs and counts a request for facts that got no reply.
+fn log_failure(host: &HostId, asked_at: Instant, error: &RequestError) {
+    tracing::warn!(
+        dependency = "relays",
+        %host,
+        duration_ms = BootTime.now().since(asked_at).get() / 1_000,
+        reason = %error.reason(),
+        received_bytes = error.received(),
+        "request for facts failed"
+    );
+    metrics::counter!(FAILED_REQUESTS_METRIC, "reason" => error.reason().label()).increment(1);
+}
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -29,6 +29,7 @@
     member::{Member, MemberState},
     message::{Facts, KnownFacts, Readiness, Reply, Request},
     node::{Node, NodeHandler, PeerUpdate},
+    request_error::RequestError,
     state::State,
     traffic::{Counts, Traffic},
     wire::{self, ClientPool},
@@ -317,7 +318,7 @@
                 .clients
                 .request(m.peer_addr, req, SUSPECTS_TIMEOUT)
                 .await;
-            (m.id, reply == Some(Reply::Bool(true)))
+            (m.id, reply == Ok(Reply::Bool(true)))
         });
         let mut push = SuspectPush::default();
         for (host, acknowledged) in join_all(pushes).await {
@@ -346,7 +347,7 @@
                     .clients
                     .request(granter.addr, req, SLOT_TIMEOUT)
                     .await;
-                reply == Some(Reply::Bool(true))
+                reply == Ok(Reply::Bool(true))
             };
             if !granted {
                 break;
@@ -376,7 +377,7 @@
             .clients
             .request(holder.peer_addr, req, REQUEST_TIMEOUT)
             .await;
-        reply == Some(Reply::Bool(true))
+        reply == Ok(Reply::Bool(true))
     }
 
     /// Returns whether a host has retired an epoch. No answer means no.
@@ -397,7 +398,7 @@
             .clients
             .request(member.peer_addr, req, REQUEST_TIMEOUT)
             .await;
-        reply == Some(Reply::Bool(true))
+        reply == Ok(Reply::Bool(true))
     }
 
     /// Asks the lease holder to place a model or adapter. Returns the servers that hold it then.
@@ -439,16 +440,25 @@
             .clients
             .request(member.peer_addr, req, PLACE_TIMEOUT);
         match reply.await {
-            Some(Reply::Placed(backends)) => backends,
+            Ok(Reply::Placed(backends)) => backends,
             _ => Vec::new(),
         }
     }
 
-    /// Asks a host for what it read from the platform. Returns `None` without an answer or when the
+    /// Asks a host for what it read from the platform, for at most a time. Returns `None` when the
     /// host cannot reach the platform either.
-    pub async fn facts(&self, from: &HostId, known: KnownFacts) -> Option<Facts> {
+    ///
+    /// # Errors
+    /// Fails without a reply within the timeout.
+    pub async fn facts(
+        &self,
+        from: &HostId,
+        known: KnownFacts,
+        limit: Duration,
+    ) -> std::result::Result<Option<Facts>, RequestError> {
         let members = self.current_members();
-        let member = members.into_iter().find(|m| m.id == *from)?;
+        let member = members.into_iter().find(|m| m.id == *from);
+        let member = member.ok_or(RequestError::UNKNOWN_HOST)?;
         let timeout = if known.wait {
             FACTS_WAIT_TIMEOUT
         } else {
@@ -458,11 +468,11 @@
         match self
             .node
             .clients
-            .request(member.peer_addr, req, timeout)
-            .await
+            .request(member.peer_addr, req, timeout.min(limit))
+            .await?
         {
-            Some(Reply::Facts(facts)) => facts.map(|f| *f),
-            _ => None,
+            Reply::Facts(facts) => Ok(facts.map(|f| *f)),
+            _ => Ok(None),
         }
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -44,6 +44,7 @@
 //! ```
 
 mod codec;
+mod counting;
 mod datagram;
 mod duty;
 mod error;
@@ -56,6 +57,7 @@
 mod member;
 mod message;
 mod node;
+mod request_error;
 mod residents;
 mod slot;
 mod source;
@@ -77,6 +79,7 @@
 pub use member::{Member, MemberState};
 pub use message::{Facts, KnownFacts, MessageKind, Readiness};
 pub use node::{AckOnDrop, PeerUpdate};
+pub use request_error::{FailureReason, RequestError};
 pub use source::{NoFacts, ReadPlan, SourceSelector, uses_relays};
 pub use sums::{ReportSums, Summable, subtract};
 pub use traffic::Traffic;
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -142,9 +142,9 @@
         let is_pull = matches!(req, Request::Config(_));
         let reply = self.clients.request(to.addr, req, CALL_TIMEOUT).await;
         match reply {
-            Some(reply) => self.step(Event::Replied { from: to, reply }),
-            None if is_pull => self.step(Event::PullFailed),
-            None => {}
+            Ok(reply) => self.step(Event::Replied { from: to, reply }),
+            Err(_) if is_pull => self.step(Event::PullFailed),
+            Err(_) => {}
         }
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -24,7 +24,9 @@
 use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
 use crate::{
+    counting::CountingStream,
     message::{Reply, Request},
+    request_error::{FailureReason, RequestError},
     traffic::{Counts, reply_size, request_size},
 };
 
@@ -54,13 +56,22 @@
     fn handle(&self, req: Request) -> impl Future<Output = Reply> + Send;
 }
 
+/// Open connection to a peer.
+#[derive(Clone, Debug)]
+struct OpenConnection {
+    addr: SocketAddr,
+    client: WireClient,
+    /// Number of bytes received so far.
+    received: Arc<AtomicU64>,
+}
+
 /// Pool of connections to peers, which are opened on demand.
 #[derive(Debug)]
 pub(crate) struct ClientPool {
     token: Secret,
     counts: Arc<Counts>,
     /// Open connections, oldest first.
-    open: Mutex<VecDeque<(SocketAddr, WireClient)>>,
+    open: Mutex<VecDeque<OpenConnection>>,
 }
 
 impl ClientPool {
@@ -72,66 +83,79 @@
         }
     }
 
-    /// Sends a request to a peer. Returns `None` without a reply within the timeout.
+    /// Sends a request to a peer.
+    ///
+    /// # Errors
+    /// Fails without a reply within the timeout.
     pub(crate) async fn request(
         &self,
         addr: SocketAddr,
         req: Request,
         limit: Duration,
-    ) -> Option<Reply> {
+    ) -> Result<Reply, RequestError> {
         let kind = req.kind();
-        let client = self.connect(addr, limit).await?;
+        let connection = self.connect(addr, limit).await;
+        let connection = connection.ok_or(RequestError::NOT_CONNECTED)?;
+        let received_before = connection.received.load(Ordering::Relaxed);
         let mut cx = context::current();
         cx.deadline = Instant::now() + limit;
         self.counts.sent(kind, request_size(&req));
-        match timeout(limit, client.ask(cx, req)).await {
-            Ok(Ok(reply)) if reply != Reply::Denied => {
+        let reason = match timeout(limit, connection.client.ask(cx, req)).await {
+            Ok(Ok(Reply::Denied)) => FailureReason::Denied,
+            Ok(Ok(reply)) => {
                 self.counts.received(kind, reply_size(&reply));
-                Some(reply)
-            }
-            _ => {
-                self.close(addr);
-                None
+                return Ok(reply);
             }
-        }
+            Ok(Err(client::RpcError::DeadlineExceeded)) | Err(_) => FailureReason::Timeout,
+            Ok(Err(_)) => FailureReason::ConnectionLost,
+        };
+        self.close(addr);
+        let received = connection.received.load(Ordering::Relaxed) - received_before;
+        Err(RequestError { reason, received })
     }
 
-    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Option<WireClient> {
-        if let Some(client) = self.cached(addr) {
-            return Some(client);
+    async fn connect(&self, addr: SocketAddr, limit: Duration) -> Option<OpenConnection> {
+        if let Some(connection) = self.cached(addr) {
+            return Some(connection);
         }
-        let client = timeout(limit.min(CONNECT_TIMEOUT), self.open(addr)).await;
-        let client = client.ok().flatten()?;
+        let connection = timeout(limit.min(CONNECT_TIMEOUT), self.open(addr)).await;
+        let connection = connection.ok().flatten()?;
         let mut open = self.lock();
-        open.retain(|(a, _)| *a != addr);
-        open.push_back((addr, client.clone()));
+        open.retain(|c| c.addr != addr);
+        open.push_back(connection.clone());
         if open.len() > MAX_CONNECTIONS {
             open.pop_front();
         }
-        Some(client)
+        Some(connection)
     }
 
-    async fn open(&self, addr: SocketAddr) -> Option<WireClient> {
+    async fn open(&self, addr: SocketAddr) -> Option<OpenConnection> {
         let stream = TcpStream::connect(addr).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        let received = Arc::default();
+        let stream = CountingStream::new(stream, Arc::clone(&received));
         let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
         let client = WireClient::new(client::Config::default(), transport).spawn();
         let token = self.token.expose().to_owned();
         let accepted = client.hello(context::current(), token).await;
-        accepted.is_ok_and(|accepted| accepted).then_some(client)
+        accepted
+            .is_ok_and(|accepted| accepted)
+            .then_some(OpenConnection {
+                addr,
+                client,
+                received,
+            })
     }
 
-    fn cached(&self, addr: SocketAddr) -> Option<WireClient> {
-        let open = self.lock();
-        let found = open.iter().find(|(a, _)| *a == addr);
-        found.map(|(_, client)| client.clone())
+    fn cached(&self, addr: SocketAddr) -> Option<OpenConnection> {
+        self.lock().iter().find(|c| c.addr == addr).cloned()
     }
 
     fn close(&self, addr: SocketAddr) {
-        self.lock().retain(|(a, _)| *a != addr);
+        self.lock().retain(|c| c.addr != addr);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<(SocketAddr, WireClient)>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<OpenConnection>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
