--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -122,7 +122,7 @@
         host: settings.host.clone(),
         dc: settings.dc.clone(),
         listen: settings.peers,
-        advertise: None,
+        advertise: settings.advertise_peers,
         http: settings.callers,
         capacity: settings.resources.cpu,
         seeds: settings.seeds.clone(),
--- a/crates/config/src/entry_host.rs
+++ b/crates/config/src/entry_host.rs
@@ -23,6 +23,8 @@
     pub readiness: SocketAddr,
     /// Address that serves other entry hosts.
     pub peers: SocketAddr,
+    /// Address at which they reach it, if it differs from `peers`.
+    pub advertise_peers: Option<SocketAddr>,
     /// Address that receives load datagrams of other entry hosts.
     pub beacons: SocketAddr,
     /// Address of the metrics endpoint.
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -46,6 +46,19 @@
     mode: Mode,
     /// Time by which each piece is held back, in each direction.
     delay_ms: u64,
+    /// Bandwidth of each connection in each direction; 0 if it is not limited.
+    bytes_per_s: u64,
+}
+
+impl Knobs {
+    /// Returns the time for which a piece of a number of bytes is held back.
+    fn hold(&self, bytes: usize) -> Duration {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let transfer = bytes
+            .saturating_mul(1_000_000)
+            .checked_div(self.bytes_per_s);
+        Duration::from_millis(self.delay_ms) + Duration::from_micros(transfer.unwrap_or(0))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -82,6 +95,13 @@
 #[derive(Deserialize)]
 struct NewLink {
     target: SocketAddr,
+    /// Address on which the link listens.
+    #[serde(default = "loopback")]
+    ip: IpAddr,
+}
+
+fn loopback() -> IpAddr {
+    Ipv4Addr::LOCALHOST.into()
 }
 
 impl Service for Proxy {
@@ -106,7 +126,7 @@
 impl Proxy {
     async fn add(&self, call: &Call) -> Option<Link> {
         let new: NewLink = serde_json::from_slice(&call.body).ok()?;
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.ok()?;
+        let listener = TcpListener::bind((new.ip, 0)).await.ok()?;
         let link = Link {
             addr: listener.local_addr().ok()?,
             target: Arc::new(Mutex::new(new.target)),
@@ -250,9 +270,9 @@
 {
     let mut buf = vec![0; BUF];
     while let Ok(n @ 1..) = from.read(&mut buf).await {
-        let delay = knobs.borrow().delay_ms;
-        if delay > 0 {
-            sleep(Duration::from_millis(delay)).await;
+        let hold = knobs.borrow().hold(n);
+        if !hold.is_zero() {
+            sleep(hold).await;
         }
         let open = |knobs: &Knobs| knobs.mode != Mode::Freeze && knobs.mode != lossy;
         if knobs.wait_for(open).await.is_err() || to.write_all(&buf[..n]).await.is_err() {
