Transfer configurations in parts, apart from the facts that announce them

Cause: the answer to a request for facts contained the whole configuration, and the request ended after 0.3 or 0.85 s, whether or not it made progress. A transfer that takes longer was discarded and started anew at the next host, and each discarded one took the link and the processor of both sides, so the load grew as the capacity fell. A host without an answer did not even know that a newer version exists.

Facts are now small: they announce the newest version that the sender knows, and an offer of its configuration. A part that fails is requested again from another host, and the parts received are kept.

--- a/crates/celerytally/src/entry/facts.rs
+++ b/crates/celerytally/src/entry/facts.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use peer::{Facts, KnownFacts};
-use platform::ConfigSpec;
 use registry::EntryChange;
 use tokio::time::timeout;
 use types::{BootTime, Clock, ConfigVersion, HostId, Instant, Micros, StoreRevision};
@@ -19,8 +18,13 @@
 /// Histogram of the time from the read of the platform to the use of its result.
 const FACTS_AGE_METRIC: &str = "celerytally_facts_age_seconds";
 
-fn has_changes(facts: &Facts) -> bool {
-    facts.complete || facts.config.is_some() || !facts.set.is_empty() || !facts.removed.is_empty()
+/// Returns whether facts contain anything that the requester does not know.
+fn has_changes(facts: &Facts, known: &KnownFacts) -> bool {
+    facts.complete
+        || facts.version > known.version
+        || (facts.config.is_some() && known.lacks_offer)
+        || !facts.set.is_empty()
+        || !facts.removed.is_empty()
 }
 
 impl FleetState {
@@ -28,7 +32,9 @@
     pub(crate) fn known_facts(&self, wait: bool) -> KnownFacts {
         KnownFacts {
             revision: self.registry().revision(),
-            version: self.version().unwrap_or_default(),
+            version: self.known_version().unwrap_or_default(),
+            config: self.known_config(),
+            lacks_offer: self.lacks_offer(),
             wait,
         }
     }
@@ -48,7 +54,7 @@
     async fn wait_for_facts(&self, known: KnownFacts) -> Option<Facts> {
         let mut changed = self.changes.subscribe();
         let first = self.current_facts(known)?;
-        if !known.wait || has_changes(&first) {
+        if !known.wait || has_changes(&first, &known) {
             return Some(first);
         }
         // An answer without changes still shows that this host reaches the platform.
@@ -60,7 +66,7 @@
 
     fn current_facts(&self, known: KnownFacts) -> Option<Facts> {
         let registry = self.registry();
-        let version = self.version()?;
+        let version = self.version().max(self.known_version())?;
         if registry.is_platform_unavailable() {
             return None;
         }
@@ -68,8 +74,6 @@
         if age > self.max_age() {
             return None;
         }
-        let config = lock(&self.config);
-        let config = config.as_ref().filter(|_| version > known.version);
         let removed = registry.removed_since(known.revision);
         let complete = removed.is_none();
         let since = if complete {
@@ -83,7 +87,7 @@
             set: registry.listed_since(since),
             removed: removed.unwrap_or_default(),
             version,
-            config: config.and_then(|spec| serde_json::to_vec(spec).ok()),
+            config: self.offer_config(known.config),
             direct: *self.reads_platform.borrow(),
             age,
             held: Micros::ZERO,
@@ -101,31 +105,11 @@
             revision: facts.revision,
         };
         self.log_source(&read, facts.version);
-        self.record_known_version(facts.version, &read.by);
-        if let Some(config) = &facts.config {
-            tracing::info!(
-                belief = "configuration",
-                version = %facts.version,
-                source = %from,
-                bytes = config.len(),
-                duration_ms = BootTime.now().since(asked_at).get() / 1_000,
-                "configuration received"
-            );
-        }
-        let spec = facts.config.map(|c| serde_json::from_slice(&c)).transpose();
-        let spec: Option<ConfigSpec> = match spec {
-            Ok(spec) => spec,
-            Err(e) => {
-                tracing::warn!(error = %e, "undecodable configuration from a peer");
-                return false;
-            }
-        };
-        if self.version() <= Some(facts.version) {
-            self.record_configuration_read(read.clone());
-        }
-        if let Some(spec) = spec {
-            self.apply_config(spec);
+        if let Some(offer) = facts.config {
+            self.record_offer(from, offer);
         }
+        self.record_known_version(facts.version, &read.by);
+        self.record_configuration_read(read.clone());
         self.apply_registrations(read, |registry, now, read| {
             if facts.complete {
                 return registry.apply_listing(now, read, facts.set);
--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -12,7 +12,7 @@
 use control::FleetHandle;
 use engine::Server;
 use peer::name_hash;
-use platform::{ConfigSpec, WATCH_WAIT};
+use platform::WATCH_WAIT;
 use registry::{Applied, ReadPoint, Registry};
 use route::{BackendRegistration, Event};
 use tokio::sync::watch;
@@ -23,6 +23,7 @@
 
 use crate::entry::{
     EntryProxy,
+    configuration::Configurations,
     reads::{LastReads, Read, ReadBy},
     timing::FactsTiming,
 };
@@ -30,10 +31,7 @@
 /// Counter of reads that were ignored because a newer one had been applied.
 const OUTDATED_METRIC: &str = "celerytally_outdated_reads_total";
 
-/// Gauges of the version of the configuration in force, of the newest one that is known to exist, and
-/// of the revision of the registrations in use.
-const VERSION_METRIC: &str = "celerytally_configuration_version";
-const KNOWN_VERSION_METRIC: &str = "celerytally_configuration_known_version";
+/// Gauge of the revision of the registrations in use.
 const REVISION_METRIC: &str = "celerytally_registrations_revision";
 
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -111,13 +109,6 @@
     }
 }
 
-/// Version of the configuration, and since when it is known to exist.
-#[derive(Clone, Copy, Debug)]
-struct KnownVersion {
-    version: ConfigVersion,
-    since: Instant,
-}
-
 /// Configuration and registry of this host, and the proxy whose router uses them.
 #[derive(Debug)]
 pub(crate) struct FleetState {
@@ -125,10 +116,7 @@
     data_centres: Vec<DataCentre>,
     datagram_port: u16,
     timing: FactsTiming,
-    /// Configuration as it was read, for peers that do not read the platform.
-    pub(super) config: Mutex<Option<ConfigSpec>>,
-    /// Newest version of the configuration that is known to exist.
-    known_version: Mutex<Option<KnownVersion>>,
+    pub(super) configurations: Configurations,
     /// Reads from which the configuration and the registrations come.
     pub(super) last_reads: Mutex<LastReads>,
     /// Whether this host reads the platform itself.
@@ -157,8 +145,7 @@
             data_centres,
             datagram_port,
             timing,
-            config: Mutex::default(),
-            known_version: Mutex::default(),
+            configurations: Configurations::default(),
             last_reads: Mutex::default(),
             reads_platform: watch::Sender::new(false),
             changes: watch::Sender::new(0),
@@ -317,64 +304,6 @@
         lock(&self.registry)
     }
 
-    /// Returns the version of the configuration in force.
-    pub(crate) fn version(&self) -> Option<ConfigVersion> {
-        self.proxy.route_table().map(|t| t.version)
-    }
-
-    /// Records that a version of the configuration exists, whether or not this host has it.
-    pub(crate) fn record_known_version(&self, version: ConfigVersion, source: &ReadBy) {
-        let mut known = lock(&self.known_version);
-        if known.is_some_and(|known| known.version >= version) {
-            return;
-        }
-        let since = BootTime.now();
-        *known = Some(KnownVersion { version, since });
-        metrics::gauge!(KNOWN_VERSION_METRIC).set(version.get() as f64);
-        tracing::info!(
-            belief = "known_version",
-            %version,
-            in_force = self.version().map(ConfigVersion::get),
-            %source,
-            "configuration announced"
-        );
-    }
-
-    /// Returns the time since a version is known to exist, if it is the newest one.
-    fn time_known(&self, version: ConfigVersion) -> Option<Micros> {
-        let known = (*lock(&self.known_version)).filter(|known| known.version == version)?;
-        Some(BootTime.now().since(known.since))
-    }
-
-    /// Applies a configuration unless a newer one is in force.
-    pub(crate) fn apply_config(&self, spec: ConfigSpec) {
-        let Some(table) = platform::decode_route_table(&spec) else {
-            return;
-        };
-        let (version, routes) = (table.version, table.routes().len());
-        let source = lock(&self.last_reads)
-            .configuration
-            .as_ref()
-            .map(|r| r.by.clone());
-        self.record_known_version(version, &source.unwrap_or(ReadBy::Own));
-        if self.proxy.set_route_table(Arc::new(table)) {
-            metrics::gauge!(VERSION_METRIC).set(version.get() as f64);
-            let (source, age_ms) = describe(lock(&self.last_reads).configuration.as_ref());
-            let known_ms = self.time_known(version).map(|known| known.get() / 1_000);
-            tracing::info!(
-                belief = "configuration",
-                %version,
-                routes,
-                source,
-                age_ms,
-                known_ms,
-                "configuration in force"
-            );
-            *lock(&self.config) = Some(spec);
-            self.publish_deployment();
-        }
-    }
-
     /// Records that the platform does not answer this host, and tells the hosts that wait for facts.
     pub(crate) fn record_platform_unavailable(&self) {
         self.registry().set_platform_unavailable(true);
@@ -429,7 +358,7 @@
 
     /// Builds the deployment from the routes and the registry, and publishes it to the router, the
     /// controller and peers.
-    fn publish_deployment(&self) {
+    pub(super) fn publish_deployment(&self) {
         let Some(table) = self.proxy.route_table() else {
             return;
         };
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! Entry host on the users' platform; an environment variable names the file of its settings.
 
 mod beacons;
+mod configuration;
+mod download;
 mod facts;
 mod fleet_state;
 mod logs;
@@ -30,6 +32,7 @@
 use crate::{
     entry::{
         beacons::LoadExchange,
+        download::Downloader,
         fleet_state::FleetState,
         peers::{EntryPeers, Exchange, PeerRequestHandler},
         timing::FactsTiming,
@@ -186,6 +189,15 @@
         exchange(),
         fleet(),
     ));
+    let downloader = Downloader {
+        dc: settings.dc.clone(),
+        exchange: exchange(),
+        objects: objects.clone(),
+        fleet: fleet(),
+        partial: None,
+        failed: Vec::new(),
+    };
+    tokio::spawn(downloader.run());
     tokio::spawn(Arc::clone(&load_exchange).send());
     tokio::spawn(load_exchange.receive());
     Ok(())
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -12,6 +12,7 @@
 use platform::ObjectClient;
 use route::{Event, Fingerprint, SuspectRecord};
 use tokio::{sync::mpsc::Receiver, time::sleep};
+use transfer::PartId;
 use types::{AdapterId, BackendId, BootTime, DataCentreId, Epoch, HostId, Incarnation, ModelId};
 
 use crate::entry::{RETRY_BUDGET_SHARE, fleet_state::FleetState};
@@ -73,6 +74,10 @@
     async fn facts(&self, known: KnownFacts) -> Option<Facts> {
         self.parts.get()?.1.facts(known).await
     }
+
+    async fn part(&self, part: PartId) -> Option<Vec<u8>> {
+        self.parts.get()?.1.config_part(part)
+    }
 }
 
 /// Client of the other entry hosts for the gate.
--- a/crates/celerytally/src/entry/source.rs
+++ b/crates/celerytally/src/entry/source.rs
@@ -83,18 +83,8 @@
     let mut reason = NoFacts::Silent;
     for (at, host) in hosts.iter().enumerate() {
         let asked_at = BootTime.now();
-        let known = fleet.known_facts(wait && at == 0);
-        // A source that does not answer is left before the facts that it gave become too old.
-        let limit = fleet.remaining_freshness().max(RESPONSE_TIMEOUT);
-        match exchange.facts(host, known, limit.into()).await {
-            Ok(Some(facts)) => {
-                let direct = facts.direct;
-                if fleet.apply_peer_facts(host, asked_at, facts) {
-                    return Ok((host.clone(), direct));
-                }
-            }
-            Ok(None) => {}
-            Err(e) => log_failure(host, asked_at, &e),
+        if let Some(direct) = fetch_from(host, wait && at == 0, exchange, fleet).await {
+            return Ok((host.clone(), direct));
         }
         if BootTime.now().since(asked_at) < RESPONSE_TIMEOUT {
             reason = NoFacts::Answered;
@@ -103,6 +93,34 @@
     Err(reason)
 }
 
+/// Asks a host for facts and applies them.
+///
+/// Returns whether the host reads the platform itself, or `None` if what this host knows is not fresh
+/// afterwards.
+pub(crate) async fn fetch_from(
+    host: &HostId,
+    wait: bool,
+    exchange: &Exchange,
+    fleet: &FleetState,
+) -> Option<bool> {
+    let asked_at = BootTime.now();
+    let known = fleet.known_facts(wait);
+    // A source that does not answer is left before the facts that it gave become too old.
+    let limit = fleet.remaining_freshness().max(RESPONSE_TIMEOUT);
+    match exchange.facts(host, known, limit.into()).await {
+        Ok(facts) => {
+            let facts = facts?;
+            let direct = facts.direct;
+            let is_fresh = fleet.apply_peer_facts(host, asked_at, facts);
+            is_fresh.then_some(direct)
+        }
+        Err(e) => {
+            log_failure(host, asked_at, &e);
+            None
+        }
+    }
+}
+
 /// Logs and counts a request for facts that got no reply.
 fn log_failure(host: &HostId, asked_at: Instant, error: &RequestError) {
     tracing::warn!(
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -135,11 +135,18 @@
         .into_iter()
         .filter(|o| o.name == CONFIG_OBJECT_NAME)
     {
-        fleet.apply_config(object.value);
+        fleet.apply_config(object.value, &ReadBy::Own);
     }
     Ok(listed.revision)
 }
 
+/// Reads the configuration once.
+pub(crate) async fn read_configuration(objects: &ObjectClient, fleet: &FleetState) {
+    if let Err(error) = list_configuration(objects, fleet).await {
+        tracing::warn!(dependency = "platform", kind = ConfigSpec::PLURAL, %error, "read failed");
+    }
+}
+
 async fn watch_configuration(
     objects: &ObjectClient,
     since: &Revision,
@@ -154,7 +161,7 @@
         if let Change::Set(object) = change
             && object.name == CONFIG_OBJECT_NAME
         {
-            fleet.apply_config(object.value);
+            fleet.apply_config(object.value, &ReadBy::Own);
         }
     }
     Ok(new.revision)
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -164,7 +164,8 @@
             | Request::RetiredEpoch(_)
             | Request::Place(..)
             | Request::Replica(..)
-            | Request::Facts(_) => return None,
+            | Request::Facts(_)
+            | Request::Part(_) => return None,
         })
     }
 
@@ -256,7 +257,11 @@
                 self.hosts_changed(changed, out);
                 Ok(())
             }),
-            Reply::Bool(_) | Reply::Placed(_) | Reply::Facts(_) | Reply::Denied => Ok(()),
+            Reply::Bool(_)
+            | Reply::Placed(_)
+            | Reply::Facts(_)
+            | Reply::Part(_)
+            | Reply::Denied => Ok(()),
         };
         if applied == Err(InvalidMessage) {
             out.push(Action::InvalidMessage);
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -16,6 +16,7 @@
     sync::{mpsc, watch},
 };
 use tokio_util::sync::CancellationToken;
+use transfer::PartId;
 use types::{
     AdapterId, BackendId, Clock, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Micros,
     Millicores, ModelId,
@@ -52,6 +53,9 @@
 const FACTS_TIMEOUT: Duration = Duration::from_millis(300);
 const FACTS_WAIT_TIMEOUT: Duration = Duration::from_millis(850);
 
+/// Timeout of a request for a part of a configuration, after which another host is asked for it.
+const PART_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Timeout of all other requests.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -456,26 +460,49 @@
         known: KnownFacts,
         limit: Duration,
     ) -> std::result::Result<Option<Facts>, RequestError> {
-        let members = self.current_members();
-        let member = members.into_iter().find(|m| m.id == *from);
-        let member = member.ok_or(RequestError::UNKNOWN_HOST)?;
         let timeout = if known.wait {
             FACTS_WAIT_TIMEOUT
         } else {
             FACTS_TIMEOUT
         };
         let req = Request::Facts(known);
+        match self.request(from, req, timeout.min(limit)).await? {
+            Reply::Facts(facts) => Ok(facts.map(|f| *f)),
+            _ => Ok(None),
+        }
+    }
+
+    /// Requests a part of a configuration that a host offered. Returns `None` when the host does not
+    /// have it any more.
+    ///
+    /// # Errors
+    /// Fails without a reply within the timeout.
+    pub async fn part(
+        &self,
+        from: &HostId,
+        part: PartId,
+    ) -> std::result::Result<Option<Vec<u8>>, RequestError> {
         match self
-            .node
-            .clients
-            .request(member.peer_addr, req, timeout.min(limit))
+            .request(from, Request::Part(part), PART_TIMEOUT)
             .await?
         {
-            Reply::Facts(facts) => Ok(facts.map(|f| *f)),
+            Reply::Part(bytes) => Ok(bytes),
             _ => Ok(None),
         }
     }
 
+    async fn request(
+        &self,
+        to: &HostId,
+        req: Request,
+        limit: Duration,
+    ) -> std::result::Result<Reply, RequestError> {
+        let members = self.current_members();
+        let member = members.into_iter().find(|m| m.id == *to);
+        let addr = member.ok_or(RequestError::UNKNOWN_HOST)?.peer_addr;
+        self.node.clients.request(addr, req, limit).await
+    }
+
     /// Stops the exchange.
     pub fn stop(&self) {
         self.node.cancel.cancel();
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,5 +1,6 @@
 //! Requests of peers that the process handles.
 
+use transfer::PartId;
 use types::{AdapterId, BackendId, Epoch, ModelId};
 
 use crate::message::{Facts, KnownFacts};
@@ -41,4 +42,9 @@
     fn facts(&self, _known: KnownFacts) -> impl Future<Output = Option<Facts>> + Send {
         std::future::ready(None)
     }
+
+    /// Returns a part of a configuration that this host offered; `None` when it does not have it.
+    fn part(&self, _part: PartId) -> impl Future<Output = Option<Vec<u8>>> + Send {
+        std::future::ready(None)
+    }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -77,10 +77,10 @@
 pub use handler::PeerHandler;
 pub use hosts::{Host, Inventory};
 pub use member::{Member, MemberState};
-pub use message::{Facts, KnownFacts, MessageKind, Readiness};
+pub use message::{ConfigOffer, Facts, KnownConfig, KnownFacts, MessageKind, Readiness};
 pub use node::{AckOnDrop, PeerUpdate};
 pub use request_error::{FailureReason, RequestError};
-pub use source::{NoFacts, ReadPlan, SourceSelector, uses_relays};
+pub use source::{NoFacts, ReadPlan, SourceSelector, hosts_by_distance, uses_relays};
 pub use sums::{ReportSums, Summable, subtract};
 pub use traffic::Traffic;
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,6 +5,7 @@
 use config::Delta;
 use route::{Fingerprint, SuspectRecord};
 use serde::{Deserialize, Serialize};
+use transfer::{ContentId, Offer, PartId};
 use types::{
     AdapterId, BackendId, ConfigVersion, DataCentreId, Epoch, HostId, Incarnation, Micros,
     Millicores, ModelId, RevisedRegistration, StoreRevision,
@@ -104,13 +105,37 @@
 pub struct KnownFacts {
     /// Revision of the platform up to which the requester knows the registrations.
     pub revision: StoreRevision,
-    /// Version of the configuration.
+    /// Newest version of the configuration that the requester knows to exist.
     pub version: ConfigVersion,
+    /// Configuration that the requester has in force.
+    pub config: Option<KnownConfig>,
+    /// Whether the requester lacks an offer of a newer configuration.
+    pub lacks_offer: bool,
     /// Whether the peer should delay its answer for a while until something changes.
     pub wait: bool,
 }
 
+/// Configuration that a host has in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct KnownConfig {
+    /// Version.
+    pub version: ConfigVersion,
+    /// Content, from which a newer one may be a difference.
+    pub content: ContentId,
+}
+
+/// Configuration that a host offers in parts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ConfigOffer {
+    /// Version.
+    pub version: ConfigVersion,
+    /// Content.
+    pub offer: Offer,
+}
+
 /// Platform facts that a host read, or got from another one, and passes on to a peer.
+///
+/// They do not contain the configuration, whose transfer takes longer than a request.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Facts {
     /// Revision of the platform up to which the sender knows the registrations.
@@ -121,10 +146,10 @@
     pub set: Vec<RevisedRegistration>,
     /// Backend servers that were deregistered.
     pub removed: Vec<BackendId>,
-    /// Version of the sender's configuration.
+    /// Newest version of the configuration that the sender knows to exist.
     pub version: ConfigVersion,
-    /// The operator's configuration as it was read, if it is newer than the requester's.
-    pub config: Option<Vec<u8>>,
+    /// The sender's configuration, if it is newer than the requester's.
+    pub config: Option<ConfigOffer>,
     /// Whether the sender reads the platform itself.
     pub direct: bool,
     /// Time from the last read of the platform that the sender knows of to the answer.
@@ -160,6 +185,8 @@
     Replica(ModelId, AdapterId, BackendId),
     /// Requests platform facts, given those that the requester has.
     Facts(KnownFacts),
+    /// Requests a part of a configuration that the host offered.
+    Part(PartId),
 }
 
 /// Reply to a request.
@@ -183,6 +210,8 @@
     Facts(Option<Box<Facts>>),
     /// The connection is not authenticated.
     Denied,
+    /// Part of a configuration; `None` when the peer does not have it any more.
+    Part(Option<Vec<u8>>),
 }
 
 /// Kind of message, by which traffic is counted.
@@ -210,11 +239,13 @@
     Place,
     /// Platform facts.
     Facts,
+    /// Part of a configuration.
+    Part,
 }
 
 impl MessageKind {
     /// All kinds.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Exchange,
         Self::Config,
         Self::Rows,
@@ -226,6 +257,7 @@
         Self::RetiredEpoch,
         Self::Place,
         Self::Facts,
+        Self::Part,
     ];
 
     /// Returns the label of the kind in metrics.
@@ -243,6 +275,7 @@
             Self::RetiredEpoch => "yielded",
             Self::Place => "place",
             Self::Facts => "facts",
+            Self::Part => "part",
         }
     }
 }
@@ -261,6 +294,7 @@
             Self::RetiredEpoch(_) => MessageKind::RetiredEpoch,
             Self::Place(..) | Self::Replica(..) => MessageKind::Place,
             Self::Facts(_) => MessageKind::Facts,
+            Self::Part(_) => MessageKind::Part,
         }
     }
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -352,6 +352,7 @@
                 Reply::Placed(node.handler.request_replica(model, adapter, on).await)
             }
             Request::Facts(known) => Reply::Facts(node.handler.facts(known).await.map(Box::new)),
+            Request::Part(part) => Reply::Part(node.handler.part(part).await),
             _ => Reply::Bool(false),
         }
     }
--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -188,6 +188,16 @@
     }
 }
 
+/// Returns the other hosts in the order in which to ask them for a configuration: those of a data
+/// centre before others, and the first relays before hosts that follow them.
+#[must_use]
+pub fn hosts_by_distance(members: &[Member], own: &HostId, dc: &DataCentreId) -> Vec<HostId> {
+    let order = rank_hosts(members.iter(), own, DUTY);
+    let (local, others): (Vec<&Member>, Vec<&Member>) = order.iter().partition(|m| m.dc == *dc);
+    let hosts = local.into_iter().chain(others).map(|m| &m.id);
+    hosts.filter(|h| *h != own).cloned().collect()
+}
+
 /// Returns whether a fleet of this number of hosts reads the platform through relays.
 #[must_use]
 pub fn uses_relays(hosts: usize) -> bool {
