Refuse unknown paths as retryable while the configuration is outdated

Cause: a host that lacks a configuration told of a path what only the newest configuration can tell. Routes that it knows are served as before.

--- a/crates/celerytally/src/entry/configuration.rs
+++ b/crates/celerytally/src/entry/configuration.rs
@@ -78,6 +78,12 @@
         self.known_version() > self.version()
     }
 
+    /// Tells the proxy whether a newer configuration than the one in force may exist.
+    pub(crate) fn update_outdated(&self) {
+        self.proxy()
+            .set_outdated(self.is_behind() || self.is_out_of_touch());
+    }
+
     /// Waits until a newer configuration than the one in force is known to exist.
     pub(crate) async fn wait_until_behind(&self) {
         let mut known = self.configurations.known.subscribe();
@@ -104,6 +110,7 @@
                 %source,
                 "configuration announced"
             );
+            self.update_outdated();
         }
     }
 
@@ -139,6 +146,7 @@
             "configuration in force"
         );
         lock(&self.configurations.library).insert(spec);
+        self.update_outdated();
         self.publish_deployment();
     }
 
--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -210,6 +210,13 @@
         self.timing.max_age.max(two_watches)
     }
 
+    /// Returns whether the facts of this host are so old that a change may be due on it.
+    pub(super) fn is_out_of_touch(&self) -> bool {
+        let limit = self.timing.bound.max(self.max_age());
+        let age = lock(&self.last_reads).age(BootTime.now());
+        age.is_none_or(|age| age > limit)
+    }
+
     /// Returns the time until the facts of this host are too old, zero if they are.
     pub(crate) fn remaining_freshness(&self) -> Micros {
         let age = lock(&self.last_reads).age(BootTime.now());
--- a/crates/celerytally/src/entry/timing.rs
+++ b/crates/celerytally/src/entry/timing.rs
@@ -22,6 +22,8 @@
 /// Times derived from the bounds of an installation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct FactsTiming {
+    /// Time within which a change must reach every host.
+    pub(crate) bound: Micros,
     /// Age from which facts are not passed on and another source is asked.
     pub(crate) max_age: Micros,
     /// Longest time for which a relay's watch waits for a change.
@@ -34,6 +36,7 @@
     fn from(bounds: &Bounds) -> Self {
         let bound = bounds.drain.min(bounds.config_propagation).get();
         Self {
+            bound: Micros::new(bound),
             max_age: Micros::new(bound / MAX_AGE_SHARE),
             relay_watch: Micros::new(bound / RELAY_WATCH_SHARE),
             max_batch_delay: Micros::new(bound / BATCH_DELAY_SHARE),
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -253,7 +253,7 @@
     name.parse().ok().map(EntryChange::Removed)
 }
 
-/// Feeds the router clock ticks and removes expired entries from the registry.
+/// Feeds the router clock ticks, removes expired entries from the registry, and checks its age.
 pub(crate) async fn clock(fleet: Arc<FleetState>) {
     loop {
         let busy = fleet.proxy().dispatcher().in_flight() > 0;
@@ -265,5 +265,6 @@
         .await;
         fleet.proxy().dispatcher().feed(route::Event::Tick);
         fleet.update_registry(registry::Registry::remove_expired);
+        fleet.update_outdated();
     }
 }
--- a/crates/gate/src/proxy/inbound.rs
+++ b/crates/gate/src/proxy/inbound.rs
@@ -14,6 +14,12 @@
 
 use crate::{proxy::codec::RequestInfo, refusal::Refusal};
 
+/// Range of the time after which callers of an unknown path return while the route table is outdated.
+///
+/// The transfer of a new one takes some tenths of a second.
+const MIN_OUTDATED_RETRY_AFTER_MS: u64 = 300;
+const MAX_OUTDATED_RETRY_AFTER_MS: u64 = 700;
+
 /// Completely received request, ready for dispatch.
 #[derive(Debug)]
 pub(crate) struct Inbound {
@@ -60,6 +66,12 @@
     route.ok_or_else(|| Code::UnknownPath.into())
 }
 
+/// Returns when the caller of an unknown path should return, spread over callers.
+pub(crate) fn outdated_retry_after() -> Micros {
+    let range = MIN_OUTDATED_RETRY_AFTER_MS..=MAX_OUTDATED_RETRY_AFTER_MS;
+    Micros::from_millis(rand::rng().random_range(range))
+}
+
 /// Picks a service at random by the route's weights.
 fn pick_service(route: &Route) -> Option<ServiceName> {
     let total: f64 = route.services.iter().map(|s| s.weight).sum();
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -15,7 +15,7 @@
     fmt,
     sync::{
         Arc, PoisonError, RwLock,
-        atomic::{AtomicU8, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering},
     },
 };
 
@@ -70,6 +70,8 @@
     pub(crate) clock: Monotonic,
     counters: Arc<Counters>,
     route_table: RwLock<Option<Arc<RouteTable>>>,
+    /// Whether a newer route table may exist than the active one.
+    outdated: AtomicBool,
     /// Incarnations of backend servers, sorted by id.
     incarnations: RwLock<Vec<(BackendId, Incarnation)>>,
     phase: AtomicU8,
@@ -88,6 +90,17 @@
         table.clone()
     }
 
+    /// Replaces the refusal of an unknown path if the path may be a route of a newer table.
+    fn refine(&self, refusal: Refusal) -> Refusal {
+        if refusal.code == Code::UnknownPath && self.outdated.load(Ordering::Relaxed) {
+            return Refusal {
+                retry_after: Some(inbound::outdated_retry_after()),
+                ..Code::OutdatedConfiguration.into()
+            };
+        }
+        refusal
+    }
+
     pub(crate) fn incarnation(&self, backend: &BackendId) -> Option<Incarnation> {
         let incarnations = self
             .incarnations
@@ -136,6 +149,7 @@
             clock: parts.clock,
             counters,
             route_table: RwLock::default(),
+            outdated: AtomicBool::default(),
             incarnations: RwLock::default(),
             phase: AtomicU8::new(SERVING),
             open_requests: Arc::default(),
@@ -165,6 +179,13 @@
         newer
     }
 
+    /// Sets whether a newer route table may exist than the active one.
+    ///
+    /// If so, an unknown path may be a new route, so its requests are refused as retryable.
+    pub fn set_outdated(&self, outdated: bool) {
+        self.0.outdated.store(outdated, Ordering::Relaxed);
+    }
+
     /// Returns the active route table.
     #[must_use]
     pub fn route_table(&self) -> Option<Arc<RouteTable>> {
@@ -261,7 +282,8 @@
         let shared = &self.0;
         let table = shared.route_table().ok_or(Code::NotReady)?;
         let now = shared.clock.now();
-        let inbound = inbound::read_request((head, body), info, &table, now).await?;
+        let inbound = inbound::read_request((head, body), info, &table, now).await;
+        let inbound = inbound.map_err(|refusal| shared.refine(refusal))?;
         let mut exchange = Exchange::start(Arc::clone(shared), inbound);
         loop {
             let opened = match exchange.open().await {
