--- a/crates/celerytally/src/entry/configuration.rs
+++ b/crates/celerytally/src/entry/configuration.rs
@@ -215,7 +215,7 @@
         from: &HostId,
     ) -> Result<(), transfer::Error> {
         let content = lock(&self.configurations.library).decode(download)?;
-        match ConfigSpec::from_bytes(content) {
+        match ConfigSpec::from_bytes(&content) {
             Ok(spec) => self.apply_config(spec, &ReadBy::Peer(from.clone())),
             Err(e) => tracing::error!(error = %e, "undecodable configuration from a peer"),
         }
