Write the settings of a test cluster once

A run of a fresh clone failed once in configuration::of_two_racing_applies_one_is_in_force_everywhere with "token_file: expected a token of at least 8 printable bytes". Cause, by reading the code: each command of the program wrote the settings and token files anew, which truncates a file that the other command may be reading. They are now written when the cluster starts. The failure was not reproduced.

--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -152,6 +152,7 @@
             cluster.start_backend(&backend).await;
         }
         cluster.link_hosts().await;
+        cluster.write_settings();
         cluster
     }
 
@@ -184,7 +185,23 @@
         }
     }
 
-    fn settings(&self, host: usize) -> PathBuf {
+    /// Writes the settings of all hosts, once, because processes read them at any time.
+    fn write_settings(&self) {
+        self.write("platform.token", PLATFORM_TOKEN);
+        self.write("peer.token", PEER_TOKEN);
+        self.write("operator.token", OPERATOR_TOKEN);
+        for host in 0..self.layout.hosts.len() {
+            let text = self.settings_text(host);
+            std::fs::write(self.settings_path(host), text).expect("the settings can be written");
+        }
+    }
+
+    fn settings_path(&self, host: usize) -> PathBuf {
+        let (name, _) = &self.layout.hosts[host];
+        self.stage.dir().join(format!("{name}.toml"))
+    }
+
+    fn settings_text(&self, host: usize) -> String {
         let (name, dc) = &self.layout.hosts[host];
         let others = self.links.iter().enumerate().filter(|(i, _)| *i != host);
         let seeds: Vec<String> = others.map(|(_, l)| format!("\"{}\"", l.peer)).collect();
@@ -197,7 +214,7 @@
                 "tuning = {{ lease_duration = \"{LEASE}\", exchange_period = \"{EXCHANGE}\" }}\n"
             )
         };
-        let text = format!(
+        format!(
             r#"host = "{name}"
 data_centre = "{dc}"
 listen = {{ http = "127.0.0.1:0", peers = "127.0.0.1:0" }}
@@ -208,19 +225,13 @@
 log = {{ format = "text", level = "info" }}
 {}"#,
             links.http, links.peer, links.platform, timing
-        );
-        self.write("platform.token", PLATFORM_TOKEN);
-        self.write("peer.token", PEER_TOKEN);
-        self.write("operator.token", OPERATOR_TOKEN);
-        let path = self.stage.dir().join(format!("{name}.toml"));
-        std::fs::write(&path, text).expect("the settings can be written");
-        path
+        )
     }
 
     /// Starts an entry host, or starts it again after it ended.
     pub async fn start_host(&mut self, host: usize) {
         let (name, dc) = self.layout.hosts[host].clone();
-        let settings = self.settings(host);
+        let settings = self.settings_path(host);
         let dir = self.stage.dir();
         let entry = EntryHost::start(dir, &name, &dc, &settings, &self.layout.token).await;
         let links = self.links[host];
@@ -261,7 +272,7 @@
     /// # Panics
     /// When the program can't be run.
     pub async fn run(&self, args: &[&str]) -> Output {
-        let settings = self.settings(0);
+        let settings = self.settings_path(0);
         let mut command = Command::new(program("celerytally"));
         command.args(args).arg("--settings").arg(settings);
         let command = command.stdin(Stdio::null()).kill_on_drop(true);
