Watch the configuration from the known version when turning to the platform

Each host that turned to the platform read the whole configuration, which it had in force already, at the moment in which all others did so too, and the list of registrations waited beside it. Facts now say up to which revision of the platform the sender knows of versions, and a host that turns to the platform watches from there.

--- a/crates/celerytally/src/entry/configuration.rs
+++ b/crates/celerytally/src/entry/configuration.rs
@@ -4,9 +4,10 @@
 
 use peer::{ConfigOffer, KnownConfig};
 use platform::ConfigSpec;
+use store::Revision;
 use tokio::sync::watch;
 use transfer::{Download, Library, Offer, PartId};
-use types::{BootTime, Clock, ConfigVersion, HostId, Instant, Micros};
+use types::{BootTime, Clock, ConfigVersion, HostId, Instant, Micros, StoreRevision};
 
 use crate::entry::{
     fleet_state::{FleetState, lock},
@@ -78,6 +79,17 @@
         self.known_version() > self.version()
     }
 
+    /// Returns the revision of the platform from which newer configurations can be watched, or `None`
+    /// if the configuration must be read as a whole.
+    pub(crate) fn configuration_revision(&self) -> Option<Revision> {
+        if self.is_behind() || self.version().is_none() {
+            return None;
+        }
+        let reads = lock(&self.last_reads);
+        let revision = reads.configuration.as_ref()?.revision;
+        (revision > StoreRevision::default()).then(|| Revision::new(revision.to_string()))
+    }
+
     /// Tells the proxy whether a newer configuration than the one in force may exist.
     pub(crate) fn update_outdated(&self) {
         self.proxy()
--- a/crates/celerytally/src/entry/facts.rs
+++ b/crates/celerytally/src/entry/facts.rs
@@ -70,7 +70,11 @@
         if registry.is_platform_unavailable() {
             return None;
         }
-        let age = lock(&self.last_reads).age(BootTime.now())?;
+        let (age, config_revision) = {
+            let reads = lock(&self.last_reads);
+            let config_revision = reads.configuration.as_ref()?.revision;
+            (reads.age(BootTime.now())?, config_revision)
+        };
         if age > self.max_age() {
             return None;
         }
@@ -87,6 +91,7 @@
             set: registry.listed_since(since),
             removed: removed.unwrap_or_default(),
             version,
+            config_revision,
             config: self.offer_config(known.config),
             direct: *self.reads_platform.borrow(),
             age,
@@ -109,7 +114,10 @@
             self.record_offer(from, offer);
         }
         self.record_known_version(facts.version, &read.by);
-        self.record_configuration_read(read.clone());
+        self.record_configuration_read(Read {
+            revision: facts.config_revision,
+            ..read.clone()
+        });
         self.apply_registrations(read, |registry, now, read| {
             if facts.complete {
                 return registry.apply_listing(now, read, facts.set);
--- a/crates/celerytally/src/entry/reads.rs
+++ b/crates/celerytally/src/entry/reads.rs
@@ -28,7 +28,7 @@
     pub(crate) by: ReadBy,
     /// Latest time by which everything acknowledged is certain to be included.
     pub(crate) at: Instant,
-    /// Revision of the platform, which only the reads of registrations record.
+    /// Revision of the platform.
     pub(crate) revision: StoreRevision,
 }
 
--- a/crates/celerytally/src/entry/watch.rs
+++ b/crates/celerytally/src/entry/watch.rs
@@ -76,7 +76,8 @@
     let mut since: Option<Revision> = None;
     loop {
         if fleet.wait_until_reads_platform().await {
-            since = None;
+            // A host that turns to the platform has the configuration already, which may be large.
+            since = fleet.configuration_revision();
         }
         let step = match &since {
             None => list_configuration(&objects, &fleet).await,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -148,6 +148,8 @@
     pub removed: Vec<BackendId>,
     /// Newest version of the configuration that the sender knows to exist.
     pub version: ConfigVersion,
+    /// Revision of the platform up to which the sender knows of new versions.
+    pub config_revision: StoreRevision,
     /// The sender's configuration, if it is newer than the requester's.
     pub config: Option<ConfigOffer>,
     /// Whether the sender reads the platform itself.
--- a/crates/peer/tests/slow_links.rs
+++ b/crates/peer/tests/slow_links.rs
@@ -41,6 +41,7 @@
             set: Vec::new(),
             removed: removed.collect::<Vec<BackendId>>(),
             version: types::ConfigVersion::default(),
+            config_revision: StoreRevision::default(),
             config: None,
             direct: true,
             age: Micros::ZERO,
