--- a/crates/celerytally/src/entry/configuration.rs
+++ b/crates/celerytally/src/entry/configuration.rs
@@ -199,8 +199,10 @@
             version: config.version,
             offer: config.offer,
         };
-        let taken = false;
-        *lock(&self.configurations.last_offer) = Some(LastOffer { offer, taken });
+        *lock(&self.configurations.last_offer) = Some(LastOffer {
+            offer,
+            taken: false,
+        });
     }
 
     /// Takes the last offer, if it is newer than the configuration in force.
--- a/crates/celerytally/src/entry/download.rs
+++ b/crates/celerytally/src/entry/download.rs
@@ -73,17 +73,34 @@
 
 /// Downloads each configuration that is known to exist and newer than the one in force.
 pub(crate) struct Downloader {
-    pub(crate) dc: DataCentreId,
-    pub(crate) exchange: Exchange,
-    pub(crate) objects: ObjectClient,
-    pub(crate) fleet: Arc<FleetState>,
+    dc: DataCentreId,
+    exchange: Exchange,
+    objects: ObjectClient,
+    fleet: Arc<FleetState>,
     /// Parts received in an attempt that failed.
-    pub(crate) partial: Option<Download>,
+    partial: Option<Download>,
     /// Hosts that failed since the last success.
-    pub(crate) failed: Vec<HostId>,
+    failed: Vec<HostId>,
 }
 
 impl Downloader {
+    /// Creates a downloader for a host in a data centre.
+    pub(crate) fn new(
+        dc: DataCentreId,
+        exchange: Exchange,
+        objects: ObjectClient,
+        fleet: Arc<FleetState>,
+    ) -> Self {
+        Self {
+            dc,
+            exchange,
+            objects,
+            fleet,
+            partial: None,
+            failed: Vec::new(),
+        }
+    }
+
     /// Downloads configurations for as long as the process runs.
     pub(crate) async fn run(mut self) {
         let mut retry_delay = MIN_RETRY_DELAY;
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -189,14 +189,8 @@
         exchange(),
         fleet(),
     ));
-    let downloader = Downloader {
-        dc: settings.dc.clone(),
-        exchange: exchange(),
-        objects: objects.clone(),
-        fleet: fleet(),
-        partial: None,
-        failed: Vec::new(),
-    };
+    let dc = settings.dc.clone();
+    let downloader = Downloader::new(dc, exchange(), objects.clone(), fleet());
     tokio::spawn(downloader.run());
     tokio::spawn(Arc::clone(&load_exchange).send());
     tokio::spawn(load_exchange.receive());
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -49,7 +49,7 @@
 const PLACE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Timeout of a request for platform facts, without and with waiting for a change. Their sum plus
-/// the time of listing the platform must not exceed the time in which a configuration takes effect.
+/// the time of a transfer must not exceed the time in which a configuration takes effect.
 const FACTS_TIMEOUT: Duration = Duration::from_millis(300);
 const FACTS_WAIT_TIMEOUT: Duration = Duration::from_millis(850);
 
