Ask hosts of other data centres for an offer before reading the platform

Cause: a host asked four hosts of its own data centre, which were all behind as well, and then read the whole object from the platform. It now asks one of its own and one of another data centre in turn; the relay of the other one has the version.

--- a/crates/peer/src/source.rs
+++ b/crates/peer/src/source.rs
@@ -188,14 +188,23 @@
     }
 }
 
-/// Returns the other hosts in the order in which to ask them for a configuration: those of a data
-/// centre before others, and the first relays before hosts that follow them.
+/// Returns the other hosts in the order in which to ask them for a configuration: in turn one of a data
+/// centre and one of the others, whose relay works if that of the data centre was lost.
 #[must_use]
 pub fn hosts_by_distance(members: &[Member], own: &HostId, dc: &DataCentreId) -> Vec<HostId> {
     let order = rank_hosts(members.iter(), own, DUTY);
     let (local, others): (Vec<&Member>, Vec<&Member>) = order.iter().partition(|m| m.dc == *dc);
-    let hosts = local.into_iter().chain(others).map(|m| &m.id);
-    hosts.filter(|h| *h != own).cloned().collect()
+    let is_other = |m: &&Member| m.id != *own;
+    let mut local = local.into_iter().filter(is_other);
+    let mut others = others.into_iter();
+    let mut hosts = Vec::with_capacity(order.len());
+    loop {
+        let pair = [local.next(), others.next()];
+        if pair == [None, None] {
+            return hosts;
+        }
+        hosts.extend(pair.into_iter().flatten().map(|m| m.id.clone()));
+    }
 }
 
 /// Returns whether a fleet of this number of hosts reads the platform through relays.
