Take a crash within a response for a crash

Only a connection that broke before the head of the response was followed by a check whether its server has gone.

Every break of a response is followed by that check now: of a stream before and after its first event, of a stream that another server takes over, of a body that is read as a whole and of one that is kept. The incarnation that counts is the one that the request was sent to.

promises/crashes fails on the code before (the server is still taken for live 20 s later) and passes now.

--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use route::{Event, Failure};
 use tokio::time::{timeout, timeout_at};
-use types::{Announcement, BackendId, Clock, Instant, Micros, NoticeSource, RetryReason};
+use types::{
+    Announcement, BackendId, Clock, Incarnation, Instant, Micros, NoticeSource, RetryReason,
+};
 
 use crate::{
     dispatcher::StateMachine,
@@ -35,10 +37,18 @@
 /// Last rank of requests that can meet their target.
 const LOWEST_ON_TIME_URGENCY: u8 = 7;
 
+/// Backend server and incarnation that an attempt was sent to.
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    pub(crate) server: Server,
+    pub(crate) incarnation: Option<Incarnation>,
+}
+
 /// Response with a validated head and an unread body.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
     pub(crate) backend: BackendId,
+    pub(crate) destination: Destination,
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
@@ -76,7 +86,13 @@
             SendOutcome::NotSent => return Err(not_run_failure(RetryReason::Unreachable)),
             SendOutcome::ConnectionLost(e) => {
                 tracing::debug!(backend = %server.id, error = %e, "backend connection broke");
-                return Err(self.diagnose().await);
+                let destination = Destination {
+                    server: server.clone(),
+                    incarnation,
+                };
+                let reason = RetryReason::ConnectionLost;
+                let reason = self.shared.diagnose(&destination, reason).await;
+                return Err(may_have_run_failure(reason));
             }
         };
         let (mut head, body) = answer.into_parts();
@@ -100,6 +116,10 @@
                 }
                 Ok(OpenResponse {
                     backend: server.id.clone(),
+                    destination: Destination {
+                        server: server.clone(),
+                        incarnation,
+                    },
                     head,
                     body,
                     connection,
@@ -166,35 +186,44 @@
         Some((HIGHEST_URGENCY + ticket.priority.get()).min(LOWEST_ON_TIME_URGENCY))
     }
 
-    /// Checks whether a backend server with a broken connection has crashed.
-    async fn diagnose(&self) -> Failure {
-        let server = &self.server;
-        let crashed = match self.shared.pool.open(server.addr).await {
+    async fn drain_and_keep(&self, conn: Connection, head: &response::Parts, body: Incoming) {
+        let read = Limited::new(body, MAX_COMPLETE_BODY_BYTES).collect();
+        if matches!(timeout(REFUSAL_BODY_TIMEOUT, read).await, Ok(Ok(_))) {
+            keep(&self.shared.pool, conn, head);
+        }
+    }
+}
+
+impl<R: StateMachine, N: Peers, C: HeaderCodec> Shared<R, N, C> {
+    /// Checks whether a backend server has crashed whose connection broke before the end of a response.
+    ///
+    /// Returns the reason of the failure, which is the given one unless the server crashed. The head of
+    /// a response does not show that its server is alive: it may crash as it writes the body.
+    pub(crate) async fn diagnose(
+        &self,
+        destination: &Destination,
+        reason: RetryReason,
+    ) -> RetryReason {
+        let server = &destination.server;
+        let crashed = match self.pool.open(server.addr).await {
             Ok(connection) => {
-                self.shared.pool.release(connection, None);
+                self.pool.release(connection, None);
                 false
             }
             Err(e) => e.is_refused(),
         };
         if !crashed {
-            return may_have_run_failure(RetryReason::ConnectionLost);
+            return reason;
         }
         // If the incarnation is unknown, the router learns of the crash from the failed attempt
         // alone.
-        if let Some(incarnation) = self.shared.incarnation(&server.id) {
-            self.shared.dispatcher.feed(Event::Crashed {
+        if let Some(incarnation) = destination.incarnation {
+            self.dispatcher.feed(Event::Crashed {
                 backend: server.id.clone(),
                 incarnation,
             });
         }
-        may_have_run_failure(RetryReason::Crash)
-    }
-
-    async fn drain_and_keep(&self, conn: Connection, head: &response::Parts, body: Incoming) {
-        let read = Limited::new(body, MAX_COMPLETE_BODY_BYTES).collect();
-        if matches!(timeout(REFUSAL_BODY_TIMEOUT, read).await, Ok(Ok(_))) {
-            keep(&self.shared.pool, conn, head);
-        }
+        RetryReason::Crash
     }
 }
 
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -208,8 +208,14 @@
         }
         let (backend, head) = (response.backend, response.head);
         let read = Limited::new(response.body, MAX_COMPLETE_BODY_BYTES).collect();
-        let Ok(Ok(body)) = timeout(KEPT_BODY_TIMEOUT, read).await else {
-            return Err(may_have_run_failure(RetryReason::Truncated));
+        let body = match timeout(KEPT_BODY_TIMEOUT, read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => {
+                let reason = RetryReason::Truncated;
+                let reason = self.shared.diagnose(&response.destination, reason).await;
+                return Err(may_have_run_failure(reason));
+            }
+            Err(_elapsed) => return Err(may_have_run_failure(RetryReason::Truncated)),
         };
         keep(&self.shared.pool, response.connection, &head);
         if is_refusal {
@@ -316,6 +322,7 @@
     ) -> Option<CompleteResponse> {
         let OpenResponse {
             backend,
+            destination,
             head,
             body,
             connection,
@@ -324,7 +331,9 @@
         let body = match timeout_at(self.inbound.deadline_at, read).await {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(_)) => {
-                self.report_failure(&backend, may_have_run_failure(RetryReason::Truncated));
+                let reason = RetryReason::Truncated;
+                let reason = self.shared.diagnose(&destination, reason).await;
+                self.report_failure(&backend, may_have_run_failure(reason));
                 return None;
             }
             Err(_elapsed) => {
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -1,6 +1,6 @@
 //! Forwarding of event streams, with resumption on another backend server.
 
-use std::{collections::VecDeque, fmt, time::Duration};
+use std::{collections::VecDeque, fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use config::RetryPolicy;
@@ -155,7 +155,7 @@
             (Part::End, Some(head)) => (self.finish().map(|rest| Ok(Frame::data(rest))), head),
             (Part::Refused(_, refusal), _) => return FirstPart::Refused(self.exchange, refusal),
             (Part::Failed(reason), _) => {
-                self.fail_response(reason);
+                self.fail_response(reason).await;
                 return FirstPart::Failed(self.exchange);
             }
             (Part::Data(_) | Part::End, None) => {
@@ -177,7 +177,7 @@
                 Part::End => return self.finish().map(Ok),
                 Part::Refused(reason, refusal) => (reason, refusal),
                 Part::Failed(reason) => {
-                    self.fail_response(reason);
+                    let reason = self.fail_response(reason).await;
                     match self.reopen().await {
                         Ok(()) => continue,
                         Err(refusal) => (reason, refusal),
@@ -290,6 +290,7 @@
                 return Some(part);
             }
             Race::StalledFailed(reason, opening) => {
+                let reason = self.diagnose(reason).await;
                 let failure = self.failure(reason);
                 self.exchange.taken_over(&stalled, Some(failure));
                 self.response = None;
@@ -336,12 +337,26 @@
         self.response = Some(next);
     }
 
-    /// Reports that the current response has failed, and closes its connection.
-    fn fail_response(&mut self, reason: RetryReason) {
+    /// Reports that the current response has failed, and closes its connection. Returns the reason of
+    /// the failure, which is another one if the server has crashed.
+    async fn fail_response(&mut self, reason: RetryReason) -> RetryReason {
+        let reason = self.diagnose(reason).await;
         let failure = self.failure(reason);
         if let Some(response) = self.response.take() {
             self.exchange.report_failure(&response.backend, failure);
         }
+        reason
+    }
+
+    /// Checks whether the server of a response that ended early has crashed.
+    async fn diagnose(&self, reason: RetryReason) -> RetryReason {
+        match &self.response {
+            Some(response) if reason == RetryReason::Truncated => {
+                let shared = &self.exchange.shared;
+                shared.diagnose(&response.destination, reason).await
+            }
+            _ => reason,
+        }
     }
 
     fn failure(&self, reason: RetryReason) -> Failure {
@@ -434,6 +449,7 @@
     kind: StreamKind,
     position: Position,
 ) -> Result<Continuation, Failure> {
+    let shared = Arc::clone(&attempt.shared);
     let mut response = attempt.run().await?;
     if StreamKind::of(&response.head) != kind {
         return Err(may_have_run_failure(RetryReason::ServerError));
@@ -457,11 +473,13 @@
                     break;
                 }
             }
-            Part::Failed(reason) | Part::Refused(reason, _) => {
+            Part::Refused(reason, _) => return Err(may_have_run_failure(reason)),
+            // The server before has not ended the stream, so an event is missing.
+            Part::Failed(_) | Part::End => {
+                let reason = RetryReason::Truncated;
+                let reason = shared.diagnose(&response.destination, reason).await;
                 return Err(may_have_run_failure(reason));
             }
-            // The server before has not ended the stream, so an event is missing.
-            Part::End => return Err(may_have_run_failure(RetryReason::Truncated)),
         }
     }
     Ok(Continuation { response, data })
