Keep prompt parts that crash servers from the servers

Suspicion was kept by whole request: service, model and body. No two of these requests are alike, so that no crash told anything about the next request. Records were pushed once, so that a host that was away never got them.

Evidence is now kept by part of the prompt, whatever the rest of the request, and by whole request. A part that was in flight at three crashes, apart from each other, without a response to any request with it since, is blocked on all hosts; its requests are refused at once as not run, with the new code 603. The last part never counts. A response, or one that has gone on for a second, clears a part, and parts with more crashes explain those of others. A blocked part is tried a few times at most over all hosts, when no server has crashed for a second, until five crashes confirm it. Hosts tell each other of crashes, responses and blocked parts by datagrams: at once, repeated for a while, and what is blocked again and again, so that hosts that start later or were away learn it.

Each crash has a log line with the parts that were in flight, each change of a judgement and each refusal names its suspect, and counters count them.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -4,7 +4,7 @@
 
 use config::{ActiveConfig, Deployment};
 use place::{CopyState, ModelCopy};
-use route::{Action, Event, Failure, RoutingRequest, SlotTable, Target};
+use route::{Action, Event, Failure, RoutingRequest, SlotTable, Target, TrialReply};
 use types::{
     Code, ConfigVersion, DataCentreId, Deadline, ExecutionStatus, Incarnation, Instant, LoadReport,
     Micros, ModelId, RequestId, RetryReason,
@@ -261,6 +261,15 @@
                     self.send_event(peer, Event::Suspects(suspects.clone()));
                 }
             }
+            Action::ShareCrashes(news) => {
+                for peer in (0..HOSTS).filter(|p| *p != host) {
+                    self.send_event(peer, Event::CrashNews(news.clone()));
+                }
+            }
+            Action::RequestTrial { id, suspect } => {
+                let reply = TrialReply::Granted;
+                self.send_event(host, Event::TrialReply { id, suspect, reply });
+            }
             Action::RequestPlacement { model, adapter } => {
                 let dc = host % self.spec.dcs;
                 if let Some(adapter) = adapter {
@@ -273,7 +282,7 @@
                 }
             }
             // The router of this bench estimates finish times and asks for no second copy.
-            Action::RequestReplica { .. } => {}
+            Action::RequestReplica { .. } | Action::LogVerdict { .. } => {}
         }
     }
 
--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -117,7 +117,7 @@
 
 /// Exchange of loads, slowdowns and demand with other hosts.
 pub(crate) struct LoadExchange {
-    socket: DatagramSocket,
+    socket: Arc<DatagramSocket>,
     host: HostId,
     dc: DataCentreId,
     members: watch::Receiver<Arc<Vec<Member>>>,
@@ -129,7 +129,7 @@
 
 impl LoadExchange {
     pub(crate) fn new(
-        socket: DatagramSocket,
+        socket: Arc<DatagramSocket>,
         (host, dc): (HostId, DataCentreId),
         exchange: Exchange,
         control: FleetHandle,
@@ -410,6 +410,11 @@
                 adapters,
             } => self.apply_demand(host, &models, &adapters),
             Datagram::Leaving { host, servers } => self.fleet.apply_peer_leaving(&host, &servers),
+            Datagram::Crashes { host, news } => {
+                tracing::trace!(%host, "told of crashes");
+                let dispatcher = self.fleet.proxy().dispatcher();
+                dispatcher.feed(Event::CrashNews(news));
+            }
         }
     }
 
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod beacons;
 mod configuration;
+mod crashes;
 mod download;
 mod facts;
 mod fleet_state;
@@ -38,6 +39,7 @@
     entry::{
         announcements::ANNOUNCEMENT_CAPACITY,
         beacons::LoadExchange,
+        crashes::{CRASH_NEWS_CAPACITY, CrashSharing},
         download::Downloader,
         fleet_state::FleetState,
         peers::{EntryPeers, Exchange, PeerRequestHandler},
@@ -89,6 +91,7 @@
     let peer_requests = PeerRequestHandler::default();
     let (exchange, updates) = start_exchange(&settings, &objects, peer_requests.clone()).await?;
     let (announced, announcements) = mpsc::channel(ANNOUNCEMENT_CAPACITY);
+    let (crashes, crash_news) = mpsc::channel(CRASH_NEWS_CAPACITY);
     let (controller, control) = build_controller(&settings, &objects, &pool, announced.clone());
     let proxy = Proxy::new(ProxyParts {
         clock: Monotonic::start(),
@@ -97,6 +100,7 @@
             exchange: exchange.clone(),
             control: control.clone(),
             announcements: announced,
+            crashes,
         },
         codec: PlatformHeaderCodec,
         pool,
@@ -114,7 +118,13 @@
     tokio::spawn(announcements::apply_all(announcements, Arc::clone(&fleet)));
     let stop = CancellationToken::new();
     let controller = tokio::spawn(controller.run(stop.clone()));
-    spawn_tasks(&settings, &objects, &exchange, &control, &fleet).await?;
+    let socket = DatagramSocket::bind(settings.beacons)
+        .await
+        .map_err(Error::usage)?;
+    let socket = Arc::new(socket);
+    let sharing = CrashSharing::new(Arc::clone(&socket), exchange.clone(), Arc::clone(&fleet));
+    tokio::spawn(sharing.run(crash_news));
+    spawn_tasks(&settings, &objects, &exchange, &control, (socket, &fleet));
     let accepting = serve(&settings, &proxy, metrics).await?;
 
     shutdown::wait_and_drain(signals, &path, &settings, &proxy, &exchange, &stop).await?;
@@ -167,16 +177,13 @@
 }
 
 /// Spawns the tasks that watch the platform and the other entry hosts.
-async fn spawn_tasks(
+fn spawn_tasks(
     settings: &EntrySettings,
     objects: &ObjectClient,
     exchange: &Exchange,
     control: &FleetHandle,
-    fleet: &Arc<FleetState>,
-) -> Result<()> {
-    let socket = DatagramSocket::bind(settings.beacons)
-        .await
-        .map_err(Error::usage)?;
+    (socket, fleet): (Arc<DatagramSocket>, &Arc<FleetState>),
+) {
     let location = (settings.host.clone(), settings.dc.clone());
     let load_exchange = LoadExchange::new(
         socket,
@@ -205,7 +212,6 @@
     tokio::spawn(downloader.run());
     tokio::spawn(Arc::clone(&load_exchange).send());
     tokio::spawn(load_exchange.receive());
-    Ok(())
 }
 
 /// Starts the listeners for callers, readiness checks and metrics.
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -10,7 +10,7 @@
 use control::FleetHandle;
 use peer::{Facts, Handle, KnownFacts, MemberState, PeerUpdate, Readiness};
 use platform::ObjectClient;
-use route::{Event, Fingerprint, SuspectRecord};
+use route::{CrashNews, Event, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use tokio::{
     sync::mpsc::{Receiver, Sender},
     time::sleep,
@@ -92,6 +92,8 @@
     pub(crate) control: FleetHandle,
     /// Receives what backend servers announce in their responses.
     pub(crate) announcements: Sender<Announcement>,
+    /// Receives what this host learns of crashes.
+    pub(crate) crashes: Sender<CrashNews>,
 }
 
 impl gate::Peers for EntryPeers {
@@ -102,6 +104,16 @@
         }
     }
 
+    fn crashes_learned(&self, news: CrashNews) {
+        if let Err(e) = self.crashes.try_send(news) {
+            tracing::warn!(error = %e, "crash not told to other hosts");
+        }
+    }
+
+    async fn request_trial(&self, suspect: Suspect) -> TrialReply {
+        self.exchange.request_trial(suspect).await
+    }
+
     async fn request_suspect_slot(&self, _fingerprint: Fingerprint, _backend: BackendId) -> bool {
         false
     }
@@ -154,9 +166,15 @@
 /// Forwards suspects that peers share to the router.
 pub(crate) async fn forward_suspects(mut updates: Receiver<PeerUpdate>, fleet: Arc<FleetState>) {
     while let Some(update) = updates.recv().await {
-        if let PeerUpdate::Suspects { records, ack } = update {
-            fleet.proxy().dispatcher().feed(Event::Suspects(records));
-            drop(ack);
+        match update {
+            PeerUpdate::Suspects { records, ack } => {
+                fleet.proxy().dispatcher().feed(Event::Suspects(records));
+                drop(ack);
+            }
+            PeerUpdate::CrashNews(news) => {
+                fleet.proxy().dispatcher().feed(Event::CrashNews(news));
+            }
+            PeerUpdate::Digest { .. } | PeerUpdate::RemoteModels { .. } => {}
         }
     }
 }
--- a/crates/celerytally/src/integration.rs
+++ b/crates/celerytally/src/integration.rs
@@ -8,7 +8,7 @@
 use engine::{Client, Server};
 use orders::SendOutcome;
 use peer::{Handle, MemberState};
-use route::{Fingerprint, SuspectRecord};
+use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use store::HttpPlatform;
 use tokio::sync::mpsc;
 use types::{
@@ -123,6 +123,14 @@
         }
     }
 
+    fn crashes_learned(&self, news: CrashNews) {
+        self.exchange.push_crash_news(&news);
+    }
+
+    async fn request_trial(&self, suspect: Suspect) -> TrialReply {
+        self.exchange.request_trial(suspect).await
+    }
+
     async fn request_suspect_slot(&self, fingerprint: Fingerprint, backend: BackendId) -> bool {
         self.exchange
             .request_suspect_slot(fingerprint, &backend)
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -8,7 +8,7 @@
 
 use config::ActiveConfig;
 use engine::Server;
-use route::{Action, Event, Failure, RoutingRequest};
+use route::{Action, CrashReport, Event, Failure, RoutingRequest, Suspect, Verdict};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use types::{
     AdapterId, Announcement, BackendId, Clock, Code, DataCentreId, Instant, Micros, ModelId,
@@ -25,12 +25,21 @@
 pub trait StateMachine: Send + 'static {
     /// Processes an event at the given time and appends the resulting actions.
     fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>);
+
+    /// Returns the suspect that keeps a request from the backend servers, if any.
+    fn blocked_suspect(&self, _request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
+        None
+    }
 }
 
 impl StateMachine for route::Router {
     fn step(&mut self, now: Instant, ev: Event, out: &mut Vec<Action>) {
         Self::step(self, now, ev, out);
     }
+
+    fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
+        Self::blocked_suspect(self, request)
+    }
 }
 
 /// Safety checks of the gate. Tests disable them one at a time to show that each is needed.
@@ -176,6 +185,10 @@
         f(&lock(&self.0.router))
     }
 
+    pub(crate) fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
+        lock(&self.0.router).blocked_suspect(request)
+    }
+
     pub(crate) fn checks(&self) -> Checks {
         self.0.checks
     }
@@ -334,6 +347,23 @@
                 });
             }
             Action::ShareSuspects(marks) => self.share_suspects_then(marks, Vec::new()),
+            Action::ShareCrashes(news) => {
+                news.crashes.iter().for_each(log_crash);
+                self.0.peers.crashes_learned(news);
+            }
+            Action::RequestTrial { id, suspect } => {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    let reply = this.0.peers.request_trial(suspect).await;
+                    tracing::info!(belief = "suspect", %suspect, ?reply, "trial requested");
+                    this.feed(Event::TrialReply { id, suspect, reply });
+                });
+            }
+            Action::LogVerdict {
+                suspect,
+                verdict,
+                crashes,
+            } => log_verdict(suspect, verdict, crashes),
         }
     }
 
@@ -358,6 +388,30 @@
     }
 }
 
+/// Logs and counts a crash at which this host had requests in flight.
+fn log_crash(report: &CrashReport) {
+    metrics::counter!("celerytally_backend_crashes_total").increment(1);
+    tracing::warn!(
+        belief = "crash",
+        backend = %report.backend,
+        incarnation = %report.incarnation,
+        suspects = report.suspects.len(),
+        parts = ?report.suspects.iter().filter(|s| matches!(s, Suspect::Part(_))).collect::<Vec<_>>(),
+        "backend server crashed"
+    );
+}
+
+/// Logs and counts a changed judgement on a suspect.
+fn log_verdict(suspect: Suspect, verdict: Option<Verdict>, crashes: usize) {
+    let state = match verdict {
+        None => "cleared",
+        Some(Verdict::Suspected) => "suspected",
+        Some(Verdict::Confirmed) => "confirmed",
+    };
+    metrics::counter!("celerytally_suspects_total", "state" => state).increment(1);
+    tracing::warn!(belief = "suspect", %suspect, state, crashes, "judgement on a suspect changed");
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use route::{Fingerprint, SuspectRecord};
+use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use types::{AdapterId, Announcement, BackendId, DataCentreId, HostId, Incarnation, ModelId};
 
 /// Operations on other entry hosts.
@@ -20,6 +20,14 @@
         backend: BackendId,
     ) -> impl Future<Output = bool> + Send;
 
+    /// Passes on what this host learned of crashes, without waiting.
+    fn crashes_learned(&self, _news: CrashNews) {}
+
+    /// Asks for permission to try a blocked suspect. No answer means no permission.
+    fn request_trial(&self, _suspect: Suspect) -> impl Future<Output = TrialReply> + Send {
+        std::future::ready(TrialReply::Granted)
+    }
+
     /// Returns the address for callers of a reachable entry host in a data centre.
     fn entry_host(&self, dc: &DataCentreId) -> Option<SocketAddr>;
 
--- a/crates/gate/src/proxy/codec.rs
+++ b/crates/gate/src/proxy/codec.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, request, response};
 use route::Target;
-use types::{BackendId, Micros, RetryReason, ServerNotice};
+use types::{BackendId, Micros, PromptPart, RetryReason, ServerNotice};
 
 use crate::refusal::Refusal;
 
@@ -23,6 +23,8 @@
     pub prefixes: Vec<u64>,
     /// Number of tokens in each prefix.
     pub prefix_tokens: Vec<u32>,
+    /// Parts of the prompt that other requests may have, too.
+    pub parts: Vec<PromptPart>,
     /// Id of the last event the caller received of a stream it resumes.
     pub last_event_id: Option<String>,
 }
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -28,7 +28,7 @@
         position::Position,
     },
     record::RequestRecord,
-    refusal::Refusal,
+    refusal::{Refusal, is_suspect_code},
 };
 
 /// Maximum size of a response body that is buffered.
@@ -104,6 +104,9 @@
             let (backend, retry, first_byte) = match decided {
                 Err(_elapsed) => return Err(self.refusal(Code::DeadlineUnreachable, None)),
                 Ok(Decision::Refuse { code, retry_after }) => {
+                    if is_suspect_code(code) {
+                        self.log_blocked_suspect();
+                    }
                     return Err(self.refusal(code, retry_after));
                 }
                 Ok(Decision::Forward(_)) => return Err(self.refusal(Code::HopLimit, None)),
@@ -127,6 +130,15 @@
         }
     }
 
+    /// Logs which suspect keeps the request from the backend servers.
+    fn log_blocked_suspect(&self) {
+        let dispatcher = &self.shared.dispatcher;
+        let blocked = dispatcher.blocked_suspect(&self.inbound.ticket);
+        if let Some((suspect, verdict)) = blocked {
+            log::blocked(&self.record.id, suspect, verdict);
+        }
+    }
+
     fn start_attempt(&mut self, server: Server, first_byte: Micros) -> Attempt<R, N, C> {
         self.record.sent();
         Attempt {
--- a/crates/gate/src/proxy/inbound.rs
+++ b/crates/gate/src/proxy/inbound.rs
@@ -175,6 +175,7 @@
         options: RequestOptions {
             max_attempts: Some(policy.max_attempts),
             prefix_tokens: info.prefix_tokens.clone(),
+            parts: info.parts.clone(),
         },
     };
     Ok(Inbound {
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -3,7 +3,7 @@
 //! Each event has the fields `request`, with the caller's request id, and `decision`. The operator
 //! documentation lists them.
 
-use route::{Failure, Target};
+use route::{Failure, Suspect, Target, Verdict};
 use types::{AdapterId, Announcement, BackendId, Micros, RetryReason};
 
 use crate::{proxy::inbound::Inbound, record::millis};
@@ -45,6 +45,11 @@
     tracing::warn!(decision = "attempt_failed", request, %backend, reason, may_have_run, attempt);
 }
 
+/// Logs which suspect keeps a request from the backend servers.
+pub(crate) fn blocked(request: &str, suspect: Suspect, verdict: Verdict) {
+    tracing::info!(decision = "blocked", request, %suspect, ?verdict);
+}
+
 /// Logs an attempt that was cancelled because a stalled server went on before it responded.
 pub(crate) fn attempt_cancelled(request: &str, backend: &BackendId, attempt: u8) {
     tracing::info!(decision = "attempt_cancelled", request, %backend, attempt);
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -4,6 +4,7 @@
 
 use std::{cmp::Reverse, io, net::SocketAddr};
 
+use route::CrashNews;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use types::{DataCentreId, HostId, Incarnation};
@@ -19,6 +20,10 @@
 const MAX_MODELS: usize = 120;
 const MAX_ADAPTERS: usize = 120;
 const MAX_LEAVING: usize = 100;
+/// Suspects, responses and blocked suspects take up to 20, 28 and 32 bytes.
+const MAX_SUSPECTS: usize = 48;
+const MAX_RESPONSES: usize = 36;
+const MAX_BLOCKED: usize = 32;
 
 /// Load that a host has sent to one backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
@@ -89,6 +94,13 @@
         /// Name hashes of the adapters that its callers used since its last message.
         adapters: Vec<u32>,
     },
+    /// What a host knows of crashes of backend servers.
+    Crashes {
+        /// The host.
+        host: HostId,
+        /// What it knows.
+        news: CrashNews,
+    },
     /// Backend servers that announced to one host that they leave.
     Leaving {
         /// The host.
@@ -164,7 +176,44 @@
     }
 }
 
+/// Truncates what a host knows of crashes to what fits in a datagram; [`Datagram::crash_news`] splits it
+/// before, so that only one list has entries.
+fn shorten_news(news: &mut CrashNews) {
+    news.crashes.truncate(1);
+    for report in &mut news.crashes {
+        report.suspects.truncate(MAX_SUSPECTS);
+    }
+    news.responses.truncate(MAX_RESPONSES);
+    news.blocked.truncate(MAX_BLOCKED);
+}
+
 impl Datagram {
+    /// Splits what a host knows of crashes into datagrams.
+    #[must_use]
+    pub fn crash_news(host: &HostId, news: CrashNews) -> Vec<Self> {
+        let datagram = |news| Self::Crashes {
+            host: host.clone(),
+            news,
+        };
+        let crashes = news.crashes.into_iter().map(|report| CrashNews {
+            crashes: vec![report],
+            ..CrashNews::default()
+        });
+        let responses = news.responses.chunks(MAX_RESPONSES).map(|r| CrashNews {
+            responses: r.to_vec(),
+            ..CrashNews::default()
+        });
+        let blocked = news.blocked.chunks(MAX_BLOCKED).map(|b| CrashNews {
+            blocked: b.to_vec(),
+            ..CrashNews::default()
+        });
+        crashes
+            .chain(responses)
+            .chain(blocked)
+            .map(datagram)
+            .collect()
+    }
+
     /// Truncates the lists to what fits in a datagram, keeping the largest entries.
     fn shorten(&mut self) {
         match self {
@@ -179,6 +228,7 @@
                 adapters.truncate(MAX_ADAPTERS);
             }
             Self::Leaving { servers, .. } => servers.truncate(MAX_LEAVING),
+            Self::Crashes { news, .. } => shorten_news(news),
         }
     }
 }
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -159,7 +159,9 @@
             Request::Residents(stamps) => Reply::Residents(self.residents.newer_than(stamps)),
             Request::Hosts(from) => Reply::Hosts(self.hosts.delta(*from, now)),
             Request::Slot(suspect, backend) => Reply::Bool(self.grant(now, *suspect, backend)),
+            Request::Trial(suspect) => Reply::Trial(self.grant_trial(now, *suspect)),
             Request::Suspects(_)
+            | Request::CrashNews(_)
             | Request::Demand(..)
             | Request::RetiredEpoch(_)
             | Request::Place(..)
@@ -261,6 +263,7 @@
             | Reply::Placed(_)
             | Reply::Facts(_)
             | Reply::Part(_)
+            | Reply::Trial(_)
             | Reply::Denied => Ok(()),
         };
         if applied == Err(InvalidMessage) {
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -9,7 +9,7 @@
 use config::{ActiveConfig, Secret};
 use futures::future::join_all;
 use rand::Rng;
-use route::{BackendLoad, Fingerprint, SuspectRecord};
+use route::{BackendLoad, CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use store::Platform;
 use tokio::{
     net::TcpListener,
@@ -360,6 +360,50 @@
         granted
     }
 
+    /// Pushes what this host knows of crashes to all peers, without waiting for them.
+    pub fn push_crash_news(&self, news: &CrashNews) {
+        let peers = self.current_members();
+        for peer in peers {
+            if peer.id == self.host || peer.state == MemberState::Gone {
+                continue;
+            }
+            let (node, req) = (Arc::clone(&self.node), Request::CrashNews(news.clone()));
+            tokio::spawn(async move {
+                let pushed = node
+                    .clients
+                    .request(peer.peer_addr, req, SUSPECTS_TIMEOUT)
+                    .await;
+                if let Err(e) = pushed {
+                    tracing::debug!(host = %peer.id, reason = %e.reason(), "crash not told");
+                }
+            });
+        }
+    }
+
+    /// Requests a trial of a blocked suspect. No answer counts as a denial.
+    pub async fn request_trial(&self, suspect: Suspect) -> TrialReply {
+        let now = self.node.clock.now();
+        let granters = self.node.lock().trial_granters(now, suspect);
+        let mut reply = TrialReply::Denied;
+        // In sequence, so that of two hosts that ask at once one obtains the trial.
+        for granter in granters {
+            reply = if granter.host.as_ref() == Some(&self.host) {
+                self.node.lock().grant_trial(now, suspect)
+            } else {
+                let req = Request::Trial(suspect);
+                let replied = self.node.clients.request(granter.addr, req, SLOT_TIMEOUT);
+                match replied.await {
+                    Ok(Reply::Trial(reply)) => reply,
+                    _ => TrialReply::Denied,
+                }
+            };
+            if reply != TrialReply::Granted {
+                break;
+            }
+        }
+        reply
+    }
+
     /// Requests a model or adapter that is not resident from the controller of this data centre.
     ///
     /// Returns whether a controller accepted the request.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -64,6 +64,7 @@
 mod state;
 mod sums;
 mod traffic;
+mod trial;
 mod version;
 mod wire;
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use config::Delta;
-use route::{Fingerprint, SuspectRecord};
+use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use serde::{Deserialize, Serialize};
 use transfer::{ContentId, Offer, PartId};
 use types::{
@@ -189,6 +189,10 @@
     Facts(KnownFacts),
     /// Requests a part of a configuration that the host offered.
     Part(PartId),
+    /// Pushes what the sender knows of crashes.
+    CrashNews(CrashNews),
+    /// Requests a trial of a blocked suspect.
+    Trial(Suspect),
 }
 
 /// Reply to a request.
@@ -214,6 +218,8 @@
     Denied,
     /// Part of a configuration; `None` when the peer does not have it any more.
     Part(Option<Vec<u8>>),
+    /// Reply to a request for a trial.
+    Trial(TrialReply),
 }
 
 /// Kind of message, by which traffic is counted.
@@ -229,9 +235,9 @@
     Residents,
     /// Host list.
     Hosts,
-    /// Suspects.
+    /// Suspects and crashes.
     Suspects,
-    /// Suspect slot.
+    /// Suspect slots and trials.
     Slot,
     /// Demand for a model that is not resident.
     Demand,
@@ -290,8 +296,8 @@
             Self::Rows(_) => MessageKind::Rows,
             Self::Residents(_) => MessageKind::Residents,
             Self::Hosts(_) => MessageKind::Hosts,
-            Self::Suspects(_) => MessageKind::Suspects,
-            Self::Slot(..) => MessageKind::Slot,
+            Self::Suspects(_) | Self::CrashNews(_) => MessageKind::Suspects,
+            Self::Slot(..) | Self::Trial(_) => MessageKind::Slot,
             Self::Demand(..) => MessageKind::Demand,
             Self::RetiredEpoch(_) => MessageKind::RetiredEpoch,
             Self::Place(..) | Self::Replica(..) => MessageKind::Place,
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -7,7 +7,7 @@
 
 use config::{ActiveConfig, Manifest, Snapshot};
 use futures::StreamExt;
-use route::{BackendLoad, SuspectRecord};
+use route::{BackendLoad, CrashNews, SuspectRecord};
 use store::{Category, Change, HostEntry, Kind, Platform, Revision};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -55,6 +55,8 @@
         /// Its resident models, sorted.
         models: Vec<ModelId>,
     },
+    /// What a peer knows of crashes.
+    CrashNews(CrashNews),
     /// Suspect records from a peer, which receives its acknowledgement when `ack` is dropped.
     Suspects {
         /// The records.
@@ -338,6 +340,10 @@
         }
         match req {
             Request::Suspects(records) => Arc::clone(node).deliver_suspects(records).await,
+            Request::CrashNews(news) => {
+                let update = PeerUpdate::CrashNews(news);
+                Reply::Bool(node.updates.send(update).await.is_ok())
+            }
             Request::Demand(model, adapter) => {
                 node.handler.request_model(model, adapter).await;
                 Reply::Bool(true)
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -4,11 +4,12 @@
 
 use config::{Manifest, Snapshot};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::Fingerprint;
+use route::{Fingerprint, Suspect, TrialReply};
 use store::{HostRole, HostState};
 use types::{BackendId, ConfigVersion, DataCentreId, Deadline, HostId, Instant, Micros};
 
 use crate::{
+    duty::rank_hosts,
     event::{Action, ConfigSource, Event, Params, Target},
     hosts::HostList,
     load::Loads,
@@ -16,6 +17,7 @@
     message::{Readiness, Row, RowState},
     residents::ResidentsTable,
     slot::Slots,
+    trial::Trials,
     version::Versions,
 };
 
@@ -62,6 +64,7 @@
     pub(crate) loads: Loads,
     pub(crate) residents: ResidentsTable,
     pub(crate) slots: Slots,
+    pub(crate) trials: Trials,
     pub(crate) round: u64,
     pub(crate) watching: bool,
     pub(crate) next_read: Deadline,
@@ -102,6 +105,7 @@
             loads: Loads::default(),
             residents: ResidentsTable::default(),
             slots: Slots::default(),
+            trials: Trials::default(),
             round: 0,
             watching: false,
             next_read: Deadline::at(now),
@@ -366,6 +370,30 @@
         self.slots.grant(backend, suspect, duration, now)
     }
 
+    /// Returns the hosts that must all grant a trial of a suspect.
+    pub(crate) fn trial_granters(&self, now: Instant, suspect: Suspect) -> Vec<Target> {
+        let members = self.members.list(now);
+        let ranked = rank_hosts(
+            members.iter(),
+            &self.params.host,
+            &format!("trial/{suspect}"),
+        );
+        let target = |m: &&Member| Target {
+            host: Some(m.id.clone()),
+            addr: m.peer_addr,
+        };
+        ranked.iter().take(GRANTERS).map(target).collect()
+    }
+
+    /// Grants a trial of a suspect, unless this host may not know those that it granted before.
+    pub(crate) fn grant_trial(&mut self, now: Instant, suspect: Suspect) -> TrialReply {
+        let hold = Micros::new(self.params.period.get() * SLOT_HOLD_PERIODS);
+        if now.since(self.started) < hold {
+            return TrialReply::Denied;
+        }
+        self.trials.grant(now, suspect)
+    }
+
     /// Returns the members as of now.
     pub(crate) fn members(&self, now: Instant) -> Vec<Member> {
         self.members.list(now)
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -10,6 +10,7 @@
     requests::{Phase, RequestEntry},
     router::{Router, Scope},
     settings::LatencyMetric,
+    trial::SuspectAdmission,
 };
 
 /// Retry-after time of a refusal, unless it is estimated.
@@ -75,6 +76,9 @@
         if self.suspect_state(&request, now) == Some(SuspectState::Confirmed) {
             return Err(Code::CrashingRequest);
         }
+        if let Some(code) = self.refuses_suspect(now, &request) {
+            return Err(code);
+        }
         if request.deadline.is_past(now) {
             return Err(Code::DeadlineUnreachable);
         }
@@ -90,10 +94,11 @@
             attempts: 0,
             ran: Vec::new(),
             tried: Vec::new(),
-            response_started: false,
+            responds_since: None,
             may_have_run: false,
             retry: None,
             as_suspect: false,
+            trial: None,
             withdrawn: None,
             no_forward: request.forwarded,
             forward_rounds: 0,
@@ -224,6 +229,10 @@
         if deadline.is_past(now) {
             return self.refuse_queued(now, rank, slot, Code::DeadlineUnreachable, out);
         }
+        let admission = self.admit_suspects(now, entry);
+        if let SuspectAdmission::Refused(code) = admission {
+            return self.refuse_queued(now, rank, slot, code, out);
+        }
         let suspect = state.is_some() && self.cfg.suspect_slots;
         if suspect && (!entry.not_before.is_past(now) || self.has_active_duplicate(slot)) {
             return OfferOutcome::Waiting;
@@ -233,6 +242,14 @@
                 if self.misses_deadline(deadline, estimate.completion, now) {
                     return self.forward_or_refuse(now, rank, slot, Code::DeadlineUnreachable, out);
                 }
+                match admission {
+                    SuspectAdmission::NeedsTrial(suspect) => {
+                        self.request_trial(now, slot, suspect, out);
+                        return OfferOutcome::Waiting;
+                    }
+                    SuspectAdmission::Waits => return OfferOutcome::Waiting,
+                    SuspectAdmission::Admitted | SuspectAdmission::Refused(_) => {}
+                }
                 self.request_replica(now, slot, estimate.first_byte, out);
                 self.dequeue(rank, slot);
                 if suspect {
@@ -539,7 +556,9 @@
         entry.prefill_seconds = prefill_seconds;
         b.own_work += prefill_seconds;
         entry.dispatched = now;
-        entry.response_started = false;
+        entry.responds_since = None;
+        // A trial is one dispatch; a repetition needs another one.
+        entry.trial = None;
         entry.attempts += 1;
         if self.cfg.prefix_hints {
             for &prefix in &entry.request.prefixes {
--- a/crates/route/src/counts.rs
+++ b/crates/route/src/counts.rs
@@ -23,6 +23,12 @@
     pub confirmed: u64,
     /// Suspects that completed on this host and were cleared.
     pub cleared: u64,
+    /// Crashes of backend servers at which this host had requests in flight.
+    pub crashes: u64,
+    /// Suspects that were blocked, or confirmed after that.
+    pub blocked: u64,
+    /// Blocked suspects that were cleared.
+    pub unblocked: u64,
     /// Refusals by code, sorted by code.
     pub refused: Vec<(Code, u64)>,
     /// Retries by reason, sorted by reason.
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -54,6 +54,7 @@
         if b.ended_incarnation == Some(incarnation) && b.incarnation != Some(incarnation) {
             // The server has restarted since; only requests of the ended incarnation are affected.
             self.record_suspects(now, backend, incarnation, out);
+            self.dispatch_queued(now, Scope::All, out);
             return;
         }
         b.incarnation = Some(incarnation);
@@ -117,6 +118,10 @@
         let Some(id) = self.names.as_ref().map(|n| n.backend_id(backend).clone()) else {
             return;
         };
+        self.record_crash(now, (backend, id.clone()), incarnation, out);
+        if !self.cfg.suspect_slots {
+            return;
+        }
         let ran = self.requests_run_on(backend, incarnation);
         let causes = self.causes(&ran, &id, incarnation);
         self.counts.confirmed += causes.len() as u64;
@@ -151,12 +156,7 @@
         backend: &BackendId,
         incarnation: Incarnation,
     ) -> Vec<Fingerprint> {
-        if self.cfg.suspect_slots {
-            return Vec::from_iter(self.cause(ran, backend, incarnation));
-        }
-        let before =
-            |r: &&(Fingerprint, bool)| self.suspects.suspected_before(r.0, backend, incarnation);
-        ran.iter().filter(before).map(|r| r.0).collect()
+        Vec::from_iter(self.cause(ran, backend, incarnation))
     }
 
     /// Returns the request that caused this crash: one that was suspected before and is the only
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use types::{
     AdapterId, BackendId, Code, DataCentreId, Deadline, HostId, Incarnation, LoadReport, Micros,
-    ModelId, RequestId, RetryReason, ServerNotice, ServiceName,
+    ModelId, PromptPart, RequestId, RetryReason, ServerNotice, ServiceName,
 };
 
 use crate::{peer_load::SentLoad, slowdown::ObservedSlowdown};
@@ -86,6 +86,8 @@
     pub max_attempts: Option<u8>,
     /// Token counts of the prompt prefixes, in the order of their hashes.
     pub prefix_tokens: Vec<u32>,
+    /// Parts of the prompt that other requests may have, too.
+    pub parts: Vec<PromptPart>,
 }
 
 /// Liveness of a backend server.
@@ -142,6 +144,96 @@
     pub resumes: bool,
 }
 
+/// What may have crashed a backend server.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub enum Suspect {
+    /// A part of a prompt, whatever the rest of the request.
+    Part(PromptPart),
+    /// A request, with all of its resends.
+    Request(Fingerprint),
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part {part}"),
+            Self::Request(fingerprint) => write!(f, "request {fingerprint:?}"),
+        }
+    }
+}
+
+/// Judgement on a suspect, whose requests are kept from the backend servers.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub enum Verdict {
+    /// It was in flight at several crashes; a few requests may still try it.
+    Suspected,
+    /// It is not tried any more.
+    Confirmed,
+}
+
+/// Crash of a backend server and what one host had in flight there.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CrashReport {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Incarnation that ended.
+    pub incarnation: Incarnation,
+    /// Time since the crash.
+    pub age: Micros,
+    /// What was in flight.
+    pub suspects: Vec<Suspect>,
+}
+
+/// Response to a request with a suspect, which shows that the suspect does not crash servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ResponseReport {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// Time since the response.
+    pub age: Micros,
+}
+
+/// Suspect that a host keeps from the backend servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct BlockedSuspect {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// The judgement.
+    pub verdict: Verdict,
+    /// Time since the last crash at which it was in flight.
+    pub age: Micros,
+}
+
+/// What a host knows of crashes, for the other hosts.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CrashNews {
+    /// Crashes that the host observed.
+    pub crashes: Vec<CrashReport>,
+    /// Responses that the host got to requests with suspects.
+    pub responses: Vec<ResponseReport>,
+    /// Suspects that the host keeps from the backend servers.
+    pub blocked: Vec<BlockedSuspect>,
+}
+
+impl CrashNews {
+    /// Returns whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.responses.is_empty() && self.blocked.is_empty()
+    }
+}
+
+/// Reply to a request for permission to try a suspect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum TrialReply {
+    /// The suspect may be tried once.
+    Granted,
+    /// The suspect may not be tried now.
+    Denied,
+    /// The suspect has had all of its trials.
+    Exhausted,
+}
+
 /// State of a suspect request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum SuspectState {
@@ -320,6 +412,17 @@
     PrefixGap(BackendId),
     /// A peer shared suspect records.
     Suspects(Vec<SuspectRecord>),
+    /// A peer shared what it knows of crashes.
+    CrashNews(CrashNews),
+    /// Reply to [`Action::RequestTrial`]; a timeout counts as a denial.
+    TrialReply {
+        /// The request.
+        id: RequestId,
+        /// The suspect.
+        suspect: Suspect,
+        /// The reply.
+        reply: TrialReply,
+    },
     /// Reply to [`Action::RequestSlot`]; a timeout counts as a denial.
     SlotReply {
         /// The request.
@@ -372,6 +475,25 @@
     },
     /// Share suspect records with all peers before any refusal that follows in the same list.
     ShareSuspects(Vec<SuspectRecord>),
+    /// Share what this host learned of crashes with all peers.
+    ShareCrashes(CrashNews),
+    /// Ask the peers for permission to try a suspect with a request; the reply is
+    /// [`Event::TrialReply`].
+    RequestTrial {
+        /// The request.
+        id: RequestId,
+        /// The suspect.
+        suspect: Suspect,
+    },
+    /// Log that the judgement on a suspect changed.
+    LogVerdict {
+        /// The suspect.
+        suspect: Suspect,
+        /// The judgement; `None` if the suspect was cleared.
+        verdict: Option<Verdict>,
+        /// Number of crashes that this host counts against it.
+        crashes: usize,
+    },
     /// Request a further replica of an adapter from the controller, because its holders are busy.
     RequestReplica {
         /// Base model.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -45,6 +45,7 @@
 mod demand;
 mod departed;
 mod event;
+mod evidence;
 mod fail;
 mod first_token;
 mod names;
@@ -62,14 +63,17 @@
 mod slowdown;
 mod suspect;
 mod takeover;
+mod trial;
 mod view;
 mod window;
 
 pub use counts::Counts;
 pub use event::{
-    Action, BackendLoad, BackendRegistration, Event, Failure, Fingerprint, Liveness,
-    RequestOptions, RoutingRequest, SuspectRecord, SuspectState, Target,
+    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashNews, CrashReport, Event,
+    Failure, Fingerprint, Liveness, RequestOptions, ResponseReport, RoutingRequest, Suspect,
+    SuspectRecord, SuspectState, Target, TrialReply, Verdict,
 };
+pub use evidence::MAX_TRIALS;
 pub use peer_load::SentLoad;
 pub use router::Router;
 pub use settings::{LatencyMetric, Settings};
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -2,7 +2,7 @@
 
 use types::{Code, Deadline, Incarnation, Instant, RequestId, RetryReason};
 
-use crate::{event::RoutingRequest, queue::Rank, takeover::HeldAttempt};
+use crate::{event::RoutingRequest, queue::Rank, takeover::HeldAttempt, trial::Trial};
 
 /// Stage of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,13 +48,15 @@
     pub ran: Vec<u32>,
     /// Backend servers that failed the request.
     pub tried: Vec<TriedServer>,
-    /// Whether the response to the last attempt has started.
-    pub response_started: bool,
+    /// Start of the response to the last attempt.
+    pub responds_since: Option<Instant>,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
     pub retry: Option<RetryReason>,
     /// Whether the attempt holds a suspect slot.
     pub as_suspect: bool,
+    /// Trial of a blocked suspect that the request contains.
+    pub trial: Option<Trial>,
     /// Code of a refusal, if a newer configuration removed its service, model or adapter.
     pub withdrawn: Option<Code>,
     /// Whether it was forwarded to this host and so must not be forwarded again.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -4,7 +4,7 @@
 
 use config::ActiveConfig;
 use rand::{SeedableRng, rngs::Xoshiro256PlusPlus};
-use types::{Code, Deadline, Instant, Micros, RequestId};
+use types::{Code, Deadline, Incarnation, Instant, Micros, RequestId};
 
 use crate::{
     backend::Backend,
@@ -12,7 +12,8 @@
     counts::Counts,
     demand::Demand,
     departed::DepartedServers,
-    event::{Action, Event, Fingerprint},
+    event::{Action, Event, Fingerprint, Suspect},
+    evidence::Evidence,
     names::NameIndex,
     peer_load::PeerLoad,
     queue::Queue,
@@ -20,6 +21,7 @@
     requests::{Phase, RequestEntry, RequestTable},
     settings::{LatencyMetric, Settings},
     suspect::Suspects,
+    trial::is_proven,
     window::RetryWindow,
 };
 
@@ -57,6 +59,8 @@
     /// Load that peers have sent, sorted by host.
     pub(crate) peer_loads: Vec<PeerLoad>,
     pub(crate) suspects: Suspects,
+    /// Evidence of all hosts of what crashes backend servers.
+    pub(crate) evidence: Evidence,
     /// Requests that this host abandoned while a backend server may still run them.
     pub(crate) abandoned: Vec<AbandonedRequest>,
     pub(crate) demand: Vec<Demand>,
@@ -72,11 +76,15 @@
 }
 
 /// Request that was abandoned and may still run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct AbandonedRequest {
     pub fingerprint: Fingerprint,
     pub backend: u32,
+    pub incarnation: Option<Incarnation>,
     pub as_suspect: bool,
+    /// What may crash the server; empty once the response shows that nothing does.
+    pub suspects: Vec<Suspect>,
+    pub at: Instant,
     pub until: Deadline,
 }
 
@@ -105,6 +113,7 @@
             adapter_uses: Vec::new(),
             peer_loads: Vec::new(),
             suspects: Suspects::default(),
+            evidence: Evidence::default(),
             abandoned: Vec::new(),
             demand: Vec::new(),
             placement_requests: Vec::new(),
@@ -170,6 +179,10 @@
             Event::PrefixGap(backend) => self.prefix_gap(&backend),
             Event::Suspects(records) => self.apply_suspect_records(now, &records, out),
             Event::SlotReply { id, granted } => self.slot_reply(now, id, granted, out),
+            Event::CrashNews(news) => self.apply_crash_news(now, news, out),
+            Event::TrialReply { id, suspect, reply } => {
+                self.trial_reply(now, id, suspect, reply, out);
+            }
             Event::Tick => self.tick(now, out),
         }
     }
@@ -189,6 +202,8 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.suspects.prune(now);
+        self.evidence.prune(now);
+        self.record_progress(now, out);
         self.abandoned.retain(|d| !d.until.is_past(now));
         self.placement_requests.retain(|w| !w.2.is_past(now));
         self.rejected_placements.retain(|w| !w.2.is_past(now));
@@ -226,7 +241,7 @@
             && let Some(entry) = self.requests.get_mut(slot)
         {
             entry.may_have_run = true;
-            entry.response_started = true;
+            entry.responds_since.get_or_insert(now);
             if let Phase::Running { backend, .. } = entry.phase {
                 self.prefill_done(now, slot, backend);
             }
@@ -273,6 +288,7 @@
         if ok {
             self.counts.succeeded += 1;
             self.budget.deposit();
+            self.record_response(now, &entry.request, out);
         }
         if let Some(backend) = backend {
             // A request whose model was removed has none, but is not a plain one.
@@ -323,7 +339,9 @@
     pub(crate) fn release(&mut self, now: Instant, slot: u32, abandon: bool) -> Option<u32> {
         let entry = self.requests.get(slot)?;
         let (phase, rank, model) = (entry.phase, entry.rank, entry.model);
-        let (fingerprint, as_suspect) = (entry.request.fingerprint, entry.as_suspect);
+        let as_suspect = entry.as_suspect;
+        let abandoned =
+            abandon.then(|| self.abandoned_attempt(now, entry, phase, entry.responds_since));
         match phase {
             Phase::Queued => {
                 if self.queue.remove(rank) {
@@ -338,14 +356,7 @@
                 if as_suspect {
                     b.suspects = b.suspects.saturating_sub(1);
                 }
-                if abandon && matches!(phase, Phase::Running { .. }) {
-                    self.abandoned.push(AbandonedRequest {
-                        fingerprint,
-                        backend,
-                        as_suspect,
-                        until: Deadline::after(now, ABANDONED_TTL),
-                    });
-                }
+                self.abandoned.extend(abandoned.flatten());
                 Some(backend)
             }
             Phase::Forwarded { dc } => {
@@ -357,6 +368,37 @@
         }
     }
 
+    /// Returns the record of an attempt that is abandoned now, if a server may run it.
+    pub(crate) fn abandoned_attempt(
+        &self,
+        now: Instant,
+        entry: &RequestEntry,
+        phase: Phase,
+        responds_since: Option<Instant>,
+    ) -> Option<AbandonedRequest> {
+        let Phase::Running {
+            backend,
+            incarnation,
+        } = phase
+        else {
+            return None;
+        };
+        let suspects = if is_proven(responds_since, now) {
+            Vec::new()
+        } else {
+            self.suspects_of(&entry.request).collect()
+        };
+        Some(AbandonedRequest {
+            fingerprint: entry.request.fingerprint,
+            backend,
+            incarnation,
+            as_suspect: entry.as_suspect,
+            suspects,
+            at: now,
+            until: Deadline::after(now, ABANDONED_TTL),
+        })
+    }
+
     pub(crate) fn count_waiting(&mut self, model: Option<u16>, more: bool) {
         if let Some(waiting) = model.and_then(|m| self.waiting.get_mut(usize::from(m))) {
             *waiting = if more {
@@ -394,7 +436,9 @@
         return code;
     }
     match code {
-        Code::CrashingRequest | Code::SuspectNotAdmitted => Code::BackendCrashed,
+        Code::CrashingRequest | Code::CrashingPart | Code::SuspectNotAdmitted => {
+            Code::BackendCrashed
+        }
         _ if entry.request.idempotent => Code::RetriesExhausted,
         _ => Code::ConnectionCut,
     }
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -3,13 +3,13 @@
 //! A server that falls silent may still go on, so its attempt ends only once another server has begun
 //! to respond. Until then the request counts at both servers.
 
-use types::{Deadline, Instant, RequestId, RetryReason};
+use types::{Instant, RequestId, RetryReason};
 
 use crate::{
     choose::{Estimate, Selection},
     event::{Action, Failure},
     requests::{Phase, RequestEntry},
-    router::{ABANDONED_TTL, AbandonedRequest, Router, Scope},
+    router::{AbandonedRequest, Router, Scope},
 };
 
 /// Failure of a stalled server whose request another server has taken over.
@@ -27,7 +27,7 @@
     pub dispatched: Instant,
     pub baseline: f32,
     pub expected: f32,
-    pub response_started: bool,
+    pub responds_since: Option<Instant>,
 }
 
 impl HeldAttempt {
@@ -71,7 +71,7 @@
                 dispatched: entry.dispatched,
                 baseline: entry.baseline,
                 expected: entry.expected,
-                response_started: entry.response_started,
+                responds_since: entry.responds_since,
             });
             entry.retry = Some(RetryReason::Silent);
         }
@@ -79,7 +79,9 @@
     }
 
     fn may_take_over(&self, now: Instant, backend: u32, entry: &RequestEntry) -> bool {
-        let suspect = entry.as_suspect || self.suspect_state(&entry.request, now).is_some();
+        let suspect = entry.as_suspect
+            || self.suspect_state(&entry.request, now).is_some()
+            || self.blocked_suspect(&entry.request).is_some();
         let may_run_elsewhere = entry.request.options.max_attempts.is_none_or(|max| {
             let others = entry.ran.iter().filter(|b| **b != backend);
             others.clone().count() + 1 < usize::from(max)
@@ -179,7 +181,7 @@
             entry.dispatched = held.dispatched;
             entry.baseline = held.baseline;
             entry.expected = held.expected;
-            entry.response_started = held.response_started;
+            entry.responds_since = held.responds_since;
         }
         if let Some(backend) = backend {
             self.dispatch_queued(now, Scope::Backend(backend), out);
@@ -188,16 +190,15 @@
 
     /// Removes the attempt at a stalled server, which may still run the request. Returns the server.
     pub(crate) fn release_held(&mut self, now: Instant, slot: u32) -> Option<u32> {
-        let entry = self.requests.get_mut(slot)?;
-        let backend = entry.held.take()?.backend()?;
-        let fingerprint = entry.request.fingerprint;
-        self.backends.get_mut(backend as usize)?.remove_own(now);
+        let held = self.requests.get_mut(slot)?.held.take()?;
+        let backend = held.backend()?;
+        let entry = self.requests.get(slot)?;
+        let abandoned = self.abandoned_attempt(now, entry, held.phase, held.responds_since)?;
         self.abandoned.push(AbandonedRequest {
-            fingerprint,
-            backend,
             as_suspect: false,
-            until: Deadline::after(now, ABANDONED_TTL),
+            ..abandoned
         });
+        self.backends.get_mut(backend as usize)?.remove_own(now);
         Some(backend)
     }
 }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -165,6 +165,7 @@
             + self.queue.heap_bytes()
             + self.waiting.capacity() * size_of::<u32>()
             + self.suspects.heap_bytes()
+            + self.evidence.heap_bytes()
             + self.abandoned.capacity() * size_of::<crate::router::AbandonedRequest>()
             + self.demand.capacity() * size_of::<crate::demand::Demand>()
     }
--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod configuration;
+mod crashing_parts;
 mod first_token;
 mod fixture;
 mod memory;
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -112,6 +112,7 @@
     511 ForwardFailed "forward_failed" 502 Unknown false "the entry host of the other data centre did not answer";
     601 CrashingRequest "crashing_request" 422 No false "this request has crashed backend servers";
     602 SuspectNotAdmitted "suspect_not_admitted" 503 No true "the request may have crashed a backend server and is not run now";
+    603 CrashingPart "crashing_part" 422 No false "a part of the prompt has crashed backend servers";
     701 ConfigInvalid "config_invalid" 422 No false "the deployment file has faults";
     702 ConfigConflict "config_conflict" 409 No false "another file was applied first";
     703 PlatformAway "platform_away" 503 No true "the platform does not answer";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -23,6 +23,7 @@
 mod load;
 mod notice;
 mod order;
+mod part;
 mod rate;
 mod registration;
 mod rendezvous;
@@ -41,6 +42,7 @@
 pub use load::{LoadReport, Resident};
 pub use notice::{Announcement, NoticeSource, ServerNotice};
 pub use order::{Order, OrderOp, OrderState, OrderStatus};
+pub use part::PromptPart;
 pub use rate::Rate;
 pub use registration::{Registration, RevisedRegistration, ServedModel, WorkerState};
 pub use rendezvous::{rendezvous_rank, rendezvous_score};
