Try a blocked part although a stronger one can not be tried

Callers of a shared first part would be refused for good if it was blocked together with a part that crashes servers: the part with more crashes was to be tried first, but each request with it contained the other one, too, and so could try neither.

A part precedes others only if requests came lately that could try it.

--- a/crates/route/src/evidence.rs
+++ b/crates/route/src/evidence.rs
@@ -31,7 +31,7 @@
 /// clear it meanwhile, and a trial among other crashes shows little.
 const TRIAL_DELAY: Micros = Micros::from_secs(1);
 
-/// Time after the last request with a suspect for which its trials precede those of others.
+/// Time after the last request that could try a suspect for which its trials precede those of others.
 const PRECEDENCE_TIME: Micros = Micros::from_secs(3);
 
 /// Time after which this host asks again for permission to try a suspect.
@@ -80,8 +80,8 @@
     last_crash: Instant,
     answered_at: Option<Instant>,
     verdict: Option<Verdict>,
-    /// Time of the last request with the suspect while it is blocked.
-    requested_at: Instant,
+    /// Time of the last request that could try the suspect, as it contains no other one.
+    last_candidate: Option<Instant>,
     /// Trials that were granted to this host.
     trials: u8,
     /// Time from which this host may ask for a trial.
@@ -189,7 +189,7 @@
                 last_crash: Instant::ZERO,
                 answered_at: None,
                 verdict: None,
-                requested_at: now,
+                last_candidate: None,
                 trials: 0,
                 next_ask: Deadline::at(now),
                 until: Deadline::after(now, ttl),
@@ -392,11 +392,20 @@
         blocked.collect()
     }
 
-    /// Puts off the removal of a blocked suspect, because a request with it came.
-    pub(crate) fn renew(&mut self, now: Instant, ttl: Micros, suspect: Suspect) {
+    /// Puts off the removal of a blocked suspect, because a request with it came, which may try it or not.
+    pub(crate) fn record_request(
+        &mut self,
+        now: Instant,
+        ttl: Micros,
+        suspect: Suspect,
+        may_try: bool,
+    ) {
         if let Ok(at) = self.find(suspect) {
-            self.entries[at].until = Deadline::after(now, ttl);
-            self.entries[at].requested_at = now;
+            let entry = &mut self.entries[at];
+            entry.until = Deadline::after(now, ttl);
+            if may_try {
+                entry.last_candidate = Some(now);
+            }
         }
     }
 
@@ -413,7 +422,8 @@
             e.is_part()
                 && e.verdict == Some(Verdict::Suspected)
                 && e.crashes.len() > entry.crashes.len()
-                && now.since(e.requested_at) < PRECEDENCE_TIME
+                && e.last_candidate
+                    .is_some_and(|at| now.since(at) < PRECEDENCE_TIME)
         };
         entry.is_part()
             && entry.verdict == Some(Verdict::Suspected)
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -80,8 +80,10 @@
         request: &RoutingRequest,
     ) -> Option<Code> {
         let (suspect, verdict) = self.blocked_suspect(request)?;
-        self.evidence.renew(now, self.cfg.confirmed_ttl, suspect);
-        if self.evidence.is_trial_due(now, suspect) && self.has_one_suspect(request) {
+        let has_one = self.has_one_suspect(request);
+        let ttl = self.cfg.confirmed_ttl;
+        self.evidence.record_request(now, ttl, suspect, has_one);
+        if has_one && self.evidence.is_trial_due(now, suspect) {
             return None;
         }
         Some(refusal_code(suspect, verdict))
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -13,6 +13,10 @@
 const CRASHES: usize = 5;
 const MAX_LATER: usize = 3;
 
+/// Seeds of the simulations. Those above 3 failed once: trials were repeated, sound parts confirmed by
+/// trials among other crashes, or never tried because a stronger part could not be tried.
+const SEEDS: [u64; 11] = [0, 1, 2, 3, 6, 16, 51, 68, 98, 179, 286];
+
 const SHARED: u64 = 1;
 const CRASHING: u64 = 666;
 
@@ -350,7 +354,7 @@
         &[CRASHING],
     ];
     for parts in prompts {
-        for seed in 0..8 {
+        for seed in SEEDS {
             let mut fleet = Fleet::new(3, seed, &[CRASHING]);
             fleet.run(50, |_| {});
             fleet.run(900, seldom(parts));
@@ -362,7 +366,7 @@
 /// Guards against a second crashing part that hides behind the first one.
 #[test]
 fn two_crashing_parts_are_both_blocked() {
-    for seed in 0..8 {
+    for seed in SEEDS {
         let mut fleet = Fleet::new(3, seed, &[CRASHING, 667]);
         fleet.run(50, |_| {});
         let (mut first, mut second) = (seldom(&[SHARED, CRASHING]), seldom(&[SHARED, 667]));
@@ -391,7 +395,7 @@
 /// Guards against sound parts that are blocked because servers crash for other reasons.
 #[test]
 fn sound_parts_are_not_blocked_by_crashes_with_other_causes() {
-    for seed in 0..8 {
+    for seed in SEEDS {
         let mut fleet = Fleet::new(3, seed, &[]);
         fleet.run(900, |fleet| {
             // One server, or all of them at once.
