Bound the time for which a granted trial is valid

A host that was paused between the grant of a trial and its use would add it to those that others have been granted since. A trial is valid for a second from the request for it. Also shows that extreme news of crashes neither end the process nor block what is sound.

--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -1,6 +1,6 @@
 //! Use of the evidence of crashes: what is kept from the backend servers, and trials of it.
 
-use types::{BackendId, Code, Incarnation, Instant, Micros, RequestId};
+use types::{BackendId, Code, Deadline, Incarnation, Instant, Micros, RequestId};
 
 use crate::{
     event::{
@@ -21,16 +21,20 @@
 /// Maximum number of suspects that a host reports of one crash.
 const MAX_REPORTED_SUSPECTS: usize = 48;
 
+/// Time from the request for a trial for which it is valid. A host that is delayed meanwhile must not act
+/// on it, as others may have been granted trials since.
+const TRIAL_VALIDITY: Micros = Micros::from_secs(1);
+
 /// Maximum number of parts of one prompt that are looked at.
 const MAX_PARTS: usize = 32;
 
 /// Trial of a blocked suspect with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Trial {
-    /// Permission was asked for.
-    Asked(Suspect),
-    /// The request may be sent in spite of the suspect.
-    Granted(Suspect),
+    /// Permission was asked for at a time.
+    Asked(Suspect, Instant),
+    /// The request may be sent in spite of the suspect, until a time.
+    Granted(Suspect, Deadline),
 }
 
 /// Whether a request may be sent as far as suspects are concerned.
@@ -103,10 +107,12 @@
         };
         let has_one = self.has_one_suspect(&entry.request);
         match entry.trial {
-            Some(Trial::Granted(granted)) if granted == suspect && has_one => {
+            Some(Trial::Granted(granted, until))
+                if granted == suspect && has_one && !until.is_past(now) =>
+            {
                 return SuspectAdmission::Admitted;
             }
-            Some(Trial::Asked(asked)) if asked == suspect && has_one => {
+            Some(Trial::Asked(asked, _)) if asked == suspect && has_one => {
                 return SuspectAdmission::Waits;
             }
             _ => {}
@@ -128,7 +134,7 @@
         let Some(entry) = self.requests.get_mut(slot) else {
             return;
         };
-        entry.trial = Some(Trial::Asked(suspect));
+        entry.trial = Some(Trial::Asked(suspect, now));
         let id = entry.request.id;
         self.evidence.trial_asked(now, suspect);
         out.push(Action::RequestTrial { id, suspect });
@@ -152,9 +158,11 @@
         }
         let slot = self.requests.find(id);
         if let Some(entry) = slot.and_then(|slot| self.requests.get_mut(slot))
-            && entry.trial == Some(Trial::Asked(suspect))
+            && let Some(Trial::Asked(asked, at)) = entry.trial
+            && asked == suspect
         {
-            entry.trial = (reply == TrialReply::Granted).then_some(Trial::Granted(suspect));
+            let until = Deadline::after(at, TRIAL_VALIDITY);
+            entry.trial = (reply == TrialReply::Granted).then_some(Trial::Granted(suspect, until));
         }
         self.dispatch_queued(now, Scope::All, out);
     }
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -589,3 +589,67 @@
 
     assert_eq!(host.dispatched().len(), 1, "{:?}", host.out);
 }
+
+/// Guards against a host that was paused between the grant of a trial and its use.
+#[test]
+fn a_trial_that_was_granted_too_long_ago_is_not_used() {
+    let part = PromptPart::new(CRASHING);
+    let suspect = Suspect::Part(part);
+    for (pause, is_sent) in [
+        (Micros::from_millis(900), true),
+        (Micros::from_secs(3), false),
+    ] {
+        let mut host = Host::new(|cfg| cfg.suspect_slots = false);
+        for number in 1..=3 {
+            host.advance(1_000);
+            host.step(Event::CrashNews(crash_of_elsewhere(number, &[CRASHING])));
+        }
+        host.advance(1_000);
+        let id = host.send(|r| r.options.parts = vec![part]);
+        assert_eq!(host.out, [Action::RequestTrial { id, suspect }]);
+
+        host.now = host.now + pause;
+        let reply = TrialReply::Granted;
+        host.step(Event::TrialReply { id, suspect, reply });
+
+        assert_eq!(!host.dispatched().is_empty(), is_sent, "{pause:?}");
+    }
+}
+
+/// Guards against a message of another host that ends the process or blocks what is sound.
+#[test]
+fn extreme_news_of_crashes_are_harmless() {
+    let mut host = Host::new(|cfg| cfg.suspect_slots = false);
+    let part = Suspect::Part(PromptPart::new(u64::MAX));
+    for age in [Micros::ZERO, Micros::new(u64::MAX)] {
+        let report = route::CrashReport {
+            backend: "unknown".parse().expect("a name"),
+            incarnation: types::Incarnation::new(u64::MAX),
+            age,
+            suspects: vec![part; 10_000],
+        };
+        host.step(Event::CrashNews(CrashNews {
+            crashes: vec![report; 3],
+            responses: vec![route::ResponseReport { suspect: part, age }; 3],
+            blocked: vec![
+                route::BlockedSuspect {
+                    suspect: part,
+                    verdict: Verdict::Suspected,
+                    age: Micros::new(u64::MAX),
+                };
+                3
+            ],
+        }));
+    }
+    let id = RequestId::new(9);
+    let reply = TrialReply::Exhausted;
+    host.step(Event::TrialReply {
+        id,
+        suspect: part,
+        reply,
+    });
+
+    host.send(|r| r.options.parts = vec![PromptPart::new(7)]);
+
+    assert_eq!(host.dispatched().len(), 1);
+}
