Answer requests that are open at the end of a stop

Callers of a host that stopped as planned lost requests without an answer at the end of the grace period: those that were open when it was told to stop, and those whose last byte came late in that period, which were taken and passed on with the whole time of their callers. Among them were requests that may not be repeated.

A request that is received while the host stops must end before the process does; with less time than its target latency, four times that if it may run only once, it is refused as not run. At the end, requests without a response are answered, as not run only if they were not sent, before their connections close.

--- a/crates/celerytally/src/entry/shutdown.rs
+++ b/crates/celerytally/src/entry/shutdown.rs
@@ -63,7 +63,7 @@
     let grace: Duration = settings.bounds.grace.into();
     let end = Instant::now() + grace.saturating_sub(KILL_MARGIN);
     tracing::info!(open = proxy.open_requests(), "stopping: not ready");
-    proxy.set_not_ready();
+    proxy.set_not_ready(end);
     controller.cancel();
     exchange.set_readiness(Readiness::Draining);
     sleep(BALANCER_DELAY.min(grace / 3)).await;
--- a/crates/gate/src/proxy/connection.rs
+++ b/crates/gate/src/proxy/connection.rs
@@ -55,6 +55,9 @@
 /// Time limit for caller connections to end after the proxy is closed.
 const CONNECTION_DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time in which requests that are open at the end of the process are answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(60);
+
 const METRICS_PATH: &str = "/metrics";
 
 /// Counter of caller connections that ended by an error, by reason.
@@ -137,7 +140,7 @@
         let serving = builder.serve_connection(TokioIo::new(stream), service);
         let driven = tokio::select! {
             driven = self.drive(serving, &progress) => driven,
-            () = self.0.aborting.cancelled() => return,
+            () = self.until_answered_at_stop() => return,
         };
         let result = match driven {
             Driven::Ended(result) => result,
@@ -225,6 +228,12 @@
         Driven::Ended(serving.await)
     }
 
+    /// Waits until the open requests are ended, and for a moment in which they are answered.
+    async fn until_answered_at_stop(&self) {
+        self.0.aborting.cancelled().await;
+        tokio::time::sleep(LAST_ANSWERS_TIME).await;
+    }
+
     /// Answers readiness probes of the load balancer until the process ends.
     pub async fn serve_readiness(&self, listener: TcpListener) {
         let proxy = self.clone();
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -26,8 +26,9 @@
         inbound::Inbound,
         log,
         position::Position,
+        relay::is_framed,
     },
-    record::RequestRecord,
+    record::{Progress, RequestRecord},
     refusal::{Refusal, is_suspect_code},
 };
 
@@ -304,6 +305,13 @@
         Refusal::from_router(code, self.may_have_run, retry_after)
     }
 
+    /// Returns the refusal of a request that the end of the process interrupts before its response.
+    pub(crate) fn refusal_at_stop(&self) -> Refusal {
+        let may_run = self.record.progress >= Progress::Sent;
+        let attempt = may_run.then_some(Code::ConnectionCut).or(self.may_have_run);
+        Refusal::from_router(Code::Draining, attempt, None)
+    }
+
     /// Takes the server error response to return instead of a refusal, if any.
     ///
     /// A response that promises "not run" is not returned after an attempt that may have run.
--- a/crates/gate/src/proxy/inbound.rs
+++ b/crates/gate/src/proxy/inbound.rs
@@ -1,6 +1,6 @@
 //! Reading of caller requests and creation of router tickets.
 
-use std::time::Duration;
+use std::{sync::OnceLock, time::Duration};
 
 use bytes::Bytes;
 use config::{RetryPolicy, Route, RouteTable};
@@ -20,6 +20,12 @@
 const MIN_OUTDATED_RETRY_AFTER_MS: u64 = 300;
 const MAX_OUTDATED_RETRY_AFTER_MS: u64 = 700;
 
+/// Least time that a request must have until the host stops.
+const MIN_TIME_AT_STOP: Duration = Duration::from_millis(50);
+
+/// Multiple of its target latency that a request which may run only once must have until the host stops.
+const MIN_TARGETS_AT_STOP_ONCE: u64 = 4;
+
 /// Maximum number of bytes read and discarded from the body of a refused request.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
 
@@ -143,12 +149,30 @@
     Fingerprint::new(u128::from_le_bytes(bits))
 }
 
+fn micros(time: Duration) -> Micros {
+    Micros::new(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Returns the time that a request must have until the host stops.
+///
+/// With less it is refused while nothing has run, as another host can serve it.
+fn time_at_stop(policy: &RoutePolicy) -> Duration {
+    let factor = match policy.retry_policy {
+        RetryPolicy::Never => MIN_TARGETS_AT_STOP_ONCE,
+        RetryPolicy::Idempotent | RetryPolicy::Resume => 1,
+    };
+    Duration::from_micros(policy.target.get().saturating_mul(factor)).max(MIN_TIME_AT_STOP)
+}
+
 /// Reads a complete request and creates its ticket.
+///
+/// While the host stops, the request must be answered before the end of the grace period.
 pub(crate) async fn read_request(
     (head, body): (Parts, &mut Incoming),
     info: RequestInfo,
     table: &RouteTable,
     now: Instant,
+    stops_at: &OnceLock<TokioInstant>,
 ) -> Result<Inbound, Refusal> {
     let arrived = TokioInstant::now();
     let route = find_route(table, &head)?;
@@ -160,13 +184,22 @@
     let policy = RoutePolicy::from(route);
     let priority = route.priority;
     let body = read_body(body, table, remaining).await?;
+    let mut deadline_at = arrived + Duration::from(remaining);
+    // The host may have been told to stop while the body arrived.
+    if let Some(stops_at) = stops_at.get() {
+        if *stops_at < TokioInstant::now() + time_at_stop(&policy) {
+            return Err(Code::Draining.into());
+        }
+        deadline_at = deadline_at.min(*stops_at);
+    }
+    let remaining = deadline_at.duration_since(arrived);
     let ticket = RoutingRequest {
         id: RequestId::random(&mut rand::rng()),
         fingerprint: fingerprint(&head, &body),
         service,
         target: info.target.clone(),
         priority,
-        deadline: Deadline::after(now, remaining),
+        deadline: Deadline::after(now, micros(remaining)),
         idempotent: policy.retry_policy != RetryPolicy::Never,
         prompt_tokens: info.prompt_tokens,
         output_tokens: info.output_tokens,
@@ -184,6 +217,6 @@
         info,
         ticket,
         policy,
-        deadline_at: arrived + Duration::from(remaining),
+        deadline_at,
     })
 }
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -20,7 +20,7 @@
 use std::{
     fmt,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, Mutex, OnceLock, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering},
     },
 };
@@ -31,6 +31,7 @@
 use http::{Request, Response, StatusCode, header, request};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Body, Incoming};
+use tokio::time::Instant as TokioInstant;
 use tokio_util::sync::CancellationToken;
 use types::{BackendId, Clock, Code, Incarnation, Monotonic};
 
@@ -86,6 +87,8 @@
     /// Backend servers that announced that they leave, sorted by id.
     leaving: Mutex<Vec<(BackendId, Option<Incarnation>)>>,
     phase: AtomicU8,
+    /// End of the grace period, once the host was told to stop.
+    stops_at: OnceLock<TokioInstant>,
     open_requests: Arc<AtomicUsize>,
     /// Number of responses that may not have been written to their connections yet.
     unwritten_responses: Arc<AtomicUsize>,
@@ -117,6 +120,15 @@
         refusal
     }
 
+    /// Returns the response that refuses a request whose end has been recorded.
+    fn refuse_without_record<S>(&self, refusal: Refusal) -> Response<ReplyBody<S>>
+    where
+        C: HeaderCodec,
+    {
+        let head = self.codec.encode_refusal(&refusal);
+        Response::from_parts(head, Either::Left(Full::default()))
+    }
+
     pub(crate) fn incarnation(&self, backend: &BackendId) -> Option<Incarnation> {
         let incarnations = self
             .incarnations
@@ -172,6 +184,7 @@
             incarnations: RwLock::default(),
             leaving: Mutex::default(),
             phase: AtomicU8::new(SERVING),
+            stops_at: OnceLock::new(),
             open_requests: Arc::default(),
             unwritten_responses: Arc::default(),
             open_connections: Arc::default(),
@@ -257,8 +270,12 @@
         self.0.open_requests.load(Ordering::Relaxed)
     }
 
-    /// Marks the host as not ready for the load balancer. Requests are still served.
-    pub fn set_not_ready(&self) {
+    /// Marks the host as not ready for the load balancer, because it stops at a time.
+    ///
+    /// Requests are still served, as far as they can be answered before that time.
+    pub fn set_not_ready(&self, stops_at: TokioInstant) {
+        // A second signal does not put off the end.
+        let _: &TokioInstant = self.0.stops_at.get_or_init(|| stops_at);
         self.0.phase.fetch_max(NOT_READY, Ordering::Relaxed);
     }
 
@@ -268,7 +285,7 @@
         self.0.closing.cancel();
     }
 
-    /// Ends all open requests, because the process ends before they do.
+    /// Ends all open requests, because the process ends before they do: with an answer if none has begun.
     pub fn abort(&self) {
         self.0.aborting.cancel();
     }
@@ -327,7 +344,8 @@
         if head_len(&request.0) > max_head_len(Some(table.limits)) {
             return Err(Code::HeadersTooLarge.into());
         }
-        inbound::read_request(request, info, &table, self.0.clock.now()).await
+        let now = self.0.clock.now();
+        inbound::read_request(request, info, &table, now, &self.0.stops_at).await
     }
 
     /// Serves a request, or returns its record with the refusal that ends it.
@@ -339,25 +357,40 @@
         let shared = &self.0;
         let mut exchange = Exchange::start(Arc::clone(shared), inbound, record);
         loop {
-            let opened = match exchange.open().await {
-                Ok(opened) => opened,
-                Err(refusal) => return kept_reply(exchange, refusal),
+            let opening = shared.aborting.run_until_cancelled(exchange.open()).await;
+            let opened = match opening {
+                Some(Ok(opened)) => opened,
+                Some(Err(refusal)) => return kept_reply(exchange, refusal),
+                None => {
+                    let refusal = exchange.refusal_at_stop();
+                    return kept_reply(exchange, refusal);
+                }
             };
             if exchange.inbound.policy.stream && opened.head.status.is_success() {
-                match StreamRelay::new(exchange, opened).first_part().await {
-                    FirstPart::Received(head, stream) => {
+                let first_part = StreamRelay::new(exchange, opened).first_part();
+                match shared.aborting.run_until_cancelled(first_part).await {
+                    Some(FirstPart::Received(head, stream)) => {
                         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
                         *response.status_mut() = head.status;
                         *response.headers_mut() = end_to_end(&head.headers);
                         return Ok(response);
                     }
-                    FirstPart::Failed(returned) => exchange = returned,
-                    FirstPart::Refused(returned, refusal) => return kept_reply(returned, refusal),
+                    Some(FirstPart::Failed(returned)) => exchange = returned,
+                    Some(FirstPart::Refused(returned, refusal)) => {
+                        return kept_reply(returned, refusal);
+                    }
+                    // The record has ended with the relay.
+                    None => return Ok(shared.refuse_without_record(Code::ConnectionCut.into())),
                 }
                 continue;
             }
             exchange.handle.first_byte();
-            if let Some(whole) = exchange.read_complete(opened).await {
+            let reading = exchange.read_complete(opened);
+            let Some(read) = shared.aborting.run_until_cancelled(reading).await else {
+                let refusal = exchange.refusal_at_stop();
+                return kept_reply(exchange, refusal);
+            };
+            if let Some(whole) = read {
                 let status = whole.head.status;
                 exchange.handle.finished(0, !status.is_server_error());
                 exchange.record.end(&End::Answered {
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -486,7 +486,7 @@
 }
 
 /// Returns whether a response states its length, so that its end differs from a lost connection.
-fn is_framed(head: &response::Parts) -> bool {
+pub(crate) fn is_framed(head: &response::Parts) -> bool {
     let headers = &head.headers;
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
