Bound the memory of responses without end over all requests

A faulty server that sends bytes without end to many requests could use up the memory of a host, with which the requests of all other callers end: each response was bounded (4 MB of a body, 1 MB of an event), but not their sum.

Refusals that are not passed on are discarded as they come, and streams are passed to the HTTP library in small pieces, as it holds a number of pieces for a caller that reads slowly.

--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use engine::{Connection, Pool, SendOutcome, Server};
 use http::{HeaderMap, HeaderValue, Method, Request, header, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use route::{Event, Failure};
 use tokio::time::{timeout, timeout_at};
@@ -18,8 +18,9 @@
     peers::Peers,
     proxy::{
         Shared,
+        buffer::discard_whole,
         codec::{AttemptInfo, HeaderCodec, ResponseClass},
-        exchange::{MAX_COMPLETE_BODY_BYTES, end_to_end},
+        exchange::end_to_end,
         implies_not_run,
         inbound::Inbound,
     },
@@ -186,9 +187,8 @@
         Some((HIGHEST_URGENCY + ticket.priority.get()).min(LOWEST_ON_TIME_URGENCY))
     }
 
-    async fn drain_and_keep(&self, conn: Connection, head: &response::Parts, body: Incoming) {
-        let read = Limited::new(body, MAX_COMPLETE_BODY_BYTES).collect();
-        if matches!(timeout(REFUSAL_BODY_TIMEOUT, read).await, Ok(Ok(_))) {
+    async fn drain_and_keep(&self, conn: Connection, head: &response::Parts, mut body: Incoming) {
+        if timeout(REFUSAL_BODY_TIMEOUT, discard_whole(&mut body)).await == Ok(true) {
             keep(&self.shared.pool, conn, head);
         }
     }
--- a/crates/gate/src/proxy/events.rs
+++ b/crates/gate/src/proxy/events.rs
@@ -4,7 +4,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum size of one event; the stream of a larger one counts as broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Byte order mark, which is valid at the start of a stream only.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
@@ -47,6 +47,11 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the number of bytes of the partial event.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards a partial event of a broken stream. A byte order mark at the start of the response that
     /// continues it is not part of the stream.
     pub(crate) fn discard_partial(&mut self) {
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -9,8 +9,7 @@
 use config::RetryPolicy;
 use engine::Server;
 use futures::future::{Either, select};
-use http::{HeaderMap, header, response};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderMap, Method, StatusCode, header, response};
 use route::Failure;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 use types::{BackendId, Code, ExecutionStatus, Micros, RetryReason};
@@ -20,7 +19,10 @@
     peers::Peers,
     proxy::{
         Shared,
-        attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
+        attempt::{
+            Attempt, Destination, OpenResponse, keep, may_have_run_failure, not_run_failure,
+        },
+        buffer::{Incomplete, read_whole},
         codec::HeaderCodec,
         implies_not_run,
         inbound::Inbound,
@@ -32,9 +34,6 @@
     refusal::{Refusal, is_suspect_code},
 };
 
-/// Maximum size of a response body that is buffered.
-pub(crate) const MAX_COMPLETE_BODY_BYTES: usize = 4 << 20;
-
 /// Multiple of the estimated time to first byte after which an attempt that may be repeated counts as
 /// stalled.
 const STALL_FACTOR: u64 = 4;
@@ -214,22 +213,21 @@
         &mut self,
         responded: Result<OpenResponse, Failure>,
     ) -> Result<OpenResponse, Failure> {
-        let response = responded?;
+        let mut response = responded?;
         let is_refusal = implies_not_run(response.head.status);
         if !is_refusal && !response.head.status.is_server_error() {
             return Ok(response);
         }
-        let (backend, head) = (response.backend, response.head);
-        let read = Limited::new(response.body, MAX_COMPLETE_BODY_BYTES).collect();
+        let read = read_whole(&mut response.body, &self.shared.buffers);
         let body = match timeout(KEPT_BODY_TIMEOUT, read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(_)) => {
-                let reason = RetryReason::Truncated;
-                let reason = self.shared.diagnose(&response.destination, reason).await;
+            Ok(Err(incomplete)) => {
+                let reason = self.reason_of(incomplete, &response.destination).await;
                 return Err(may_have_run_failure(reason));
             }
             Err(_elapsed) => return Err(may_have_run_failure(RetryReason::Truncated)),
         };
+        let (backend, head) = (response.backend, response.head);
         keep(&self.shared.pool, response.connection, &head);
         if is_refusal {
             return Err(not_run_failure(RetryReason::Refused));
@@ -237,7 +235,7 @@
         self.fallback = Some(CompleteResponse {
             backend,
             head,
-            body: body.to_bytes(),
+            body,
         });
         Err(may_have_run_failure(RetryReason::ServerError))
     }
@@ -335,6 +333,26 @@
         }
     }
 
+    /// Returns whether only the end of the connection marks that of the body, which a crash brings about
+    /// as well.
+    fn ends_with_connection(&self, head: &response::Parts) -> bool {
+        let has_no_body = self.inbound.head.method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        !has_no_body && !is_framed(head)
+    }
+
+    /// Returns the reason of a failure to read a body.
+    async fn reason_of(&self, incomplete: Incomplete, from: &Destination) -> RetryReason {
+        let reason = RetryReason::Truncated;
+        match incomplete {
+            Incomplete::Broken => self.shared.diagnose(from, reason).await,
+            Incomplete::Oversized => reason,
+        }
+    }
+
     /// Buffers a response. Returns `None` if another attempt is needed.
     pub(crate) async fn read_complete(
         &mut self,
@@ -344,15 +362,14 @@
             backend,
             destination,
             head,
-            body,
+            mut body,
             connection,
         } = response;
-        let read = Limited::new(body, MAX_COMPLETE_BODY_BYTES).collect();
+        let read = read_whole(&mut body, &self.shared.buffers);
         let body = match timeout_at(self.inbound.deadline_at, read).await {
-            Ok(Ok(whole)) => whole.to_bytes(),
-            Ok(Err(_)) => {
-                let reason = RetryReason::Truncated;
-                let reason = self.shared.diagnose(&destination, reason).await;
+            Ok(Ok(whole)) => whole,
+            Ok(Err(incomplete)) => {
+                let reason = self.reason_of(incomplete, &destination).await;
                 self.report_failure(&backend, may_have_run_failure(reason));
                 return None;
             }
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 //! differ: a [`HeaderCodec`] encodes and decodes them in the installation's format.
 
 mod attempt;
+mod buffer;
 mod codec;
 mod connection;
 mod events;
@@ -42,6 +43,7 @@
     dispatcher::{Checks, Dispatcher, StateMachine},
     peers::Peers,
     proxy::{
+        buffer::BufferBudget,
         exchange::{CompleteResponse, Exchange, end_to_end, not_run},
         inbound::Inbound,
         refused_head::{head_len, max_head_len},
@@ -77,6 +79,8 @@
     pub(crate) dispatcher: Dispatcher<R, N>,
     pub(crate) codec: C,
     pub(crate) pool: Pool,
+    /// Budget of buffered response bodies.
+    pub(crate) buffers: BufferBudget,
     pub(crate) clock: Monotonic,
     counters: Arc<Counters>,
     route_table: RwLock<Option<Arc<RouteTable>>>,
@@ -177,6 +181,7 @@
             dispatcher,
             codec: parts.codec,
             pool: parts.pool,
+            buffers: BufferBudget::default(),
             clock: parts.clock,
             counters,
             route_table: RwLock::default(),
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -21,6 +21,7 @@
     peers::Peers,
     proxy::{
         attempt::{Attempt, OpenResponse, keep, may_have_run_failure},
+        buffer::Charge,
         codec::HeaderCodec,
         events::{EventSplitter, ends_event},
         exchange::Exchange,
@@ -37,6 +38,9 @@
 /// Maximum time for which a stream is open at two servers after both have begun to respond.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// Maximum size of a piece of a stream that is passed to the HTTP library.
+const MAX_PIECE_BYTES: usize = 8 << 10;
+
 /// Error of a stream that ended early. The caller's connection is closed without completing the
 /// response.
 #[derive(Debug)]
@@ -126,11 +130,17 @@
     tail: Vec<u8>,
     /// How the current response relates to the events that were forwarded before it.
     origin: Origin,
+    /// Charge of a partial event that is held back.
+    charge: Charge,
+    /// Time at which the stream counts as stalled; `None` until its first event.
+    stalls_at: Option<TokioInstant>,
 }
 
 impl<R: StateMachine, N: Peers, C: HeaderCodec> StreamRelay<R, N, C> {
     pub(crate) fn new(exchange: Exchange<R, N, C>, response: OpenResponse) -> Self {
         Self {
+            charge: exchange.shared.buffers.charge(),
+            stalls_at: None,
             exchange,
             kind: StreamKind::of(&response.head),
             response: Some(response),
@@ -386,6 +396,7 @@
     /// Returns the part to forward, or `None` if data is held back until an event is complete.
     fn accept_data(&mut self, data: Bytes) -> Option<Part> {
         self.record_part();
+        let data = self.split_off_rest(data);
         keep_tail(&mut self.tail, &data);
         if !self.resumes() {
             self.exchange.record.progress = Progress::Answering;
@@ -401,7 +412,7 @@
             }
             self.exchange.position.advance(id);
         }
-        if self.events.is_oversized() {
+        if self.events.is_oversized() || !self.charge.set(self.events.partial_len()) {
             return Some(Part::Failed(RetryReason::Truncated));
         }
         if complete.bytes.is_empty() {
@@ -411,6 +422,16 @@
         Some(Part::Data(complete.bytes))
     }
 
+    /// Returns the first piece of data; the rest is processed after it.
+    ///
+    /// The HTTP library holds a number of pieces for a caller that reads slowly, whatever their size.
+    fn split_off_rest(&mut self, mut data: Bytes) -> Bytes {
+        if data.len() > MAX_PIECE_BYTES {
+            self.received.push_front(data.split_off(MAX_PIECE_BYTES));
+        }
+        data
+    }
+
     /// Records the arrival of a part and reports the first one to the router.
     fn record_part(&mut self) {
         if self.exchange.record.timing.events == 0 {
