Take over a stream whose server sends bytes but no events

Callers of a resumable stream waited until its deadline if its server sent a byte now and then: each byte started the wait anew after which another server is asked. The wait ends with a complete event now. promises/pauses::a_stream_whose_server_sends_only_bytes_now_and_then_is_taken_over fails on the code before and passes now.

--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -220,10 +220,14 @@
                     Part::Failed(RetryReason::Silent)
                 }
                 Ok(part) => part,
-                Err(_elapsed) => match self.try_takeover().await {
-                    Some(part) => part,
-                    None => continue,
-                },
+                Err(_elapsed) => {
+                    let part = self.try_takeover().await;
+                    self.restart_stall_timer();
+                    match part {
+                        Some(part) => part,
+                        None => continue,
+                    }
+                }
             };
             let part = match part {
                 Part::Data(data) => self.accept_data(data),
@@ -264,14 +268,18 @@
 
     /// Returns the time at which the stream counts as stalled.
     fn stalls_at(&self) -> TokioInstant {
-        let inbound = &self.exchange.inbound;
-        match inbound.policy.gap {
-            Some(gap) if self.can_resume() && self.exchange.record.timing.events > 0 => {
-                let time = Duration::from_micros(gap.get().saturating_mul(STALL_GAP_FACTOR));
-                self.exchange.stalls_after(time)
-            }
-            _ => inbound.deadline_at,
-        }
+        let deadline = self.exchange.inbound.deadline_at;
+        let stalls_at = self.stalls_at.filter(|_| self.can_resume());
+        stalls_at.unwrap_or(deadline)
+    }
+
+    /// Starts to wait for the next event; bytes of an incomplete one do not end the wait.
+    fn restart_stall_timer(&mut self) {
+        let gap = self.exchange.inbound.policy.gap;
+        self.stalls_at = gap.map(|gap| {
+            let time = Duration::from_micros(gap.get().saturating_mul(STALL_GAP_FACTOR));
+            self.exchange.stalls_after(time)
+        });
     }
 
     /// Tries to continue a stalled stream at another server, which then provides the response.
@@ -345,6 +353,7 @@
         };
         // Closes the connection of the earlier response, so that its server stops.
         self.response = Some(next);
+        self.restart_stall_timer();
     }
 
     /// Reports that the current response has failed, and closes its connection. Returns the reason of
@@ -402,6 +411,9 @@
             self.exchange.record.progress = Progress::Answering;
             return Some(Part::Data(data));
         }
+        if self.stalls_at.is_none() {
+            self.restart_stall_timer();
+        }
         let complete = self.events.push(&data);
         for id in complete.ids {
             if self.origin == Origin::Resumed {
@@ -418,6 +430,7 @@
         if complete.bytes.is_empty() {
             return None;
         }
+        self.restart_stall_timer();
         self.exchange.record.progress = Progress::Answering;
         Some(Part::Data(complete.bytes))
     }
