Break off a response whose server crashed at its unmarked end

A response with neither a length nor chunks ends with its connection, and so does that of a server that crashes: half of a response reached its caller as a complete success. A stream that ended within an event by its own framing was passed on as complete, too. And a response on the route of a stream that is no event stream was taken for broken, because it does not end like an event.

The end of such a response is followed by the check whether the server has crashed. An event stream must end after an event, however it is framed; other responses need not.

--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -378,6 +378,14 @@
                 return None;
             }
         };
+        if self.ends_with_connection(&head) {
+            let reason = RetryReason::Truncated;
+            let reason = self.shared.diagnose(&destination, reason).await;
+            if reason == RetryReason::Crash {
+                self.report_failure(&backend, may_have_run_failure(reason));
+                return None;
+            }
+        }
         keep(&self.shared.pool, connection, &head);
         let whole = CompleteResponse {
             backend,
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -231,7 +231,10 @@
             };
             let part = match part {
                 Part::Data(data) => self.accept_data(data),
-                Part::End if self.ends_early() => Some(Part::Failed(RetryReason::Truncated)),
+                Part::End => match self.failure_at_end().await {
+                    Some(reason) => Some(Part::Failed(reason)),
+                    None => Some(Part::End),
+                },
                 part => Some(part),
             };
             if let Some(part) = part {
@@ -242,16 +245,31 @@
 
     /// Returns whether the end of the current response, if it came now, would not be that of the stream.
     ///
-    /// The length that a server states for the rest of a stream proves nothing within an event. Without a
-    /// length, the end of the connection marks the end of a stream only after an event.
+    /// The length that a server states proves nothing within an event. Without a length, the end of the
+    /// connection marks the end of a stream only after an event.
     fn ends_early(&self) -> bool {
-        let within_event = !self.tail.is_empty() && !ends_event(&self.tail);
-        let framed = self.response.as_ref().is_some_and(|r| is_framed(&r.head));
-        match self.origin {
-            Origin::First => within_event && !framed,
-            Origin::Resumed => within_event || !framed,
-            Origin::Joined => within_event,
+        let ends_event = self.tail.is_empty() || ends_event(&self.tail);
+        let within_event = self.kind.has_events() && !ends_event;
+        within_event || (self.origin == Origin::Resumed && !self.is_framed())
+    }
+
+    fn is_framed(&self) -> bool {
+        self.response.as_ref().is_some_and(|r| is_framed(&r.head))
+    }
+
+    /// Returns why the end of the current response is not that of the stream, if it is not.
+    ///
+    /// Without a length, the response of a server that crashes between two events ends like a complete
+    /// one.
+    async fn failure_at_end(&self) -> Option<RetryReason> {
+        if self.ends_early() {
+            return Some(RetryReason::Truncated);
+        }
+        if self.is_framed() {
+            return None;
         }
+        let reason = self.diagnose(RetryReason::Truncated).await;
+        (reason == RetryReason::Crash).then_some(reason)
     }
 
     fn is_past_deadline(&self) -> bool {
