--- a/crates/route/src/evidence.rs
+++ b/crates/route/src/evidence.rs
@@ -71,6 +71,7 @@
     }
 }
 
+/// Suspect with all that is known of it.
 #[derive(Clone, Debug)]
 struct Entry {
     suspect: Suspect,
@@ -307,8 +308,11 @@
         let requests: Vec<usize> = requests.map(|(at, _)| at).collect();
         chosen.extend(requests);
         // A host that got a verdict from others does not know all crashes behind it, and keeps it.
-        let is_explained =
-            |e: &Entry| self.weight(e, &[]) >= e.max_crashes() && self.weight(e, &explained) == 0;
+        let is_explained = |e: &Entry| {
+            e.is_clearable()
+                && self.weight(e, &[]) >= e.max_crashes()
+                && self.weight(e, &explained) == 0
+        };
         let cleared: Vec<bool> = self.entries.iter().map(is_explained).collect();
         let mut changes = Vec::new();
         for (at, entry) in self.entries.iter_mut().enumerate() {
@@ -319,7 +323,7 @@
             if confirmed.contains(&at) && entry.verdict == Some(Verdict::Suspected) {
                 changes.push(confirm(entry));
             }
-            if !is_chosen && cleared[at] && entry.is_clearable() {
+            if !is_chosen && cleared[at] {
                 changes.push(clear_explained(entry));
             }
         }
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -30,10 +30,6 @@
 
 /// Request with its state in the router.
 #[derive(Debug)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "the flags are independent facts about the attempts so far"
-)]
 pub(crate) struct RequestEntry {
     pub request: RoutingRequest,
     pub service: u16,
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -67,6 +67,7 @@
     }
 
     /// Returns a blocked suspect that a request contains, the one with the strictest verdict.
+    #[must_use]
     pub fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
         if self.evidence.is_empty() || !self.cfg.suspects {
             return None;
@@ -280,7 +281,7 @@
     pub(crate) fn apply_crash_news(
         &mut self,
         now: Instant,
-        news: CrashNews,
+        news: &CrashNews,
         out: &mut Vec<Action>,
     ) {
         if !self.cfg.suspects {
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -251,14 +251,14 @@
                 self.feed(run.host, finished);
             }
         }
-        for server in 0..LOCAL.len() {
+        for (server, name) in LOCAL.iter().enumerate() {
             if self.down[server].is_some_and(|at| at <= self.step) {
                 self.down[server] = None;
                 self.incarnations[server] += 1;
                 let incarnation = self.incarnations[server];
                 for host in 0..self.hosts.len() {
                     let report = crate::fixture::load_report(incarnation, 0, &["m1", "m2"], 0);
-                    let backend = LOCAL[server].parse().expect("a name");
+                    let backend = name.parse().expect("a name");
                     self.feed(host, Event::Report { backend, report });
                 }
             }
