--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -186,13 +186,7 @@
     /// Returns the fingerprints that ran on one incarnation of a backend server, each with whether
     /// it ran in a suspect slot.
     fn requests_run_on(&self, backend: u32, incarnation: Incarnation) -> Vec<(Fingerprint, bool)> {
-        let is_there = |phase: Phase| match phase {
-            Phase::Running {
-                backend: b,
-                incarnation: running,
-            } => b == backend && running.is_none_or(|l| l == incarnation),
-            _ => false,
-        };
+        let is_there = |phase: Phase| phase.runs_on(backend, incarnation);
         let same =
             |f: &RequestEntry| is_there(f.phase) || f.held.is_some_and(|held| is_there(held.phase));
         let running = self.requests.iter().filter(|(_, f)| same(f));
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -20,6 +20,20 @@
     Forwarded { dc: u16 },
 }
 
+impl Phase {
+    /// Returns whether a request in this phase runs on an incarnation of a backend server, as far as the
+    /// incarnation that it was sent to is known.
+    pub(crate) fn runs_on(self, server: u32, life: Incarnation) -> bool {
+        match self {
+            Self::Running {
+                backend,
+                incarnation,
+            } => backend == server && incarnation.is_none_or(|sent_to| sent_to == life),
+            _ => false,
+        }
+    }
+}
+
 /// Backend server that failed a request, which is not sent there again.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TriedServer {
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -207,13 +207,7 @@
     /// Returns what this host has in flight at an incarnation of a server, without what is proven not to
     /// crash it.
     fn suspects_at(&self, now: Instant, backend: u32, incarnation: Incarnation) -> Vec<Suspect> {
-        let is_there = |phase: Phase| match phase {
-            Phase::Running {
-                backend: b,
-                incarnation: running,
-            } => b == backend && running.is_none_or(|l| l == incarnation),
-            _ => false,
-        };
+        let is_there = |phase: Phase| phase.runs_on(backend, incarnation);
         let in_flight = |entry: &RequestEntry| {
             let current = is_there(entry.phase) && !is_proven(entry.responds_since, now);
             let held = entry
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -500,6 +500,19 @@
     assert_eq!(late.refused(), [(id, Code::CrashingPart)]);
 }
 
+/// Returns the news that another host has confirmed that a part crashes servers.
+fn confirmed(part: PromptPart) -> Event {
+    let blocked = route::BlockedSuspect {
+        suspect: Suspect::Part(part),
+        verdict: Verdict::Confirmed,
+        age: Micros::ZERO,
+    };
+    Event::CrashNews(CrashNews {
+        blocked: vec![blocked],
+        ..CrashNews::default()
+    })
+}
+
 /// Guards against a queued request, or a repetition, that reaches a server after its part was blocked.
 #[test]
 fn what_waits_when_a_part_is_blocked_is_refused() {
@@ -509,15 +522,7 @@
     let waiting = host.send(|r| r.options.parts = vec![part]);
     assert!(host.dispatched().is_empty());
 
-    let blocked = route::BlockedSuspect {
-        suspect: Suspect::Part(part),
-        verdict: Verdict::Confirmed,
-        age: Micros::ZERO,
-    };
-    host.step(Event::CrashNews(CrashNews {
-        blocked: vec![blocked],
-        ..CrashNews::default()
-    }));
+    host.step(confirmed(part));
 
     assert_eq!(host.refused(), [(waiting, Code::CrashingPart)]);
 }
@@ -528,15 +533,7 @@
 fn a_blocked_part_is_kept_as_long_as_requests_with_it_come() {
     let mut host = Host::new(|cfg| cfg.suspect_slots = false);
     let part = PromptPart::new(CRASHING);
-    let blocked = route::BlockedSuspect {
-        suspect: Suspect::Part(part),
-        verdict: Verdict::Confirmed,
-        age: Micros::ZERO,
-    };
-    host.step(Event::CrashNews(CrashNews {
-        blocked: vec![blocked],
-        ..CrashNews::default()
-    }));
+    host.step(confirmed(part));
     for _ in 0..5 {
         host.advance(400_000);
         let id = host.send(|r| r.options.parts = vec![part]);
