Keep the port of the fault proxy bound in the tests of fleets

The harness asked the kernel for a port, released it and let the proxy bind it; meanwhile another test or process can take it, and answers in place of the proxy. The proxy gets the bound listener now.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -147,6 +147,11 @@
 pub(crate) async fn serve<S: Service>(service: S, listen: SocketAddr) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     println!("listening {}", listener.local_addr()?);
+    serve_on(service, listener).await
+}
+
+/// Serves on a bound listener until SIGTERM.
+pub(crate) async fn serve_on<S: Service>(service: S, listener: TcpListener) -> io::Result<()> {
     let router = Router::with_path("{**rest}").goal(Adapted(Arc::new(service)));
     let server = Server::new(TcpAcceptor::try_from(listener)?);
     let mut stop = unix::signal(unix::SignalKind::terminate())?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -25,4 +25,4 @@
 pub use engine::serve as serve_engine;
 pub use plain::serve as serve_plain;
 pub use platform::serve as serve_platform;
-pub use proxy::serve as serve_proxy;
+pub use proxy::{serve as serve_proxy, serve_on as serve_proxy_on};
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -92,6 +92,14 @@
     http::serve(Proxy::default(), listen).await
 }
 
+/// Runs the fault proxy on a bound listener until SIGTERM, within a process that has reserved the port.
+///
+/// # Errors
+/// When the listener fails.
+pub async fn serve_on(listener: TcpListener) -> io::Result<()> {
+    http::serve_on(Proxy::default(), listener).await
+}
+
 #[derive(Deserialize)]
 struct NewLink {
     target: SocketAddr,
