Pass on complete responses of servers that stop as planned

Callers got 502 after a request that may run once had run, and streams were broken off after their last event, when the response had no length and its server had closed its port. The end of such a response was followed by a connection attempt, and a refused one counted as a crash, for which the requests in flight were suspected as well. But a server that stops as planned closes its port first, finishes its responses and ends.

A crash needs more evidence now: the server does not leave, did not refuse connections before the end of the response, and has closed all connections of this host, as the kernel of a crashed process does. The pool knows which connections are open; one with unread data does not count, as its end may be behind them. If no other is open, one is opened when such a response begins.

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -11,7 +11,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -29,7 +29,7 @@
     time::{Instant, timeout},
 };
 
-use self::stream::{CheckedStream, SendState};
+use self::stream::{CheckedStream, StreamState};
 
 /// Timeout of a connection attempt. Within a region a server responds in a few milliseconds, and a
 /// request that was not sent can go to another server.
@@ -113,7 +113,7 @@
     addr: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    send_state: Arc<SendState>,
+    state: Arc<StreamState>,
     reused: bool,
     /// Hashes of the ids of refused requests. If two ids have the same hash, a new connection is
     /// opened needlessly.
@@ -146,12 +146,12 @@
     /// Nothing is sent if the server has sent data since the last response, or has closed the
     /// connection.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendOutcome {
-        self.send_state.begin();
+        self.state.begin();
         match self.sender.try_send_request(req).await {
             Ok(response) => SendOutcome::Response(response),
             Err(mut e) => match e.take_message() {
                 Some(_unsent) => SendOutcome::NotSent,
-                None if self.send_state.is_unsent() => SendOutcome::NotSent,
+                None if self.state.is_unsent() => SendOutcome::NotSent,
                 None => SendOutcome::ConnectionLost(e.into_error()),
             },
         }
@@ -178,9 +178,45 @@
 struct Shared {
     /// Sorted by address; the most recently used connection of each address is last.
     idle: Mutex<Vec<(SocketAddr, Vec<IdleConnection>)>>,
+    /// States of all open connections, sorted by address.
+    open: Mutex<Vec<(SocketAddr, Vec<Weak<StreamState>>)>>,
     opened: AtomicU64,
 }
 
+impl Shared {
+    /// Registers an open connection and forgets those to the same address that were dropped.
+    fn register(&self, addr: SocketAddr, state: &Arc<StreamState>) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = match open.binary_search_by_key(&addr, |(a, _)| *a) {
+            Ok(at) => at,
+            Err(at) => {
+                open.insert(at, (addr, Vec::new()));
+                at
+            }
+        };
+        open[at].1.retain(|state| state.strong_count() > 0);
+        open[at].1.push(Arc::downgrade(state));
+    }
+
+    fn has_open(&self, addr: SocketAddr, counts: impl Fn(&Arc<StreamState>) -> bool) -> bool {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = open.binary_search_by_key(&addr, |(a, _)| *a);
+        found.is_ok_and(|at| {
+            let mut states = open[at].1.iter().filter_map(Weak::upgrade);
+            states.any(|state| counts(&state) && state.waits_for_data())
+        })
+    }
+
+    /// Forgets the connections that were dropped, and addresses without one.
+    fn forget_dropped(&self) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain_mut(|(_, states)| {
+            states.retain(|state| state.strong_count() > 0);
+            !states.is_empty()
+        });
+    }
+}
+
 impl Pool {
     /// Creates an empty pool.
     #[must_use]
@@ -243,7 +279,7 @@
         let stream = timeout(CONNECT_TIMEOUT, connect(addr))
             .await
             .map_err(|_elapsed| ConnectError::new(&"connection attempt timed out"))??;
-        let (stream, send_state) = CheckedStream::new(stream);
+        let (stream, state) = CheckedStream::new(stream);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(stream)
@@ -254,13 +290,14 @@
                 tracing::trace!(%addr, error = %e, "connection ended");
             }
         });
+        self.0.register(addr, &state);
         self.0.opened.fetch_add(1, Ordering::Relaxed);
         counter!(CONNECTIONS_OPENED).increment(1);
         Ok(Connection {
             addr,
             sender,
             driver: driver.abort_handle(),
-            send_state,
+            state,
             reused: false,
             refused: Vec::new(),
         })
@@ -307,6 +344,20 @@
         });
     }
 
+    /// Returns whether a connection to a server is open, as far as the connections' tasks have seen.
+    #[must_use]
+    pub fn has_open_connection(&self, addr: SocketAddr) -> bool {
+        self.0.has_open(addr, |_| true)
+    }
+
+    /// Returns whether another connection to the server of a connection is open.
+    #[must_use]
+    pub fn has_other_open_connection(&self, connection: &Connection) -> bool {
+        self.0.has_open(connection.addr, |state| {
+            !Arc::ptr_eq(state, &connection.state)
+        })
+    }
+
     /// Closes all idle connections to a server, because one of them fell silent.
     pub fn discard_idle(&self, addr: SocketAddr) {
         self.lock().retain(|(a, _)| *a != addr);
@@ -320,6 +371,8 @@
             idle.retain(|i| i.expires_at > now && !i.connection.sender.is_closed());
         }
         all.retain(|(addr, idle)| !idle.is_empty() && is_known(addr));
+        drop(all);
+        self.0.forget_dropped();
     }
 }
 
--- a/crates/engine/src/pool/stream.rs
+++ b/crates/engine/src/pool/stream.rs
@@ -6,7 +6,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     task::{Context, Poll},
 };
@@ -23,19 +23,31 @@
 /// A request was not sent, because the stream had unread data or its end.
 const UNSENT: u8 = 2;
 
-/// State of the last request, shared between a connection and its stream.
+/// State of a stream that its connection and the pool share.
 #[derive(Debug, Default)]
-pub(super) struct SendState(AtomicU8);
+pub(super) struct StreamState {
+    /// State of the last request.
+    sending: AtomicU8,
+    /// Whether all that has arrived was read, and neither the end of the stream nor an error.
+    waits_for_data: AtomicBool,
+}
 
-impl SendState {
+impl StreamState {
     /// Registers a request, so that its first write is checked.
     pub(super) fn begin(&self) {
-        self.0.store(WAITING, Ordering::Release);
+        self.sending.store(WAITING, Ordering::Release);
     }
 
     /// Returns whether no part of the last request was sent because of its check.
     pub(super) fn is_unsent(&self) -> bool {
-        self.0.load(Ordering::Acquire) == UNSENT
+        self.sending.load(Ordering::Acquire) == UNSENT
+    }
+
+    /// Returns whether the stream is open, as far as its task has seen.
+    ///
+    /// A stream with unread data does not count, as its end may be behind them.
+    pub(super) fn waits_for_data(&self) -> bool {
+        self.waits_for_data.load(Ordering::Acquire)
     }
 }
 
@@ -46,12 +58,12 @@
 #[derive(Debug)]
 pub(super) struct CheckedStream {
     inner: TokioIo<TcpStream>,
-    state: Arc<SendState>,
+    state: Arc<StreamState>,
 }
 
 impl CheckedStream {
-    pub(super) fn new(stream: TcpStream) -> (Self, Arc<SendState>) {
-        let state = Arc::<SendState>::default();
+    pub(super) fn new(stream: TcpStream) -> (Self, Arc<StreamState>) {
+        let state = Arc::<StreamState>::default();
         let checked = Self {
             inner: TokioIo::new(stream),
             state: Arc::clone(&state),
@@ -69,17 +81,17 @@
         &mut self,
         write: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if self.state.0.load(Ordering::Acquire) != WAITING {
+        if self.state.sending.load(Ordering::Acquire) != WAITING {
             return write(Pin::new(&mut self.inner));
         }
         if self.has_unread() {
-            self.state.0.store(UNSENT, Ordering::Release);
+            self.state.sending.store(UNSENT, Ordering::Release);
             let detail = "data or the end of the stream arrived before the request";
             return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, detail)));
         }
         let written = write(Pin::new(&mut self.inner));
         if !written.is_pending() {
-            self.state.0.store(IDLE, Ordering::Release);
+            self.state.sending.store(IDLE, Ordering::Release);
         }
         written
     }
@@ -91,7 +103,16 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let waits = read.is_pending();
+        self.state.waits_for_data.store(waits, Ordering::Release);
+        read
+    }
+}
+
+impl Drop for CheckedStream {
+    fn drop(&mut self) {
+        self.state.waits_for_data.store(false, Ordering::Release);
     }
 }
 
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -10,7 +10,10 @@
 use engine::{Connection, Pool, SendOutcome};
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use tokio::{io::AsyncReadExt, net::TcpListener};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
@@ -167,3 +170,51 @@
     }
     panic!("the connection is still open");
 }
+
+/// Guards against a server that is taken for alive because a connection that it has closed still counts.
+#[tokio::test]
+async fn a_connection_counts_as_open_until_its_server_closes_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let pool = Pool::new();
+    let (first, accepted) = tokio::join!(pool.open(addr), listener.accept());
+    let (first, server) = (first.expect("a connection"), accepted.expect("one").0);
+    let (second, accepted) = tokio::join!(pool.open(addr), listener.accept());
+    let (second, other) = (second.expect("a connection"), accepted.expect("one").0);
+    let settled = || tokio::time::sleep(Duration::from_millis(20));
+    settled().await;
+    assert!(pool.has_open_connection(addr) && pool.has_other_open_connection(&first));
+
+    drop(other);
+    settled().await;
+
+    assert!(pool.has_open_connection(addr) && !pool.has_other_open_connection(&first));
+    drop(server);
+    settled().await;
+    assert!(!pool.has_open_connection(addr), "{second:?}");
+}
+
+/// Guards against taking a connection for open whose unread data may hide its end.
+#[tokio::test]
+async fn a_connection_with_unread_data_does_not_count_as_open() {
+    const BODY_BYTES: usize = 8 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let pool = Pool::new();
+    let (connection, accepted) = tokio::join!(pool.open(addr), listener.accept());
+    let (mut connection, mut server) =
+        (connection.expect("a connection"), accepted.expect("one").0);
+    let writing = tokio::spawn(async move {
+        let read = server.read(&mut [0; 1_000]).await;
+        assert!(read.expect("a request") > 0);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+        server.write_all(head.as_bytes()).await.expect("a write");
+        drop(server.write_all(&vec![0; BODY_BYTES]).await);
+    });
+
+    let outcome = connection.send(request()).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+
+    assert!(!pool.has_open_connection(addr), "{outcome:?}");
+    writing.abort();
+}
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -30,6 +30,11 @@
     fn blocked_suspect(&self, _request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
         None
     }
+
+    /// Returns whether a backend server leaves, or is not registered any more.
+    fn is_leaving(&self, _backend: &BackendId) -> bool {
+        false
+    }
 }
 
 impl StateMachine for route::Router {
@@ -40,6 +45,10 @@
     fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
         Self::blocked_suspect(self, request)
     }
+
+    fn is_leaving(&self, backend: &BackendId) -> bool {
+        Self::is_leaving(self, backend)
+    }
 }
 
 /// Safety checks of the gate. Tests disable them one at a time to show that each is needed.
@@ -189,6 +198,10 @@
         lock(&self.0.router).blocked_suspect(request)
     }
 
+    pub(crate) fn is_leaving(&self, backend: &BackendId) -> bool {
+        lock(&self.0.router).is_leaving(backend)
+    }
+
     pub(crate) fn checks(&self) -> Checks {
         self.0.checks
     }
--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -7,11 +7,9 @@
 use http::{HeaderMap, HeaderValue, Method, Request, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use route::{Event, Failure};
+use route::Failure;
 use tokio::time::{timeout, timeout_at};
-use types::{
-    Announcement, BackendId, Clock, Incarnation, Instant, Micros, NoticeSource, RetryReason,
-};
+use types::{Announcement, BackendId, Clock, Instant, Micros, NoticeSource, RetryReason};
 
 use crate::{
     dispatcher::StateMachine,
@@ -23,6 +21,7 @@
         exchange::end_to_end,
         implies_not_run,
         inbound::Inbound,
+        liveness::{Destination, PortCheck, ends_with_connection},
     },
 };
 
@@ -38,13 +37,6 @@
 /// Last rank of requests that can meet their target.
 const LOWEST_ON_TIME_URGENCY: u8 = 7;
 
-/// Backend server and incarnation that an attempt was sent to.
-#[derive(Clone, Debug)]
-pub(crate) struct Destination {
-    pub(crate) server: Server,
-    pub(crate) incarnation: Option<Incarnation>,
-}
-
 /// Response with a validated head and an unread body.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -53,6 +45,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
+    /// Check of the server's port, if only the end of the connection marks that of the body.
+    pub(crate) port: Option<PortCheck>,
 }
 
 /// Attempt that has not been sent yet.
@@ -115,6 +109,9 @@
                 if implies_not_run(head.status) {
                     connection.record_refusal(id);
                 }
+                let ends_with_connection = ends_with_connection(&self.inbound.head.method, &head);
+                let port = ends_with_connection
+                    .then(|| PortCheck::start(&self.shared.pool, &connection, server.addr));
                 Ok(OpenResponse {
                     backend: server.id.clone(),
                     destination: Destination {
@@ -124,6 +121,7 @@
                     head,
                     body,
                     connection,
+                    port,
                 })
             }
             ResponseClass::NotRun(reason) => {
@@ -194,39 +192,6 @@
     }
 }
 
-impl<R: StateMachine, N: Peers, C: HeaderCodec> Shared<R, N, C> {
-    /// Checks whether a backend server has crashed whose connection broke before the end of a response.
-    ///
-    /// Returns the reason of the failure, which is the given one unless the server crashed. The head of
-    /// a response does not show that its server is alive: it may crash as it writes the body.
-    pub(crate) async fn diagnose(
-        &self,
-        destination: &Destination,
-        reason: RetryReason,
-    ) -> RetryReason {
-        let server = &destination.server;
-        let crashed = match self.pool.open(server.addr).await {
-            Ok(connection) => {
-                self.pool.release(connection, None);
-                false
-            }
-            Err(e) => e.is_refused(),
-        };
-        if !crashed {
-            return reason;
-        }
-        // If the incarnation is unknown, the router learns of the crash from the failed attempt
-        // alone.
-        if let Some(incarnation) = destination.incarnation {
-            self.dispatcher.feed(Event::Crashed {
-                backend: server.id.clone(),
-                incarnation,
-            });
-        }
-        RetryReason::Crash
-    }
-}
-
 /// Returns a connection to the pool after a complete response, unless its server closes it.
 pub(crate) fn keep(pool: &Pool, connection: Connection, head: &response::Parts) {
     if !has_connection_close(&head.headers) {
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -9,7 +9,7 @@
 use config::RetryPolicy;
 use engine::Server;
 use futures::future::{Either, select};
-use http::{HeaderMap, Method, StatusCode, header, response};
+use http::{HeaderMap, header, response};
 use route::Failure;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 use types::{BackendId, Code, ExecutionStatus, Micros, RetryReason};
@@ -19,16 +19,14 @@
     peers::Peers,
     proxy::{
         Shared,
-        attempt::{
-            Attempt, Destination, OpenResponse, keep, may_have_run_failure, not_run_failure,
-        },
+        attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
         buffer::{Incomplete, read_whole},
         codec::HeaderCodec,
         implies_not_run,
         inbound::Inbound,
+        liveness::{Destination, ends_with_connection},
         log,
         position::Position,
-        relay::is_framed,
     },
     record::{Progress, RequestRecord},
     refusal::{Refusal, is_suspect_code},
@@ -333,17 +331,6 @@
         }
     }
 
-    /// Returns whether only the end of the connection marks that of the body, which a crash brings about
-    /// as well.
-    fn ends_with_connection(&self, head: &response::Parts) -> bool {
-        let has_no_body = self.inbound.head.method == Method::HEAD
-            || matches!(
-                head.status,
-                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-            );
-        !has_no_body && !is_framed(head)
-    }
-
     /// Returns the reason of a failure to read a body.
     async fn reason_of(&self, incomplete: Incomplete, from: &Destination) -> RetryReason {
         let reason = RetryReason::Truncated;
@@ -364,6 +351,7 @@
             head,
             mut body,
             connection,
+            port,
         } = response;
         let read = read_whole(&mut body, &self.shared.buffers);
         let body = match timeout_at(self.inbound.deadline_at, read).await {
@@ -378,13 +366,11 @@
                 return None;
             }
         };
-        if self.ends_with_connection(&head) {
-            let reason = RetryReason::Truncated;
-            let reason = self.shared.diagnose(&destination, reason).await;
-            if reason == RetryReason::Crash {
-                self.report_failure(&backend, may_have_run_failure(reason));
-                return None;
-            }
+        if ends_with_connection(&self.inbound.head.method, &head)
+            && self.shared.ended_by_crash(&destination, port).await
+        {
+            self.report_failure(&backend, may_have_run_failure(RetryReason::Crash));
+            return None;
         }
         keep(&self.shared.pool, connection, &head);
         let whole = CompleteResponse {
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -4,7 +4,7 @@
 //! documentation lists them.
 
 use route::{Failure, Suspect, Target, Verdict};
-use types::{AdapterId, Announcement, BackendId, Micros, RetryReason};
+use types::{AdapterId, Announcement, BackendId, Incarnation, Micros, RetryReason};
 
 use crate::{proxy::inbound::Inbound, record::millis};
 
@@ -55,6 +55,12 @@
     tracing::info!(decision = "attempt_cancelled", request, %backend, attempt);
 }
 
+/// Logs what a server is judged to be whose connection ended within a response.
+pub(crate) fn judged(backend: &BackendId, incarnation: Option<Incarnation>, judgement: &str) {
+    let life = incarnation.map(|i| i.to_string());
+    tracing::info!(belief = "backend", %backend, life, judgement, "connection ended");
+}
+
 /// Logs the first announcement of a backend server that it leaves.
 pub(crate) fn leaving(announcement: &Announcement) {
     let (backend, source) = (&announcement.backend, &announcement.source);
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -12,6 +12,7 @@
 mod idle;
 mod inbound;
 mod kind;
+mod liveness;
 mod log;
 mod notices;
 mod position;
--- a/crates/gate/src/proxy/notices.rs
+++ b/crates/gate/src/proxy/notices.rs
@@ -50,6 +50,17 @@
         is_new
     }
 
+    /// Returns whether an incarnation of a backend server has announced that it leaves.
+    pub(crate) fn has_announced_leaving(
+        &self,
+        backend: &BackendId,
+        incarnation: Option<Incarnation>,
+    ) -> bool {
+        let leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = leaving.binary_search_by(|(id, _)| id.cmp(backend));
+        found.is_ok_and(|at| leaving[at].1 == incarnation)
+    }
+
     /// Records that a backend server announced that it leaves. Returns whether this is new.
     fn record_leaving(&self, backend: &BackendId, incarnation: Option<Incarnation>) -> bool {
         let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay.rs
@@ -9,7 +9,7 @@
     future::{Either, select},
     stream,
 };
-use http::{header, response};
+use http::response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use route::Failure;
@@ -26,6 +26,7 @@
         events::{EventSplitter, ends_event},
         exchange::Exchange,
         kind::StreamKind,
+        liveness::is_framed,
         position::Position,
     },
     record::{End, Progress},
@@ -261,15 +262,18 @@
     ///
     /// Without a length, the response of a server that crashes between two events ends like a complete
     /// one.
-    async fn failure_at_end(&self) -> Option<RetryReason> {
+    async fn failure_at_end(&mut self) -> Option<RetryReason> {
         if self.ends_early() {
             return Some(RetryReason::Truncated);
         }
         if self.is_framed() {
             return None;
         }
-        let reason = self.diagnose(RetryReason::Truncated).await;
-        (reason == RetryReason::Crash).then_some(reason)
+        let response = self.response.as_mut()?;
+        let (port, destination) = (response.port.take(), response.destination.clone());
+        let shared = &self.exchange.shared;
+        let crashed = shared.ended_by_crash(&destination, port).await;
+        crashed.then_some(RetryReason::Crash)
     }
 
     fn is_past_deadline(&self) -> bool {
@@ -537,12 +541,6 @@
     Ok(Continuation { response, data })
 }
 
-/// Returns whether a response states its length, so that its end differs from a lost connection.
-pub(crate) fn is_framed(head: &response::Parts) -> bool {
-    let headers = &head.headers;
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Number of bytes that show whether a stream ends with a complete event.
 const TAIL_BYTES: usize = 3;
 
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -56,6 +56,14 @@
         &self.counts
     }
 
+    /// Returns whether a backend server leaves, or is not configured any more.
+    #[must_use]
+    pub fn is_leaving(&self, id: &BackendId) -> bool {
+        let index = self.names.as_ref().and_then(|names| names.backend(id));
+        let backend = index.and_then(|at| self.backends.get(at as usize));
+        backend.is_none_or(|b| b.leaving_by.is_some() || b.liveness == Liveness::Leaving)
+    }
+
     /// Returns the view of every configured backend server, sorted by name.
     pub fn backends(&self, now: Instant) -> impl Iterator<Item = BackendView<'_>> {
         let servers = self.names.iter().flat_map(|n| &n.deployment().backends);
