--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use engine::{Connection, Pool, SendOutcome, Server};
-use http::{HeaderMap, HeaderValue, Method, Request, header, response};
+use http::{HeaderValue, Method, Request, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use route::Failure;
@@ -18,7 +18,7 @@
         Shared,
         buffer::discard_whole,
         codec::{AttemptInfo, HeaderCodec, ResponseClass},
-        exchange::end_to_end,
+        headers::{end_to_end, has_connection_close, keep_alive_timeout},
         implies_not_run,
         inbound::Inbound,
         liveness::{Destination, PortCheck, ends_with_connection},
@@ -220,20 +220,3 @@
 fn has_content_length(head: &http::request::Parts) -> bool {
     head.method != Method::GET && head.headers.contains_key(header::CONTENT_LENGTH)
 }
-
-fn has_connection_close(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(header::CONNECTION).iter();
-    let mut options = values
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','));
-    options.any(|o| o.trim().eq_ignore_ascii_case("close"))
-}
-
-/// Returns the keep-alive timeout announced by the server.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -9,7 +9,7 @@
 use config::RetryPolicy;
 use engine::Server;
 use futures::future::{Either, select};
-use http::{HeaderMap, header, response};
+use http::response;
 use route::Failure;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 use types::{BackendId, Code, ExecutionStatus, Micros, RetryReason};
@@ -412,39 +412,6 @@
     }
 }
 
-/// Returns the end-to-end headers.
-pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<&str> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .map(str::trim)
-        .collect();
-    let passes = |name: &header::HeaderName| {
-        !HOP_BY_HOP_HEADERS.contains(&name.as_str())
-            && !named.iter().any(|n| n.eq_ignore_ascii_case(name.as_str()))
-    };
-    let kept = headers.iter().filter(|(name, _)| passes(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
-/// Hop-by-hop headers and headers set by hyper.
-const HOP_BY_HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Returns whether a refusal states that the request was not run.
 pub(crate) fn not_run(refusal: &Refusal) -> bool {
     refusal.ran == ExecutionStatus::No
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod events;
 mod exchange;
+mod headers;
 mod idle;
 mod inbound;
 mod kind;
@@ -45,7 +46,8 @@
     peers::Peers,
     proxy::{
         buffer::BufferBudget,
-        exchange::{CompleteResponse, Exchange, end_to_end, not_run},
+        exchange::{CompleteResponse, Exchange, not_run},
+        headers::end_to_end,
         inbound::Inbound,
         refused_head::{head_len, max_head_len},
         relay::{FirstPart, StreamError, StreamRelay},
--- /dev/null
+++ b/crates/gate/src/proxy/relay/end.rs
@@ -0,0 +1,73 @@
+//! End of a stream: whether the end of a response is one, and its record.
+
+use bytes::Bytes;
+use types::RetryReason;
+
+use super::{Origin, StreamRelay};
+use crate::{
+    dispatcher::StateMachine,
+    peers::Peers,
+    proxy::{attempt::keep, codec::HeaderCodec, events::ends_event, liveness::is_framed},
+    record::End,
+};
+
+/// Number of bytes that show whether a stream ends with a complete event.
+const TAIL_BYTES: usize = 3;
+
+impl<R: StateMachine, N: Peers, C: HeaderCodec> StreamRelay<R, N, C> {
+    /// Returns whether the end of the current response, if it came now, would not be that of the stream.
+    ///
+    /// The length that a server states proves nothing within an event. Without a length, the end of the
+    /// connection marks the end of a stream only after an event.
+    pub(super) fn ends_early(&self) -> bool {
+        let ends_event = self.tail.is_empty() || ends_event(&self.tail);
+        let within_event = self.kind.has_events() && !ends_event;
+        within_event || (self.origin == Origin::Resumed && !self.is_framed())
+    }
+
+    fn is_framed(&self) -> bool {
+        self.response.as_ref().is_some_and(|r| is_framed(&r.head))
+    }
+
+    /// Returns why the end of the current response is not that of the stream, if it is not.
+    ///
+    /// Without a length, the response of a server that crashes between two events ends like a complete
+    /// one.
+    pub(super) async fn failure_at_end(&mut self) -> Option<RetryReason> {
+        if self.ends_early() {
+            return Some(RetryReason::Truncated);
+        }
+        if self.is_framed() {
+            return None;
+        }
+        let response = self.response.as_mut()?;
+        let (port, destination) = (response.port.take(), response.destination.clone());
+        let shared = &self.exchange.shared;
+        let crashed = shared.ended_by_crash(&destination, port).await;
+        crashed.then_some(RetryReason::Crash)
+    }
+
+    /// Records the end of the stream and returns the bytes after its last complete event.
+    pub(super) fn finish(&mut self) -> Option<Bytes> {
+        let response = self.response.take()?;
+        let exchange = &mut self.exchange;
+        exchange.handle.finished(0, true);
+        let status = response.head.status.as_u16();
+        keep(&exchange.shared.pool, response.connection, &response.head);
+        metrics::histogram!("celerytally_longest_pause_seconds")
+            .record(exchange.record.timing.longest_pause.as_secs_f64());
+        exchange.record.end(&End::Answered {
+            backend: Some(response.backend),
+            status,
+        });
+        let rest = self.events.take_remainder();
+        (!rest.is_empty()).then_some(rest)
+    }
+}
+
+/// Replaces the last bytes of a stream by those after further data.
+pub(super) fn keep_tail(tail: &mut Vec<u8>, data: &[u8]) {
+    tail.extend_from_slice(&data[data.len().saturating_sub(TAIL_BYTES)..]);
+    let excess = tail.len().saturating_sub(TAIL_BYTES);
+    tail.drain(..excess);
+}
--- a/crates/gate/src/proxy/relay.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -1,14 +1,13 @@
 //! Forwarding of event streams, with resumption on another backend server.
 
-use std::{collections::VecDeque, fmt, sync::Arc, time::Duration};
+mod end;
+mod takeover;
+
+use std::{collections::VecDeque, fmt, time::Duration};
 
 use bytes::Bytes;
 use config::RetryPolicy;
-use futures::{
-    Stream,
-    future::{Either, select},
-    stream,
-};
+use futures::{Stream, stream};
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -20,14 +19,12 @@
     dispatcher::StateMachine,
     peers::Peers,
     proxy::{
-        attempt::{Attempt, OpenResponse, keep, may_have_run_failure},
+        attempt::{OpenResponse, may_have_run_failure},
         buffer::Charge,
         codec::HeaderCodec,
-        events::{EventSplitter, ends_event},
+        events::EventSplitter,
         exchange::Exchange,
         kind::StreamKind,
-        liveness::is_framed,
-        position::Position,
     },
     record::{End, Progress},
     refusal::Refusal,
@@ -36,9 +33,6 @@
 /// Multiple of the longest allowed gap after which a resumable stream counts as stalled.
 const STALL_GAP_FACTOR: u64 = 3;
 
-/// Maximum time for which a stream is open at two servers after both have begun to respond.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
-
 /// Maximum size of a piece of a stream that is passed to the HTTP library.
 const MAX_PIECE_BYTES: usize = 8 << 10;
 
@@ -77,22 +71,6 @@
     Joined,
 }
 
-/// Response of another server that continues a stream, and the data of its first event.
-struct Continuation {
-    response: OpenResponse,
-    data: Vec<Bytes>,
-}
-
-/// Outcome of the wait for a stalled server and for another one.
-enum Race<F> {
-    /// The stalled server went on.
-    Continued(Part),
-    /// The stalled server failed; the other one goes on.
-    StalledFailed(RetryReason, F),
-    /// The other server responded or failed.
-    Opened(Box<Result<Continuation, Failure>>),
-}
-
 /// Reads the next part of a response body, without a time limit.
 async fn read_part(body: &mut Incoming) -> Part {
     loop {
@@ -244,38 +222,6 @@
         }
     }
 
-    /// Returns whether the end of the current response, if it came now, would not be that of the stream.
-    ///
-    /// The length that a server states proves nothing within an event. Without a length, the end of the
-    /// connection marks the end of a stream only after an event.
-    fn ends_early(&self) -> bool {
-        let ends_event = self.tail.is_empty() || ends_event(&self.tail);
-        let within_event = self.kind.has_events() && !ends_event;
-        within_event || (self.origin == Origin::Resumed && !self.is_framed())
-    }
-
-    fn is_framed(&self) -> bool {
-        self.response.as_ref().is_some_and(|r| is_framed(&r.head))
-    }
-
-    /// Returns why the end of the current response is not that of the stream, if it is not.
-    ///
-    /// Without a length, the response of a server that crashes between two events ends like a complete
-    /// one.
-    async fn failure_at_end(&mut self) -> Option<RetryReason> {
-        if self.ends_early() {
-            return Some(RetryReason::Truncated);
-        }
-        if self.is_framed() {
-            return None;
-        }
-        let response = self.response.as_mut()?;
-        let (port, destination) = (response.port.take(), response.destination.clone());
-        let shared = &self.exchange.shared;
-        let crashed = shared.ended_by_crash(&destination, port).await;
-        crashed.then_some(RetryReason::Crash)
-    }
-
     fn is_past_deadline(&self) -> bool {
         TokioInstant::now() >= self.exchange.inbound.deadline_at
     }
@@ -304,80 +250,6 @@
         });
     }
 
-    /// Tries to continue a stalled stream at another server, which then provides the response.
-    ///
-    /// Returns what the stalled server sent before the other one responded, if anything.
-    async fn try_takeover(&mut self) -> Option<Part> {
-        let attempt = self.exchange.start_takeover()?;
-        let other = attempt.server.id.clone();
-        let ends_early = self.ends_early();
-        let response = self.response.as_mut()?;
-        let stalled = response.backend.clone();
-        let position = self.exchange.position.clone();
-        let opening = open_continuation(attempt, self.kind.clone(), position);
-        let reading = Box::pin(read_part(&mut response.body));
-        let race = match select(reading, Box::pin(opening)).await {
-            Either::Left((Part::Failed(reason), opening)) => Race::StalledFailed(reason, opening),
-            Either::Left((Part::End, opening)) if ends_early => {
-                Race::StalledFailed(RetryReason::Truncated, opening)
-            }
-            Either::Left((part, _opening)) => Race::Continued(part),
-            Either::Right((opened, _reading)) => Race::Opened(Box::new(opened)),
-        };
-        let opened = match race {
-            Race::Continued(part) => {
-                self.exchange.takeover_failed(&other, None);
-                return Some(part);
-            }
-            Race::StalledFailed(reason, opening) => {
-                let reason = self.diagnose(reason).await;
-                let failure = self.failure(reason);
-                self.exchange.taken_over(&stalled, Some(failure));
-                self.response = None;
-                opening.await
-            }
-            Race::Opened(opened) => *opened,
-        };
-        let failure = match opened {
-            Ok(continuation) => {
-                if self.response.is_some() {
-                    self.exchange.taken_over(&stalled, None);
-                }
-                self.switch_to(continuation.response);
-                self.received.extend(continuation.data);
-                return None;
-            }
-            Err(failure) => failure,
-        };
-        if self.response.is_some() {
-            self.exchange.takeover_failed(&other, Some(failure));
-            return None;
-        }
-        self.exchange.report_failure(&other, failure);
-        let reopened = self.reopen().await;
-        reopened
-            .err()
-            .map(|refusal| Part::Refused(failure.reason, refusal))
-    }
-
-    /// Replaces the response; a partial event of the earlier one is discarded.
-    fn switch_to(&mut self, next: OpenResponse) {
-        self.exchange.handle.first_byte();
-        self.events.discard_partial();
-        self.received.clear();
-        self.tail.clear();
-        let answered = self.exchange.record.progress == Progress::Answering;
-        let after_event = self.exchange.position.last_event_id().is_some();
-        self.origin = if answered || after_event {
-            Origin::Resumed
-        } else {
-            Origin::First
-        };
-        // Closes the connection of the earlier response, so that its server stops.
-        self.response = Some(next);
-        self.restart_stall_timer();
-    }
-
     /// Reports that the current response has failed, and closes its connection. Returns the reason of
     /// the failure, which is another one if the server has crashed.
     async fn fail_response(&mut self, reason: RetryReason) -> RetryReason {
@@ -408,27 +280,11 @@
         }
     }
 
-    /// Opens a response that continues the stream after a reported failure.
-    ///
-    /// # Errors
-    /// The refusal, if no other server continues it.
-    async fn reopen(&mut self) -> Result<(), Refusal> {
-        loop {
-            let next = self.exchange.open().await?;
-            if StreamKind::of(&next.head) == self.kind {
-                self.switch_to(next);
-                return Ok(());
-            }
-            let failure = self.failure(RetryReason::ServerError);
-            self.exchange.report_failure(&next.backend, failure);
-        }
-    }
-
     /// Returns the part to forward, or `None` if data is held back until an event is complete.
     fn accept_data(&mut self, data: Bytes) -> Option<Part> {
         self.record_part();
         let data = self.split_off_rest(data);
-        keep_tail(&mut self.tail, &data);
+        end::keep_tail(&mut self.tail, &data);
         if !self.resumes() {
             self.exchange.record.progress = Progress::Answering;
             return Some(Part::Data(data));
@@ -474,79 +330,4 @@
         }
         self.exchange.record.part(1);
     }
-
-    /// Records the end of the stream and returns the bytes after its last complete event.
-    fn finish(&mut self) -> Option<Bytes> {
-        let response = self.response.take()?;
-        let exchange = &mut self.exchange;
-        exchange.handle.finished(0, true);
-        let status = response.head.status.as_u16();
-        keep(&exchange.shared.pool, response.connection, &response.head);
-        metrics::histogram!("celerytally_longest_pause_seconds")
-            .record(exchange.record.timing.longest_pause.as_secs_f64());
-        exchange.record.end(&End::Answered {
-            backend: Some(response.backend),
-            status,
-        });
-        let rest = self.events.take_remainder();
-        (!rest.is_empty()).then_some(rest)
-    }
-}
-
-/// Opens a response that continues a stream, and waits for its first event.
-///
-/// Until then the server before may still go on. The wait after the head is limited, so that two
-/// servers do not work on the same stream for long.
-///
-/// # Errors
-/// The failure of the attempt, also if the response is another one.
-async fn open_continuation<R: StateMachine, N: Peers, C: HeaderCodec>(
-    attempt: Attempt<R, N, C>,
-    kind: StreamKind,
-    position: Position,
-) -> Result<Continuation, Failure> {
-    let shared = Arc::clone(&attempt.shared);
-    let mut response = attempt.run().await?;
-    if StreamKind::of(&response.head) != kind {
-        return Err(may_have_run_failure(RetryReason::ServerError));
-    }
-    let until = TokioInstant::now() + MAX_OVERLAP;
-    let mut events = EventSplitter::default();
-    let mut data = Vec::new();
-    while let Ok(part) = timeout_at(until, read_part(&mut response.body)).await {
-        match part {
-            Part::Data(bytes) => {
-                let complete = events.push(&bytes);
-                data.push(bytes);
-                if events.is_oversized() {
-                    return Err(may_have_run_failure(RetryReason::Truncated));
-                }
-                let first = complete.ids.first();
-                if first.is_some_and(|id| !position.is_followed_by(id.as_deref())) {
-                    return Err(may_have_run_failure(RetryReason::Mismatch));
-                }
-                if !complete.ids.is_empty() {
-                    break;
-                }
-            }
-            Part::Refused(reason, _) => return Err(may_have_run_failure(reason)),
-            // The server before has not ended the stream, so an event is missing.
-            Part::Failed(_) | Part::End => {
-                let reason = RetryReason::Truncated;
-                let reason = shared.diagnose(&response.destination, reason).await;
-                return Err(may_have_run_failure(reason));
-            }
-        }
-    }
-    Ok(Continuation { response, data })
-}
-
-/// Number of bytes that show whether a stream ends with a complete event.
-const TAIL_BYTES: usize = 3;
-
-/// Replaces the last bytes of a stream by those after further data.
-fn keep_tail(tail: &mut Vec<u8>, data: &[u8]) {
-    tail.extend_from_slice(&data[data.len().saturating_sub(TAIL_BYTES)..]);
-    let excess = tail.len().saturating_sub(TAIL_BYTES);
-    tail.drain(..excess);
 }
