--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -4,14 +4,12 @@
 
 use bytes::Bytes;
 use engine::{Connection, Pool, SendOutcome, Server};
-use http::{HeaderMap, HeaderValue, Method, Request, header, response};
+use http::{HeaderValue, Method, Request, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use route::{Event, Failure};
+use route::Failure;
 use tokio::time::{timeout, timeout_at};
-use types::{
-    Announcement, BackendId, Clock, Incarnation, Instant, Micros, NoticeSource, RetryReason,
-};
+use types::{Announcement, BackendId, Clock, Instant, Micros, NoticeSource, RetryReason};
 
 use crate::{
     dispatcher::StateMachine,
@@ -20,9 +18,10 @@
         Shared,
         buffer::discard_whole,
         codec::{AttemptInfo, HeaderCodec, ResponseClass},
-        exchange::end_to_end,
+        headers::{end_to_end, has_connection_close, keep_alive_timeout},
         implies_not_run,
         inbound::Inbound,
+        liveness::{Destination, PortCheck, ends_with_connection},
     },
 };
 
@@ -38,13 +37,6 @@
 /// Last rank of requests that can meet their target.
 const LOWEST_ON_TIME_URGENCY: u8 = 7;
 
-/// Backend server and incarnation that an attempt was sent to.
-#[derive(Clone, Debug)]
-pub(crate) struct Destination {
-    pub(crate) server: Server,
-    pub(crate) incarnation: Option<Incarnation>,
-}
-
 /// Response with a validated head and an unread body.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -53,6 +45,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
+    /// Check of the server's port, if only the end of the connection marks that of the body.
+    pub(crate) port: Option<PortCheck>,
 }
 
 /// Attempt that has not been sent yet.
@@ -115,6 +109,9 @@
                 if implies_not_run(head.status) {
                     connection.record_refusal(id);
                 }
+                let ends_with_connection = ends_with_connection(&self.inbound.head.method, &head);
+                let port = ends_with_connection
+                    .then(|| PortCheck::start(&self.shared.pool, &connection, server.addr));
                 Ok(OpenResponse {
                     backend: server.id.clone(),
                     destination: Destination {
@@ -124,6 +121,7 @@
                     head,
                     body,
                     connection,
+                    port,
                 })
             }
             ResponseClass::NotRun(reason) => {
@@ -194,39 +192,6 @@
     }
 }
 
-impl<R: StateMachine, N: Peers, C: HeaderCodec> Shared<R, N, C> {
-    /// Checks whether a backend server has crashed whose connection broke before the end of a response.
-    ///
-    /// Returns the reason of the failure, which is the given one unless the server crashed. The head of
-    /// a response does not show that its server is alive: it may crash as it writes the body.
-    pub(crate) async fn diagnose(
-        &self,
-        destination: &Destination,
-        reason: RetryReason,
-    ) -> RetryReason {
-        let server = &destination.server;
-        let crashed = match self.pool.open(server.addr).await {
-            Ok(connection) => {
-                self.pool.release(connection, None);
-                false
-            }
-            Err(e) => e.is_refused(),
-        };
-        if !crashed {
-            return reason;
-        }
-        // If the incarnation is unknown, the router learns of the crash from the failed attempt
-        // alone.
-        if let Some(incarnation) = destination.incarnation {
-            self.dispatcher.feed(Event::Crashed {
-                backend: server.id.clone(),
-                incarnation,
-            });
-        }
-        RetryReason::Crash
-    }
-}
-
 /// Returns a connection to the pool after a complete response, unless its server closes it.
 pub(crate) fn keep(pool: &Pool, connection: Connection, head: &response::Parts) {
     if !has_connection_close(&head.headers) {
@@ -255,20 +220,3 @@
 fn has_content_length(head: &http::request::Parts) -> bool {
     head.method != Method::GET && head.headers.contains_key(header::CONTENT_LENGTH)
 }
-
-fn has_connection_close(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(header::CONNECTION).iter();
-    let mut options = values
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','));
-    options.any(|o| o.trim().eq_ignore_ascii_case("close"))
-}
-
-/// Returns the keep-alive timeout announced by the server.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
-}
