Reserve one load for missing models in place of two

Callers waited until they left after most workers had been replaced: for ten seconds, two overloaded workers served nearly all requests beside five empty ones. One is reserved now.

--- a/crates/control/src/fleet/machine.rs
+++ b/crates/control/src/fleet/machine.rs
@@ -45,8 +45,8 @@
 
 /// Minimum limit of concurrent loads from the weight store, however slow the store is.
 ///
-/// Two of them are reserved for models that callers wait for, so with a lower limit no model would
-/// ever get an additional copy.
+/// One of them is reserved for models that callers wait for, so with a limit of one no model would ever
+/// get an additional copy, and with two only one after the other.
 const MIN_CONCURRENT_LOADS: usize = 3;
 
 /// Maximum number of loads from the weight store within one window, each of which is remembered.
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -29,7 +29,7 @@
 const MAX_CHANGES_PER_ROUND: usize = 8;
 
 /// Loads from the weight store that are reserved for models in demand without a copy.
-const RESERVED_STORE_LOADS: u32 = 2;
+const RESERVED_STORE_LOADS: u32 = 1;
 
 /// State of a worker in a round.
 #[derive(Clone, Debug)]
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -204,3 +204,27 @@
         "{plan:?}"
     );
 }
+
+/// Guards against empty workers that take over load one model after the other, because most loads that the
+/// weight store serves at once are kept free for missing models: after most workers were replaced, two
+/// overloaded ones served nearly all requests for ten seconds.
+#[test]
+fn overloaded_models_get_copies_on_empty_workers_two_at_a_time() {
+    let engine = engine(&["m1", "m2", "m3", "m4"]);
+    let mut busy = worker("w1", &["m1", "m2", "m3"], &[]);
+    busy.load = 2.0;
+    let workers = [busy, worker("w2", &[], &[]), worker("w3", &[], &[])];
+    let needs = [need("m1", 1.0), need("m2", 1.0)];
+
+    let three = plan(&engine, &workers, &needs, 3);
+    let one = plan(&engine, &workers, &needs, 1);
+    let missing = FleetDemand {
+        waiting: true,
+        ..need("m4", 0.0)
+    };
+    let urgent = plan(&engine, &workers, &[missing], 1);
+
+    assert_eq!(three.len(), 2, "{three:?}");
+    assert!(one.is_empty(), "{one:?}");
+    assert_eq!(urgent.len(), 1, "{urgent:?}");
+}
