Keep a refusal that arrives while a server is silent

A request got nothing until its deadline when the router refused it while its server was silent: asking for another server read the refusal from the channel and dropped it, so that the end of the attempt waited for a decision that had been made. The present router refuses a running request only after its attempt has failed, so that no caller has seen this; its interface does not exclude it.

Any decision but a dispatch is kept now, and the next wait for a decision returns it. The attempt at the silent server goes on meanwhile, as its response still counts.

The test of dispatcher/decisions timed out before (5 s) and passes now.

--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -244,6 +244,7 @@
             dispatcher: self.clone(),
             id,
             rx,
+            unread: None,
             registered: found.is_err(),
             active: found.is_err(),
         };
@@ -434,6 +435,8 @@
     dispatcher: Dispatcher<R, N>,
     id: RequestId,
     rx: UnboundedReceiver<Decision>,
+    /// Decision that arrived while an attempt went on, and that the end of the attempt needs.
+    unread: Option<Decision>,
     registered: bool,
     /// Whether the router still tracks the request.
     active: bool,
@@ -442,10 +445,13 @@
 impl<R: StateMachine, N: Peers> RequestHandle<R, N> {
     /// Waits for the router's decision.
     pub(crate) async fn decision(&mut self) -> Decision {
-        let decided = self.rx.recv().await.unwrap_or(Decision::Refuse {
-            code: Code::Internal,
-            retry_after: None,
-        });
+        let decided = match self.unread.take() {
+            Some(decision) => decision,
+            None => self.rx.recv().await.unwrap_or(Decision::Refuse {
+                code: Code::Internal,
+                retry_after: None,
+            }),
+        };
         if matches!(decided, Decision::Refuse { .. }) {
             self.active = false;
         }
@@ -469,7 +475,12 @@
 
     /// Reports that the server is silent. Returns another server that can take over the request, with
     /// the estimated time to the first byte of its response.
+    ///
+    /// The silent server may still respond, so any other decision is kept for [`Self::decision`].
     pub(crate) fn stalled(&mut self) -> Option<(BackendId, Micros)> {
+        if self.unread.is_some() {
+            return None;
+        }
         self.dispatcher.feed(Event::Stalled(self.id));
         match self.rx.try_recv() {
             Ok(Decision::Dispatch {
@@ -477,7 +488,11 @@
                 first_byte,
                 ..
             }) => Some((backend, first_byte)),
-            _ => None,
+            Ok(decision) => {
+                self.unread = Some(decision);
+                None
+            }
+            Err(_no_decision) => None,
         }
     }
 
@@ -510,3 +525,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/dispatcher/decisions.rs"]
+mod tests;
