Count no crash at the end of a leaving server in the completions API

A response that broke off at a server which left as planned counted as a crash if the server's port was closed or another process answered `/load`, so that the requests in flight became suspects. The proxy takes such an end for planned already; the completions API did not ask whether the server leaves.

A crash of a leaving server is not seen as one, as in the proxy; docs/decisions.md names that mistake.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -256,8 +256,10 @@
         }
     }
 
+    /// Distinguishes a crash of a server from a lost connection. A leaving server ends as planned, so its
+    /// end shows no crash.
     async fn diagnose(&self, server: &Server, err: Error) -> Error {
-        if self.remote {
+        if self.remote || self.runner.dispatcher.is_leaving(&server.id) {
             return err;
         }
         self.runner.engine.diagnose(server, err).await
--- a/crates/gate/tests/failures.rs
+++ b/crates/gate/tests/failures.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use fixture::{Backend, Host, backend::Behaviour, code, json};
-use route::Event;
+use route::{Event, Liveness};
 use types::RetryReason;
 
 /// Guards against forwarding a mismatched, truncated or failed response, and against retries
@@ -180,3 +180,30 @@
     );
     assert!(!text.contains("[DONE]"));
 }
+
+/// Guards against a planned stop that counts as a crash, for which the requests in flight are suspected.
+#[tokio::test]
+async fn the_end_of_a_leaving_server_is_no_crash() {
+    for (leaving, reason) in [
+        (false, RetryReason::Crash),
+        (true, RetryReason::ConnectionLost),
+    ] {
+        let backend = Backend::start([Behaviour::Complete, Behaviour::Crash]).await;
+        let host = Host::start(&[&backend]).await;
+        host.chat(false).send().await.unwrap();
+        if leaving {
+            host.gate.dispatcher().feed(Event::Liveness {
+                backend: "b1".parse().unwrap(),
+                liveness: Liveness::Leaving,
+            });
+        }
+
+        code(host.chat(false)).await;
+
+        let failed =
+            |ev: &Event| matches!(ev, Event::Failed { failure, .. } if failure.reason == reason);
+        let crashed = |ev: &Event| matches!(ev, Event::Crashed { .. });
+        assert_eq!(host.script.count(failed), 1, "leaving: {leaving}");
+        assert_eq!(host.script.count(crashed), usize::from(!leaving));
+    }
+}
