Start no head timeout at an empty line between requests

A caller that ends a body with an additional line break, as old clients do, got 408 on its idle connection after the head timeout, with no request waiting, and lost the connection to it. Bytes after a response counted as the start of a head, although HTTP lets a server ignore empty lines before a request, as the HTTP library does.

Line breaks before the first other byte of a head do not count now. The idle timeout goes on through them, and the head timeout starts at the first byte of the request.

--- a/crates/gate/src/proxy/idle.rs
+++ b/crates/gate/src/proxy/idle.rs
@@ -161,12 +161,19 @@
         state.waiting == Waiting::Head && state.head_len > state.max_head
     }
 
-    fn received(&self, len: usize) {
+    /// Records received bytes. Empty lines before a head are no part of it.
+    fn received(&self, data: &[u8]) {
         let mut state = self.state();
-        if state.waiting != Waiting::Response {
-            state.head_len += len;
-            state.begin_head();
+        if state.waiting == Waiting::Response {
+            return;
         }
+        let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let before_head = match state.head_len {
+            0 => data.iter().take_while(|byte| is_line_end(byte)).count(),
+            _ => 0,
+        };
+        state.head_len += data.len() - before_head;
+        state.begin_head();
     }
 
     /// Records that the HTTP library holds bytes that are not written yet.
@@ -274,9 +281,8 @@
         }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let len = buf.filled().len() - before;
-        if len > 0 {
-            self.progress.received(len);
+        if buf.filled().len() > before {
+            self.progress.received(&buf.filled()[before..]);
         }
         read
     }
