Wait for the body of an error response while another attempt runs

A caller got 502 or 504 in place of a server's error whose body took more than 50 ms after its head, if the server before it was silent and then failed as well. The body was read with a time limit, during which the other attempt was not polled, and a body that exceeded it counted as truncated. A sound server may be silent for a second.

The body is read as part of the attempt now, beside the other attempt and until the deadline. A response of the other server still ends the wait at once.

The test slow_responses::an_error_response_with_a_late_body_is_returned_when_the_other_attempt_fails failed before and passes now. The two tests beside it held before and hold now: a paused server answers while such a body is missing, and a continuation that pauses for a second after its head completes its stream.

--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -11,7 +11,7 @@
 use futures::future::{Either, select};
 use http::response;
 use route::Failure;
-use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
+use tokio::time::{Instant as TokioInstant, timeout_at};
 use types::{BackendId, Code, ExecutionStatus, Micros, RetryReason};
 
 use crate::{
@@ -20,13 +20,14 @@
     proxy::{
         Shared,
         attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
-        buffer::{Incomplete, read_whole},
+        buffer::read_whole,
         codec::HeaderCodec,
         implies_not_run,
         inbound::Inbound,
-        liveness::{Destination, ends_with_connection},
+        liveness::ends_with_connection,
         log,
         position::Position,
+        responded::{Contested, Responded, run_contested},
     },
     record::{Progress, RequestRecord},
     refusal::{Refusal, is_suspect_code},
@@ -39,9 +40,6 @@
 /// Minimum time without a response after which an attempt counts as stalled.
 const MIN_STALL_TIME: Micros = Micros::from_millis(150);
 
-/// Time limit for reading the body of an error response while another attempt goes on.
-const KEPT_BODY_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// Completely buffered response.
 #[derive(Debug)]
 pub(crate) struct CompleteResponse {
@@ -159,15 +157,19 @@
     ) -> Result<OpenResponse, (BackendId, Failure)> {
         let mut backend = attempt.server.id.clone();
         let mut first_byte = attempt.first_byte;
-        let mut current = Box::pin(attempt.run());
+        let contested = Contested::default();
+        let mut current = Box::pin(run_contested(attempt, contested.clone()));
         loop {
             let stalls_at = self.stalls_at(first_byte);
             if stalls_at >= self.inbound.deadline_at {
                 // The attempt ends by itself at the deadline.
-                return current.await.map_err(|failure| (backend, failure));
+                let responded = current.await;
+                return self.accept(responded).map_err(|failure| (backend, failure));
             }
             match timeout_at(stalls_at, &mut current).await {
-                Ok(done) => return done.map_err(|failure| (backend, failure)),
+                Ok(responded) => {
+                    return self.accept(responded).map_err(|failure| (backend, failure));
+                }
                 Err(_elapsed) => {}
             }
             let Some(attempt) = self.start_takeover() else {
@@ -175,8 +177,10 @@
             };
             let other = attempt.server.id.clone();
             let other_first_byte = attempt.first_byte;
-            match select(current, Box::pin(attempt.run())).await {
-                Either::Left((responded, next)) => match self.accept(responded).await {
+            contested.set(true);
+            let next = Box::pin(run_contested(attempt, contested.clone()));
+            match select(current, next).await {
+                Either::Left((responded, next)) => match self.accept(responded) {
                     Ok(response) => {
                         self.takeover_failed(&other, None);
                         return Ok(response);
@@ -186,7 +190,7 @@
                         (backend, first_byte, current) = (other, other_first_byte, next);
                     }
                 },
-                Either::Right((responded, stalled)) => match self.accept(responded).await {
+                Either::Right((responded, stalled)) => match self.accept(responded) {
                     Ok(response) => {
                         self.taken_over(&backend, None);
                         return Ok(response);
@@ -197,45 +201,23 @@
                     }
                 },
             }
+            contested.set(false);
         }
     }
 
-    /// Accepts a response while another attempt goes on.
-    ///
-    /// An error of the server is kept for the case that the other attempt fails, too. A response that
-    /// promises "not run" is not: the server of the other attempt may run the request.
+    /// Returns the response to an attempt, and keeps an error for the case that the other attempt fails,
+    /// too.
     ///
     /// # Errors
     /// The failure of the attempt.
-    async fn accept(
-        &mut self,
-        responded: Result<OpenResponse, Failure>,
-    ) -> Result<OpenResponse, Failure> {
-        let mut response = responded?;
-        let is_refusal = implies_not_run(response.head.status);
-        if !is_refusal && !response.head.status.is_server_error() {
-            return Ok(response);
-        }
-        let read = read_whole(&mut response.body, &self.shared.buffers);
-        let body = match timeout(KEPT_BODY_TIMEOUT, read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(incomplete)) => {
-                let reason = self.reason_of(incomplete, &response.destination).await;
-                return Err(may_have_run_failure(reason));
+    fn accept(&mut self, responded: Result<Responded, Failure>) -> Result<OpenResponse, Failure> {
+        match responded? {
+            Responded::Open(response) => Ok(response),
+            Responded::Error(whole) => {
+                self.fallback = Some(whole);
+                Err(may_have_run_failure(RetryReason::ServerError))
             }
-            Err(_elapsed) => return Err(may_have_run_failure(RetryReason::Truncated)),
-        };
-        let (backend, head) = (response.backend, response.head);
-        keep(&self.shared.pool, response.connection, &head);
-        if is_refusal {
-            return Err(not_run_failure(RetryReason::Refused));
         }
-        self.fallback = Some(CompleteResponse {
-            backend,
-            head,
-            body,
-        });
-        Err(may_have_run_failure(RetryReason::ServerError))
     }
 
     /// Returns the time at which an attempt without a response counts as stalled.
@@ -331,15 +313,6 @@
         }
     }
 
-    /// Returns the reason of a failure to read a body.
-    async fn reason_of(&self, incomplete: Incomplete, from: &Destination) -> RetryReason {
-        let reason = RetryReason::Truncated;
-        match incomplete {
-            Incomplete::Broken => self.shared.diagnose(from, reason).await,
-            Incomplete::Oversized => reason,
-        }
-    }
-
     /// Buffers a response. Returns `None` if another attempt is needed.
     pub(crate) async fn read_complete(
         &mut self,
@@ -357,7 +330,7 @@
         let body = match timeout_at(self.inbound.deadline_at, read).await {
             Ok(Ok(whole)) => whole,
             Ok(Err(incomplete)) => {
-                let reason = self.reason_of(incomplete, &destination).await;
+                let reason = self.shared.reason_of(incomplete, &destination).await;
                 self.report_failure(&backend, may_have_run_failure(reason));
                 return None;
             }
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 mod position;
 mod refused_head;
 mod relay;
+mod responded;
 
 use std::{
     fmt,
