Ask a silent server again when the one that took over fails

Streams were broken off after a sound server had paused for a second. Another server took the stream over, was silent for 0.3 s after its head, which ends the attempt at the first one, and then failed before its first event. The first server counted as failed, and the route allowed no third one.

A server whose attempt ended only because another one took over has not failed. If no other server is left to a request, those that were only silent may get it again; servers that have not run it still come first, and the retry budget, the deadline and the limit of attempts apply. The 0.3 s stay: the users' rules forbid that two servers work on a stream for longer.

--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -134,6 +134,14 @@
             return self.refuse(slot, code, None, out);
         }
         let expired = entry.request.deadline.is_past(now);
+        // A silent server may be sound, so it gets the request again before the request is given up.
+        let has_tries_left = self
+            .requests
+            .get(slot)
+            .is_some_and(|e| self.has_tries_left(e));
+        if !has_tries_left && let Some(entry) = self.requests.get_mut(slot) {
+            entry.forget_silent();
+        }
         let entry = self.requests.get(slot);
         let in_time = !expired && entry.is_some_and(|e| self.has_tries_left(e));
         let exempt = !failure.may_have_run
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -40,6 +40,8 @@
     pub backend: u32,
     /// Whether it may have run the request.
     pub may_have_run: bool,
+    /// Whether it was only silent until another server took over.
+    pub silent: bool,
 }
 
 /// Request with its state in the router.
@@ -99,12 +101,28 @@
         self.tried.push(TriedServer {
             backend,
             may_have_run,
+            silent: false,
         });
         if may_have_run {
             self.add_run(backend);
         }
     }
 
+    /// Records that a backend server was silent until another one took over.
+    pub(crate) fn add_silent(&mut self, backend: u32) {
+        self.tried.push(TriedServer {
+            backend,
+            may_have_run: true,
+            silent: true,
+        });
+        self.add_run(backend);
+    }
+
+    /// Allows the backend servers that were only silent to get the request again.
+    pub(crate) fn forget_silent(&mut self) {
+        self.tried.retain(|t| !t.silent);
+    }
+
     /// Allows a backend server that did not run the request to get it again.
     pub(crate) fn forget_tried(&mut self, backend: u32) {
         self.tried
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -126,6 +126,7 @@
         let Some(held) = self.requests.get(slot).and_then(|entry| entry.held) else {
             return;
         };
+        let is_silent = failure.is_none();
         let failure = failure.unwrap_or(SILENT);
         if failure.reason == RetryReason::Crash {
             self.note_crash_failure(now, slot, held.phase, out);
@@ -135,7 +136,11 @@
         };
         self.record_failure(now, backend, slot, failure.reason);
         if let Some(entry) = self.requests.get_mut(slot) {
-            entry.add_tried(backend, failure.may_have_run);
+            if is_silent {
+                entry.add_silent(backend);
+            } else {
+                entry.add_tried(backend, failure.may_have_run);
+            }
             entry.may_have_run |= failure.may_have_run;
         }
         self.dispatch_queued(now, Scope::Backend(backend), out);
--- a/crates/route/tests/behaviour/takeover.rs
+++ b/crates/route/tests/behaviour/takeover.rs
@@ -126,6 +126,26 @@
     assert_eq!(selected(&host), Some(second));
 }
 
+/// Guards against a request that is given up though its first server was only silent: the one that took it
+/// over has failed, and the route allows no third one.
+#[test]
+fn a_silent_server_gets_the_request_again_when_the_one_that_took_over_fails() {
+    let mut host = host();
+    let (id, first) = send(&mut host);
+    let second = stall(&mut host, id).expect("another server");
+    take_over(&mut host, id);
+
+    host.fail(id, RetryReason::Truncated, true);
+    let again = selected(&host);
+    host.fail(id, RetryReason::Truncated, true);
+
+    assert_ne!(first, second);
+    assert_eq!(again, Some(first));
+    // A server that has failed does not get it again.
+    assert_eq!(selected(&host), None);
+    assert_eq!(host.refused().len(), 1);
+}
+
 /// Guards against a refusal as possibly run when neither the stalled server nor the other one ran the
 /// request.
 #[test]
