Pass on plain responses that do not fit the buffer

Callers got 502 after their request had run, when sound responses beside each other used up the budget of buffered bytes: of four with 3 MB that pause before their end, two. A response with a stated length above 4 MiB was always given up. One slow response without end could keep the budget full for all others.

A plain response was buffered to its end, or given up. Now, one that does not fit is passed on: what was read so far, and the rest as the caller reads, so that memory stays bounded by the flow control of TCP. The charge is given back piece by piece. A stated length goes with it, and a response that breaks off ends the caller's connection without completing, with one log line and one counter as for streams. A relay of its own does this, which feeds no metric of streams and reports no second first byte. A server error that is kept for another attempt, and a refusal that must not be told, are given up as before; so is a response without a stated length above 4 MiB that the budget holds.

--- a/crates/gate/src/proxy/buffer.rs
+++ b/crates/gate/src/proxy/buffer.rs
@@ -1,16 +1,20 @@
 //! Buffering of response bodies within a budget of the whole process.
 //!
 //! Each response may take [`FREE_BYTES`]. What goes beyond that comes from one budget, so that servers
-//! which send bytes without end can't use up the memory, however many requests they get.
-
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+//! which send bytes without end can't use up the memory, however many requests they get. A body that
+//! does not fit is left unread, so that it can be passed on as its caller reads.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use metrics::counter;
 
 /// Number of bytes of a response that are buffered without a charge.
@@ -25,6 +29,9 @@
 /// Counter of responses that were given up because of their size.
 const OVERSIZED: &str = "celerytally_oversized_responses_total";
 
+/// Counter of responses that were passed on before their end because of their size.
+const UNBUFFERED: &str = "celerytally_unbuffered_responses_total";
+
 /// Budget of buffered bytes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BufferBudget(Arc<AtomicUsize>);
@@ -50,22 +57,28 @@
     /// Adapts the charge to the number of buffered bytes. Returns whether the budget allows it.
     pub(crate) fn set(&mut self, buffered: usize) -> bool {
         let bytes = buffered.saturating_sub(FREE_BYTES);
-        let used = &self.budget.0;
         if bytes <= self.bytes {
-            used.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
-            self.bytes = bytes;
+            self.lower(buffered);
             return true;
         }
+        let used = &self.budget.0;
         let more = bytes - self.bytes;
         let before = used.fetch_add(more, Ordering::Relaxed);
         if before + more > BUDGET_BYTES {
             used.fetch_sub(more, Ordering::Relaxed);
-            counter!(OVERSIZED).increment(1);
             return false;
         }
         self.bytes = bytes;
         true
     }
+
+    /// Gives back what a smaller number of buffered bytes does not need.
+    fn lower(&mut self, buffered: usize) {
+        let bytes = self.bytes.min(buffered.saturating_sub(FREE_BYTES));
+        let excess = self.bytes - bytes;
+        self.budget.0.fetch_sub(excess, Ordering::Relaxed);
+        self.bytes = bytes;
+    }
 }
 
 impl Drop for Charge {
@@ -86,13 +99,76 @@
     }
 }
 
+/// First part of a body, with its charge.
+#[derive(Debug)]
+pub(crate) struct Beginning {
+    pieces: VecDeque<Bytes>,
+    len: usize,
+    charge: Charge,
+}
+
+impl Beginning {
+    fn new(budget: &BufferBudget) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            len: 0,
+            charge: budget.charge(),
+        }
+    }
+
+    /// Appends data. Returns whether the budget allows it.
+    fn push(&mut self, data: Bytes) -> bool {
+        self.len += data.len();
+        self.pieces.push_back(data);
+        self.charge.set(self.len)
+    }
+
+    /// Removes the first piece and the part of the charge that it no longer needs.
+    pub(crate) fn pop(&mut self) -> Option<Bytes> {
+        let piece = self.pieces.pop_front()?;
+        self.len -= piece.len();
+        self.charge.lower(self.len);
+        Some(piece)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pieces.is_empty()
+    }
+
+    /// Joins the pieces. The charge lasts until the bytes are dropped.
+    fn into_bytes(self) -> Bytes {
+        let Self { pieces, charge, .. } = self;
+        Bytes::from_owner(Charged {
+            bytes: Vec::from(pieces).concat(),
+            _charge: charge,
+        })
+    }
+}
+
 /// Why a body could not be read completely.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub(crate) enum Incomplete {
     /// The connection ended, or what came is no valid body.
     Broken,
-    /// It is larger than the limit, or than the budget allows.
+    /// It has no stated length, and is larger than the limit.
     Oversized,
+    /// The budget does not allow more, or the stated length exceeds the limit. The rest is unread.
+    Unread(Beginning),
+}
+
+/// Counts a response that is given up because of its size.
+pub(crate) fn count_oversized() {
+    counter!(OVERSIZED).increment(1);
+}
+
+/// Counts a response that is passed on before its end because of its size.
+pub(crate) fn count_unbuffered() {
+    counter!(UNBUFFERED).increment(1);
+}
+
+/// Returns the length that the head of a response states for the unread part of its body.
+pub(crate) fn stated_len(body: &Incoming) -> Option<u64> {
+    body.size_hint().exact()
 }
 
 /// Reads a body completely. Its charge lasts until the bytes are dropped.
@@ -103,9 +179,10 @@
     body: &mut Incoming,
     budget: &BufferBudget,
 ) -> Result<Bytes, Incomplete> {
-    let mut charge = budget.charge();
-    let mut pieces: Vec<Bytes> = Vec::new();
-    let mut len = 0;
+    let mut read = Beginning::new(budget);
+    if stated_len(body).is_some_and(|len| len > MAX_COMPLETE_BODY_BYTES as u64) {
+        return Err(Incomplete::Unread(read));
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
             tracing::debug!(error = %e, "response body broke off");
@@ -114,16 +191,14 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        len += data.len();
-        if len > MAX_COMPLETE_BODY_BYTES || !charge.set(len) {
+        if read.len + data.len() > MAX_COMPLETE_BODY_BYTES {
             return Err(Incomplete::Oversized);
         }
-        pieces.push(data);
+        if !read.push(data) {
+            return Err(Incomplete::Unread(read));
+        }
     }
-    Ok(Bytes::from_owner(Charged {
-        bytes: pieces.concat(),
-        _charge: charge,
-    }))
+    Ok(read.into_bytes())
 }
 
 /// Reads a body to its end without keeping it. Returns whether it ended within the limit.
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -9,7 +9,7 @@
 use config::RetryPolicy;
 use engine::Server;
 use futures::future::{Either, select};
-use http::response;
+use http::{StatusCode, response};
 use route::Failure;
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 use types::{BackendId, Code, ExecutionStatus, Micros, RetryReason};
@@ -20,7 +20,9 @@
     proxy::{
         Shared,
         attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
-        buffer::{Incomplete, read_whole},
+        buffer::{
+            Beginning, Incomplete, count_oversized, count_unbuffered, read_whole, stated_len,
+        },
         codec::HeaderCodec,
         implies_not_run,
         inbound::Inbound,
@@ -50,6 +52,25 @@
     pub(crate) body: Bytes,
 }
 
+/// Response of which a part was read.
+#[derive(Debug)]
+pub(crate) enum ReadResponse {
+    /// It is complete.
+    Complete(CompleteResponse),
+    /// It was not read to its end, and the caller gets it as it arrives.
+    Begun(Box<BegunResponse>),
+}
+
+/// Response that is passed on before its end.
+#[derive(Debug)]
+pub(crate) struct BegunResponse {
+    pub(crate) response: OpenResponse,
+    /// Part of the body that was read.
+    pub(crate) beginning: Beginning,
+    /// Length of the body in bytes, if the server states it.
+    pub(crate) len: Option<u64>,
+}
+
 /// State of a request across its attempts. Dropping it cancels the request.
 pub(crate) struct Exchange<R: StateMachine, N: Peers, C> {
     pub(crate) shared: Arc<Shared<R, N, C>>,
@@ -313,8 +334,7 @@
     /// A response that promises "not run" is not returned after an attempt that may have run.
     pub(crate) fn take_fallback(&mut self) -> Option<CompleteResponse> {
         let kept = self.fallback.take()?;
-        let is_untrue = implies_not_run(kept.head.status) && self.may_have_run.is_some();
-        (!is_untrue).then_some(kept)
+        (!self.is_untrue(kept.head.status)).then_some(kept)
     }
 
     /// Reports a failed attempt to the router.
@@ -336,25 +356,43 @@
         let reason = RetryReason::Truncated;
         match incomplete {
             Incomplete::Broken => self.shared.diagnose(from, reason).await,
-            Incomplete::Oversized => reason,
+            Incomplete::Oversized | Incomplete::Unread(_) => {
+                count_oversized();
+                reason
+            }
         }
     }
 
-    /// Buffers a response. Returns `None` if another attempt is needed.
-    pub(crate) async fn read_complete(
+    /// Buffers a response, unless it is too large. Returns `None` if another attempt is needed.
+    pub(crate) async fn read_response(
         &mut self,
-        response: OpenResponse,
-    ) -> Option<CompleteResponse> {
+        mut response: OpenResponse,
+    ) -> Option<ReadResponse> {
+        let len = stated_len(&response.body);
+        let read = read_whole(&mut response.body, &self.shared.buffers);
+        let read = timeout_at(self.inbound.deadline_at, read).await;
+        let read = match read {
+            Ok(Err(Incomplete::Unread(beginning))) if self.is_final(response.head.status) => {
+                self.fallback = None;
+                self.record.answering(0);
+                count_unbuffered();
+                return Some(ReadResponse::Begun(Box::new(BegunResponse {
+                    response,
+                    beginning,
+                    len,
+                })));
+            }
+            read => read,
+        };
         let OpenResponse {
             backend,
             destination,
             head,
-            mut body,
             connection,
             port,
+            ..
         } = response;
-        let read = read_whole(&mut body, &self.shared.buffers);
-        let body = match timeout_at(self.inbound.deadline_at, read).await {
+        let body = match read {
             Ok(Ok(whole)) => whole,
             Ok(Err(incomplete)) => {
                 let reason = self.reason_of(incomplete, &destination).await;
@@ -379,14 +417,12 @@
             body,
         };
         let is_refusal = implies_not_run(whole.head.status);
-        if is_refusal && self.may_have_run.is_some() {
+        if self.is_untrue(whole.head.status) {
             // The server's promise holds for its own attempt only.
             self.report_failure(&whole.backend, not_run_failure(RetryReason::Refused));
             return None;
         }
-        let retryable = self.inbound.policy.retry_policy == RetryPolicy::Idempotent
-            && self.record.attempts < self.inbound.policy.max_attempts;
-        if whole.head.status.is_server_error() && retryable {
+        if self.is_retryable(whole.head.status) {
             let backend = whole.backend.clone();
             self.fallback = Some(whole);
             let failure = Failure {
@@ -396,7 +432,24 @@
             self.report_failure(&backend, failure);
             return None;
         }
-        Some(whole)
+        Some(ReadResponse::Complete(whole))
+    }
+
+    /// Returns whether a status promises "not run" after an attempt that may have run.
+    fn is_untrue(&self, status: StatusCode) -> bool {
+        implies_not_run(status) && self.may_have_run.is_some()
+    }
+
+    /// Returns whether a response is a server error after which another attempt is possible.
+    fn is_retryable(&self, status: StatusCode) -> bool {
+        status.is_server_error()
+            && self.inbound.policy.retry_policy == RetryPolicy::Idempotent
+            && self.record.attempts < self.inbound.policy.max_attempts
+    }
+
+    /// Returns whether the caller gets a response with a status, whatever its body is.
+    fn is_final(&self, status: StatusCode) -> bool {
+        !self.is_untrue(status) && !self.is_retryable(status)
     }
 }
 
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -31,7 +31,8 @@
 use bytes::Bytes;
 use config::RouteTable;
 use engine::{Pool, Server};
-use http::{Request, Response, StatusCode, header, request};
+use futures::StreamExt;
+use http::{Request, Response, StatusCode, header, request, response};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant as TokioInstant;
@@ -46,11 +47,11 @@
     peers::Peers,
     proxy::{
         buffer::BufferBudget,
-        exchange::{CompleteResponse, Exchange, not_run},
+        exchange::{CompleteResponse, Exchange, ReadResponse, not_run},
         headers::end_to_end,
         inbound::Inbound,
         refused_head::{head_len, max_head_len},
-        relay::{FirstPart, StreamError, StreamRelay},
+        relay::{FirstPart, PlainRelay, StreamError, StreamRelay},
     },
     record::{End, RequestRecord},
     refusal::Refusal,
@@ -378,10 +379,7 @@
                 let first_part = StreamRelay::new(exchange, opened).first_part();
                 match shared.aborting.run_until_cancelled(first_part).await {
                     Some(FirstPart::Received(head, stream)) => {
-                        let mut response = Response::new(Either::Right(StreamBody::new(stream)));
-                        *response.status_mut() = head.status;
-                        *response.headers_mut() = end_to_end(&head.headers);
-                        return Ok(response);
+                        return Ok(streamed_reply(&head, stream.left_stream()));
                     }
                     Some(FirstPart::Failed(returned)) => exchange = returned,
                     Some(FirstPart::Refused(returned, refusal)) => {
@@ -393,19 +391,32 @@
                 continue;
             }
             exchange.handle.first_byte();
-            let reading = exchange.read_complete(opened);
+            let reading = exchange.read_response(opened);
             let Some(read) = shared.aborting.run_until_cancelled(reading).await else {
                 let refusal = exchange.refusal_at_stop();
                 return kept_reply(exchange, refusal);
             };
-            if let Some(whole) = read {
-                let status = whole.head.status;
-                exchange.handle.finished(0, !status.is_server_error());
-                exchange.record.end(&End::Answered {
-                    backend: Some(whole.backend.clone()),
-                    status: status.as_u16(),
-                });
-                return Ok(complete_reply(whole));
+            match read {
+                Some(ReadResponse::Complete(whole)) => {
+                    let status = whole.head.status;
+                    exchange.handle.finished(0, !status.is_server_error());
+                    exchange.record.end(&End::Answered {
+                        backend: Some(whole.backend.clone()),
+                        status: status.as_u16(),
+                    });
+                    return Ok(complete_reply(whole));
+                }
+                Some(ReadResponse::Begun(begun)) => {
+                    let (head, len) = (begun.response.head.clone(), begun.len);
+                    let rest = PlainRelay::new(exchange, begun).into_stream();
+                    let mut response = streamed_reply(&head, rest.right_stream());
+                    if let Some(len) = len {
+                        let headers = response.headers_mut();
+                        headers.insert(header::CONTENT_LENGTH, len.into());
+                    }
+                    return Ok(response);
+                }
+                None => {}
             }
         }
     }
@@ -427,6 +438,13 @@
     Ok(complete_reply(kept))
 }
 
+fn streamed_reply<S>(head: &response::Parts, stream: S) -> Response<ReplyBody<StreamBody<S>>> {
+    let mut response = Response::new(Either::Right(StreamBody::new(stream)));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(&head.headers);
+    response
+}
+
 fn complete_reply<B>(whole: CompleteResponse) -> Response<ReplyBody<B>> {
     let mut response = Response::new(Either::Left(Full::new(whole.body)));
     *response.status_mut() = whole.head.status;
--- a/crates/gate/src/proxy/relay/mod.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -1,6 +1,8 @@
-//! Forwarding of event streams, with resumption on another backend server.
+//! Forwarding of responses part by part: of event streams, with resumption on another backend server,
+//! and of plain responses that are not buffered.
 
 mod end;
+mod plain;
 mod takeover;
 
 use std::{collections::VecDeque, fmt, time::Duration};
@@ -20,7 +22,7 @@
     peers::Peers,
     proxy::{
         attempt::{OpenResponse, may_have_run_failure},
-        buffer::Charge,
+        buffer::{Charge, count_oversized},
         codec::HeaderCodec,
         events::EventSplitter,
         exchange::Exchange,
@@ -30,6 +32,8 @@
     refusal::Refusal,
 };
 
+pub(crate) use plain::PlainRelay;
+
 /// Multiple of the longest allowed gap after which a resumable stream counts as stalled.
 const STALL_GAP_FACTOR: u64 = 3;
 
@@ -303,6 +307,7 @@
             self.exchange.position.advance(id);
         }
         if self.events.is_oversized() || !self.charge.set(self.events.partial_len()) {
+            count_oversized();
             return Some(Part::Failed(RetryReason::Truncated));
         }
         if complete.bytes.is_empty() {
