--- a/crates/gate/src/proxy/responded.rs
+++ b/crates/gate/src/proxy/responded.rs
@@ -15,7 +15,7 @@
     proxy::{
         Shared,
         attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
-        buffer::{Incomplete, read_whole},
+        buffer::{Incomplete, count_oversized, read_whole},
         codec::HeaderCodec,
         exchange::CompleteResponse,
         implies_not_run,
@@ -96,7 +96,10 @@
         let reason = RetryReason::Truncated;
         match incomplete {
             Incomplete::Broken => self.diagnose(from, reason).await,
-            Incomplete::Oversized => reason,
+            Incomplete::Oversized | Incomplete::Unread(_) => {
+                count_oversized();
+                reason
+            }
         }
     }
 }
