Name crash updates and their broadcast by the usual terms

Callers see no change: variants and fields keep their order, so messages between hosts have the same bytes, and metric names and listed log fields are the same.

Cause: 'news' named a message, a list of reports and one report, and 'told' and 'learned' named sending. Evidence: the message type, the channel and the variables of crashes.rs had one name for three things.

Suspect records are no longer called marks.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -261,9 +261,9 @@
                     self.send_event(peer, Event::Suspects(suspects.clone()));
                 }
             }
-            Action::ShareCrashes(news) => {
+            Action::ShareCrashes(update) => {
                 for peer in (0..HOSTS).filter(|p| *p != host) {
-                    self.send_event(peer, Event::CrashNews(news.clone()));
+                    self.send_event(peer, Event::CrashUpdate(update.clone()));
                 }
             }
             Action::RequestTrial { id, suspect } => {
--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -410,10 +410,10 @@
                 adapters,
             } => self.apply_demand(host, &models, &adapters),
             Datagram::Leaving { host, servers } => self.fleet.apply_peer_leaving(&host, &servers),
-            Datagram::Crashes { host, news } => {
-                tracing::trace!(%host, "told of crashes");
+            Datagram::Crashes { host, update } => {
+                tracing::trace!(%host, "crash update received");
                 let dispatcher = self.fleet.proxy().dispatcher();
-                dispatcher.feed(Event::CrashNews(news));
+                dispatcher.feed(Event::CrashUpdate(update));
             }
         }
     }
--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -39,7 +39,7 @@
     entry::{
         announcements::ANNOUNCEMENT_CAPACITY,
         beacons::LoadExchange,
-        crashes::{CRASH_NEWS_CAPACITY, CrashSharing},
+        crashes::{CRASH_UPDATE_CAPACITY, CrashBroadcaster},
         download::Downloader,
         fleet_state::FleetState,
         peers::{EntryPeers, Exchange, PeerRequestHandler},
@@ -91,7 +91,7 @@
     let peer_requests = PeerRequestHandler::default();
     let (exchange, updates) = start_exchange(&settings, &objects, peer_requests.clone()).await?;
     let (announced, announcements) = mpsc::channel(ANNOUNCEMENT_CAPACITY);
-    let (crashes, crash_news) = mpsc::channel(CRASH_NEWS_CAPACITY);
+    let (crashes, crash_updates) = mpsc::channel(CRASH_UPDATE_CAPACITY);
     let (controller, control) = build_controller(&settings, &objects, &pool, announced.clone());
     let proxy = Proxy::new(ProxyParts {
         clock: Monotonic::start(),
@@ -122,8 +122,9 @@
         .await
         .map_err(Error::usage)?;
     let socket = Arc::new(socket);
-    let sharing = CrashSharing::new(Arc::clone(&socket), exchange.clone(), Arc::clone(&fleet));
-    tokio::spawn(sharing.run(crash_news));
+    let broadcaster =
+        CrashBroadcaster::new(Arc::clone(&socket), exchange.clone(), Arc::clone(&fleet));
+    tokio::spawn(broadcaster.run(crash_updates));
     spawn_tasks(&settings, &objects, &exchange, &control, (socket, &fleet));
     let accepting = serve(&settings, &proxy, metrics).await?;
 
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -10,7 +10,7 @@
 use control::FleetHandle;
 use peer::{Facts, Handle, KnownFacts, MemberState, PeerUpdate, Readiness};
 use platform::ObjectClient;
-use route::{CrashNews, Event, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Event, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use tokio::{
     sync::mpsc::{Receiver, Sender},
     time::sleep,
@@ -93,20 +93,20 @@
     /// Receives what backend servers announce in their responses.
     pub(crate) announcements: Sender<Announcement>,
     /// Receives what this host learns of crashes.
-    pub(crate) crashes: Sender<CrashNews>,
+    pub(crate) crashes: Sender<CrashUpdate>,
 }
 
 impl gate::Peers for EntryPeers {
-    async fn share_suspects(&self, marks: Vec<SuspectRecord>) {
-        let shared = self.exchange.share_suspects(marks).await;
+    async fn share_suspects(&self, records: Vec<SuspectRecord>) {
+        let shared = self.exchange.share_suspects(records).await;
         if !shared.missed.is_empty() {
             tracing::warn!(missed = ?shared.missed, "suspects not acknowledged");
         }
     }
 
-    fn crashes_learned(&self, news: CrashNews) {
-        if let Err(e) = self.crashes.try_send(news) {
-            tracing::warn!(error = %e, "crash not told to other hosts");
+    fn share_crashes(&self, update: CrashUpdate) {
+        if let Err(e) = self.crashes.try_send(update) {
+            tracing::warn!(error = %e, "crash update not queued");
         }
     }
 
@@ -171,8 +171,8 @@
                 fleet.proxy().dispatcher().feed(Event::Suspects(records));
                 drop(ack);
             }
-            PeerUpdate::CrashNews(news) => {
-                fleet.proxy().dispatcher().feed(Event::CrashNews(news));
+            PeerUpdate::CrashUpdate(update) => {
+                fleet.proxy().dispatcher().feed(Event::CrashUpdate(update));
             }
             PeerUpdate::Digest { .. } | PeerUpdate::RemoteModels { .. } => {}
         }
--- a/crates/celerytally/src/integration.rs
+++ b/crates/celerytally/src/integration.rs
@@ -8,7 +8,7 @@
 use engine::{Client, Server};
 use orders::SendOutcome;
 use peer::{Handle, MemberState};
-use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use store::HttpPlatform;
 use tokio::sync::mpsc;
 use types::{
@@ -123,8 +123,8 @@
         }
     }
 
-    fn crashes_learned(&self, news: CrashNews) {
-        self.exchange.push_crash_news(&news);
+    fn share_crashes(&self, update: CrashUpdate) {
+        self.exchange.push_crash_update(&update);
     }
 
     async fn request_trial(&self, suspect: Suspect) -> TrialReply {
--- a/crates/celerytally/src/updates.rs
+++ b/crates/celerytally/src/updates.rs
@@ -129,8 +129,8 @@
                     .dispatcher()
                     .feed(Event::RemoteModels { dc, models });
             }
-            PeerUpdate::CrashNews(news) => {
-                host.gate.dispatcher().feed(Event::CrashNews(news));
+            PeerUpdate::CrashUpdate(update) => {
+                host.gate.dispatcher().feed(Event::CrashUpdate(update));
             }
             PeerUpdate::Suspects { records, ack } => {
                 host.gate.dispatcher().feed(Event::Suspects(records));
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -257,9 +257,9 @@
         let mut rest = out.into_iter();
         while let Some(action) = rest.next() {
             match action {
-                Action::ShareSuspects(marks) => {
+                Action::ShareSuspects(records) => {
                     let later: Vec<Action> = rest.collect();
-                    self.share_suspects_then(marks, later);
+                    self.share_suspects_then(records, later);
                     return;
                 }
                 action => self.perform_action(action),
@@ -267,9 +267,9 @@
         }
     }
 
-    fn share_suspects_then(&self, marks: Vec<route::SuspectRecord>, later: Vec<Action>) {
+    fn share_suspects_then(&self, records: Vec<route::SuspectRecord>, later: Vec<Action>) {
         // A caller may resend as soon as it is refused, and a forwarded suspect could arrive before
-        // its marks. Only refusals and forwards wait; other actions proceed.
+        // its records. Only refusals and forwards wait; other actions proceed.
         let share_suspects_first = self.0.checks.share_suspects_first;
         let must_wait = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Forward { .. });
         let (held, others): (Vec<_>, Vec<_>) = later
@@ -278,7 +278,7 @@
         self.perform(others);
         let this = self.clone();
         tokio::spawn(async move {
-            this.0.peers.share_suspects(marks).await;
+            this.0.peers.share_suspects(records).await;
             this.perform(held);
         });
     }
@@ -359,10 +359,10 @@
                     }
                 });
             }
-            Action::ShareSuspects(marks) => self.share_suspects_then(marks, Vec::new()),
-            Action::ShareCrashes(news) => {
-                news.crashes.iter().for_each(log_crash);
-                self.0.peers.crashes_learned(news);
+            Action::ShareSuspects(records) => self.share_suspects_then(records, Vec::new()),
+            Action::ShareCrashes(update) => {
+                update.crashes.iter().for_each(log_crash);
+                self.0.peers.share_crashes(update);
             }
             Action::RequestTrial { id, suspect } => {
                 let this = self.clone();
@@ -414,7 +414,7 @@
     );
 }
 
-/// Logs and counts a changed judgement on a suspect.
+/// Logs and counts a changed verdict on a suspect.
 fn log_verdict(suspect: Suspect, verdict: Option<Verdict>, crashes: usize) {
     let state = match verdict {
         None => "cleared",
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use types::{AdapterId, Announcement, BackendId, DataCentreId, HostId, Incarnation, ModelId};
 
 /// Operations on other entry hosts.
@@ -11,7 +11,7 @@
 pub trait Peers: Send + Sync + 'static {
     /// Shares suspect requests with all peers. Returns once each peer has acknowledged them or is
     /// unreachable.
-    fn share_suspects(&self, marks: Vec<SuspectRecord>) -> impl Future<Output = ()> + Send;
+    fn share_suspects(&self, records: Vec<SuspectRecord>) -> impl Future<Output = ()> + Send;
 
     /// Requests permission to run a suspect on a backend server now. No answer means no permission.
     fn request_suspect_slot(
@@ -20,10 +20,10 @@
         backend: BackendId,
     ) -> impl Future<Output = bool> + Send;
 
-    /// Passes on what this host learned of crashes, without waiting.
-    fn crashes_learned(&self, _news: CrashNews) {}
+    /// Shares what this host learned of crashes with all peers, without waiting.
+    fn share_crashes(&self, _update: CrashUpdate) {}
 
-    /// Asks for permission to try a blocked suspect. No answer means no permission.
+    /// Requests a trial of a blocked suspect. No answer means no permission.
     fn request_trial(&self, _suspect: Suspect) -> impl Future<Output = TrialReply> + Send {
         std::future::ready(TrialReply::Granted)
     }
@@ -71,7 +71,7 @@
 pub struct NoPeers;
 
 impl Peers for NoPeers {
-    async fn share_suspects(&self, _marks: Vec<SuspectRecord>) {}
+    async fn share_suspects(&self, _records: Vec<SuspectRecord>) {}
 
     /// Grants the slot, because without peers the router's own list of suspects is complete.
     async fn request_suspect_slot(&self, _fingerprint: Fingerprint, _backend: BackendId) -> bool {
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -4,7 +4,7 @@
 
 use std::{cmp::Reverse, io, net::SocketAddr};
 
-use route::CrashNews;
+use route::CrashUpdate;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use types::{DataCentreId, HostId, Incarnation};
@@ -99,7 +99,7 @@
         /// The host.
         host: HostId,
         /// What it knows.
-        news: CrashNews,
+        update: CrashUpdate,
     },
     /// Backend servers that announced to one host that they leave.
     Leaving {
@@ -176,36 +176,37 @@
     }
 }
 
-/// Truncates what a host knows of crashes to what fits in a datagram; [`Datagram::crash_news`] splits it
-/// before, so that only one list has entries.
-fn shorten_news(news: &mut CrashNews) {
-    news.crashes.truncate(1);
-    for report in &mut news.crashes {
+/// Truncates a crash update to what fits in a datagram.
+///
+/// [`Datagram::crash_updates`] has split it before, so that only one of its lists has entries.
+fn truncate_update(update: &mut CrashUpdate) {
+    update.crashes.truncate(1);
+    for report in &mut update.crashes {
         report.suspects.truncate(MAX_SUSPECTS);
     }
-    news.responses.truncate(MAX_RESPONSES);
-    news.blocked.truncate(MAX_BLOCKED);
+    update.responses.truncate(MAX_RESPONSES);
+    update.blocked.truncate(MAX_BLOCKED);
 }
 
 impl Datagram {
-    /// Splits what a host knows of crashes into datagrams.
+    /// Splits a crash update of a host into datagrams.
     #[must_use]
-    pub fn crash_news(host: &HostId, news: CrashNews) -> Vec<Self> {
-        let datagram = |news| Self::Crashes {
+    pub fn crash_updates(host: &HostId, update: CrashUpdate) -> Vec<Self> {
+        let datagram = |update| Self::Crashes {
             host: host.clone(),
-            news,
+            update,
         };
-        let crashes = news.crashes.into_iter().map(|report| CrashNews {
+        let crashes = update.crashes.into_iter().map(|report| CrashUpdate {
             crashes: vec![report],
-            ..CrashNews::default()
+            ..CrashUpdate::default()
         });
-        let responses = news.responses.chunks(MAX_RESPONSES).map(|r| CrashNews {
+        let responses = update.responses.chunks(MAX_RESPONSES).map(|r| CrashUpdate {
             responses: r.to_vec(),
-            ..CrashNews::default()
+            ..CrashUpdate::default()
         });
-        let blocked = news.blocked.chunks(MAX_BLOCKED).map(|b| CrashNews {
+        let blocked = update.blocked.chunks(MAX_BLOCKED).map(|b| CrashUpdate {
             blocked: b.to_vec(),
-            ..CrashNews::default()
+            ..CrashUpdate::default()
         });
         crashes
             .chain(responses)
@@ -228,7 +229,7 @@
                 adapters.truncate(MAX_ADAPTERS);
             }
             Self::Leaving { servers, .. } => servers.truncate(MAX_LEAVING),
-            Self::Crashes { news, .. } => shorten_news(news),
+            Self::Crashes { update, .. } => truncate_update(update),
         }
     }
 }
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -161,7 +161,7 @@
             Request::Slot(suspect, backend) => Reply::Bool(self.grant(now, *suspect, backend)),
             Request::Trial(suspect) => Reply::Trial(self.grant_trial(now, *suspect)),
             Request::Suspects(_)
-            | Request::CrashNews(_)
+            | Request::CrashUpdate(_)
             | Request::Demand(..)
             | Request::RetiredEpoch(_)
             | Request::Place(..)
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -9,7 +9,7 @@
 use config::{ActiveConfig, Secret};
 use futures::future::join_all;
 use rand::Rng;
-use route::{BackendLoad, CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{BackendLoad, CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use store::Platform;
 use tokio::{
     net::TcpListener,
@@ -360,21 +360,21 @@
         granted
     }
 
-    /// Pushes what this host knows of crashes to all peers, without waiting for them.
-    pub fn push_crash_news(&self, news: &CrashNews) {
+    /// Pushes a crash update to all peers, without waiting for them.
+    pub fn push_crash_update(&self, update: &CrashUpdate) {
         let peers = self.current_members();
         for peer in peers {
             if peer.id == self.host || peer.state == MemberState::Gone {
                 continue;
             }
-            let (node, req) = (Arc::clone(&self.node), Request::CrashNews(news.clone()));
+            let (node, req) = (Arc::clone(&self.node), Request::CrashUpdate(update.clone()));
             tokio::spawn(async move {
                 let pushed = node
                     .clients
                     .request(peer.peer_addr, req, SUSPECTS_TIMEOUT)
                     .await;
                 if let Err(e) = pushed {
-                    tracing::debug!(host = %peer.id, reason = %e.reason(), "crash not told");
+                    tracing::debug!(host = %peer.id, reason = %e.reason(), "crash update not delivered");
                 }
             });
         }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use config::Delta;
-use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use serde::{Deserialize, Serialize};
 use transfer::{ContentId, Offer, PartId};
 use types::{
@@ -189,8 +189,8 @@
     Facts(KnownFacts),
     /// Requests a part of a configuration that the host offered.
     Part(PartId),
-    /// Pushes what the sender knows of crashes.
-    CrashNews(CrashNews),
+    /// Pushes what the sender learned of crashes.
+    CrashUpdate(CrashUpdate),
     /// Requests a trial of a blocked suspect.
     Trial(Suspect),
 }
@@ -296,7 +296,7 @@
             Self::Rows(_) => MessageKind::Rows,
             Self::Residents(_) => MessageKind::Residents,
             Self::Hosts(_) => MessageKind::Hosts,
-            Self::Suspects(_) | Self::CrashNews(_) => MessageKind::Suspects,
+            Self::Suspects(_) | Self::CrashUpdate(_) => MessageKind::Suspects,
             Self::Slot(..) | Self::Trial(_) => MessageKind::Slot,
             Self::Demand(..) => MessageKind::Demand,
             Self::RetiredEpoch(_) => MessageKind::RetiredEpoch,
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -7,7 +7,7 @@
 
 use config::{ActiveConfig, Manifest, Snapshot};
 use futures::StreamExt;
-use route::{BackendLoad, CrashNews, SuspectRecord};
+use route::{BackendLoad, CrashUpdate, SuspectRecord};
 use store::{Category, Change, HostEntry, Kind, Platform, Revision};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -55,8 +55,8 @@
         /// Its resident models, sorted.
         models: Vec<ModelId>,
     },
-    /// What a peer knows of crashes.
-    CrashNews(CrashNews),
+    /// What a peer learned of crashes.
+    CrashUpdate(CrashUpdate),
     /// Suspect records from a peer, which receives its acknowledgement when `ack` is dropped.
     Suspects {
         /// The records.
@@ -340,8 +340,8 @@
         }
         match req {
             Request::Suspects(records) => Arc::clone(node).deliver_suspects(records).await,
-            Request::CrashNews(news) => {
-                let update = PeerUpdate::CrashNews(news);
+            Request::CrashUpdate(update) => {
+                let update = PeerUpdate::CrashUpdate(update);
                 Reply::Bool(node.updates.send(update).await.is_ok())
             }
             Request::Demand(model, adapter) => {
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -162,12 +162,12 @@
     }
 }
 
-/// Judgement on a suspect, whose requests are kept from the backend servers.
+/// Verdict on a blocked suspect, whose requests are not sent to backend servers.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub enum Verdict {
-    /// It was in flight at several crashes; a few requests may still try it.
+    /// It was in flight at several crashes. A few requests with it are still sent as trials.
     Suspected,
-    /// It is not tried any more.
+    /// It gets no further trial.
     Confirmed,
 }
 
@@ -193,42 +193,42 @@
     pub age: Micros,
 }
 
-/// Suspect that a host keeps from the backend servers.
+/// Suspect whose requests a host does not send to backend servers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct BlockedSuspect {
     /// The suspect.
     pub suspect: Suspect,
-    /// The judgement.
+    /// The verdict.
     pub verdict: Verdict,
     /// Time since the last crash at which it was in flight.
     pub age: Micros,
 }
 
-/// What a host knows of crashes, for the other hosts.
+/// What a host learned of crashes, for the other hosts.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-pub struct CrashNews {
+pub struct CrashUpdate {
     /// Crashes that the host observed.
     pub crashes: Vec<CrashReport>,
     /// Responses that the host got to requests with suspects.
     pub responses: Vec<ResponseReport>,
-    /// Suspects that the host keeps from the backend servers.
+    /// Suspects that the host blocks.
     pub blocked: Vec<BlockedSuspect>,
 }
 
-impl CrashNews {
-    /// Returns whether there is nothing to tell.
+impl CrashUpdate {
+    /// Returns whether the update contains nothing.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.responses.is_empty() && self.blocked.is_empty()
     }
 }
 
-/// Reply to a request for permission to try a suspect.
+/// Reply to a request for a trial of a blocked suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum TrialReply {
-    /// The suspect may be tried once.
+    /// One request with the suspect may be sent.
     Granted,
-    /// The suspect may not be tried now.
+    /// No trial is permitted now.
     Denied,
     /// The suspect has had all of its trials.
     Exhausted,
@@ -412,8 +412,8 @@
     PrefixGap(BackendId),
     /// A peer shared suspect records.
     Suspects(Vec<SuspectRecord>),
-    /// A peer shared what it knows of crashes.
-    CrashNews(CrashNews),
+    /// A peer shared what it learned of crashes.
+    CrashUpdate(CrashUpdate),
     /// Reply to [`Action::RequestTrial`]; a timeout counts as a denial.
     TrialReply {
         /// The request.
@@ -476,8 +476,8 @@
     /// Share suspect records with all peers before any refusal that follows in the same list.
     ShareSuspects(Vec<SuspectRecord>),
     /// Share what this host learned of crashes with all peers.
-    ShareCrashes(CrashNews),
-    /// Ask the peers for permission to try a suspect with a request; the reply is
+    ShareCrashes(CrashUpdate),
+    /// Ask the peers whether a request may be sent as a trial of a blocked suspect; the reply is
     /// [`Event::TrialReply`].
     RequestTrial {
         /// The request.
@@ -485,11 +485,11 @@
         /// The suspect.
         suspect: Suspect,
     },
-    /// Log that the judgement on a suspect changed.
+    /// Log that the verdict on a suspect changed.
     LogVerdict {
         /// The suspect.
         suspect: Suspect,
-        /// The judgement; `None` if the suspect was cleared.
+        /// The verdict; `None` if the suspect was cleared.
         verdict: Option<Verdict>,
         /// Number of crashes that this host counts against it.
         crashes: usize,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -69,7 +69,7 @@
 
 pub use counts::Counts;
 pub use event::{
-    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashNews, CrashReport, Event,
+    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashReport, CrashUpdate, Event,
     Failure, Fingerprint, Liveness, RequestOptions, ResponseReport, RoutingRequest, Suspect,
     SuspectRecord, SuspectState, Target, TrialReply, Verdict,
 };
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -179,7 +179,7 @@
             Event::PrefixGap(backend) => self.prefix_gap(&backend),
             Event::Suspects(records) => self.apply_suspect_records(now, &records, out),
             Event::SlotReply { id, granted } => self.slot_reply(now, id, granted, out),
-            Event::CrashNews(news) => self.apply_crash_news(now, &news, out),
+            Event::CrashUpdate(update) => self.apply_crash_update(now, &update, out),
             Event::TrialReply { id, suspect, reply } => {
                 self.trial_reply(now, id, suspect, reply, out);
             }
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     event::{
-        Action, BlockedSuspect, CrashNews, CrashReport, ResponseReport, RoutingRequest, Suspect,
+        Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
         TrialReply, Verdict,
     },
     evidence::Change,
@@ -154,7 +154,7 @@
             TrialReply::Denied => {}
             TrialReply::Exhausted => {
                 let changes = self.evidence.trials_exhausted(suspect);
-                self.share_changes(now, CrashNews::default(), changes, out);
+                self.share_changes(now, CrashUpdate::default(), changes, out);
             }
         }
         let slot = self.requests.find(id);
@@ -197,11 +197,11 @@
         let changes = self
             .evidence
             .record_crash(now, self.cfg.confirmed_ttl, &report);
-        let news = CrashNews {
+        let update = CrashUpdate {
             crashes: vec![report],
-            ..CrashNews::default()
+            ..CrashUpdate::default()
         };
-        self.share_changes(now, news, changes, out);
+        self.share_changes(now, update, changes, out);
     }
 
     /// Returns what this host has in flight at an incarnation of a server, without what is proven not to
@@ -238,19 +238,19 @@
         if self.evidence.is_empty() || !self.cfg.suspects {
             return;
         }
-        let mut news = CrashNews::default();
+        let mut update = CrashUpdate::default();
         let mut changes = Vec::new();
         for suspect in self.suspects_of(request) {
             if self.evidence.awaits_response(suspect) {
                 changes.extend(self.evidence.record_response(now, suspect, now));
-                news.responses.push(ResponseReport {
+                update.responses.push(ResponseReport {
                     suspect,
                     age: Micros::ZERO,
                 });
             }
         }
-        if !news.is_empty() {
-            self.share_changes(now, news, changes, out);
+        if !update.is_empty() {
+            self.share_changes(now, update, changes, out);
         }
     }
 
@@ -272,10 +272,10 @@
     }
 
     /// Applies what a peer knows of crashes.
-    pub(crate) fn apply_crash_news(
+    pub(crate) fn apply_crash_update(
         &mut self,
         now: Instant,
-        news: &CrashNews,
+        update: &CrashUpdate,
         out: &mut Vec<Action>,
     ) {
         if !self.cfg.suspects {
@@ -283,15 +283,15 @@
         }
         let ttl = self.cfg.confirmed_ttl;
         let mut changes = Vec::new();
-        for report in &news.crashes {
+        for report in &update.crashes {
             changes.extend(self.evidence.record_crash(now, ttl, report));
         }
-        for response in &news.responses {
+        for response in &update.responses {
             let at = now.as_micros().saturating_sub(response.age.get());
             let at = Instant::from_micros(at);
             changes.extend(self.evidence.record_response(now, response.suspect, at));
         }
-        for blocked in &news.blocked {
+        for blocked in &update.blocked {
             changes.extend(self.evidence.apply_blocked(now, ttl, blocked));
         }
         if !changes.is_empty() {
@@ -310,19 +310,19 @@
     fn share_changes(
         &mut self,
         now: Instant,
-        news: CrashNews,
+        update: CrashUpdate,
         changes: impl IntoIterator<Item = Change>,
         out: &mut Vec<Action>,
     ) {
         let changes: Vec<Change> = changes.into_iter().collect();
         let blocked = self.evidence.blocked(now);
         let is_changed = |b: &BlockedSuspect| changes.iter().any(|c| c.suspect == b.suspect);
-        let news = CrashNews {
+        let update = CrashUpdate {
             blocked: blocked.into_iter().filter(is_changed).collect(),
-            ..news
+            ..update
         };
-        if !news.is_empty() {
-            out.push(Action::ShareCrashes(news));
+        if !update.is_empty() {
+            out.push(Action::ShareCrashes(update));
         }
         self.log_changes(changes, out);
     }
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -3,7 +3,7 @@
 //! Several hosts share their evidence, as they do by datagrams.
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{Action, CrashNews, Event, MAX_TRIALS, RoutingRequest, Suspect, TrialReply, Verdict};
+use route::{Action, CrashUpdate, Event, MAX_TRIALS, RoutingRequest, Suspect, TrialReply, Verdict};
 use types::{Code, Micros, PromptPart, RequestId, RetryReason};
 
 use crate::fixture::{Host, LOCAL, model};
@@ -112,10 +112,10 @@
                 return self.dispatch(host, id, backend.as_str());
             }
             Action::Refuse { id, .. } => self.record_refusal(host, id),
-            Action::ShareCrashes(news) => {
+            Action::ShareCrashes(update) => {
                 let others = (0..self.hosts.len()).filter(|h| *h != host);
                 return others
-                    .map(|h| (h, Event::CrashNews(news.clone())))
+                    .map(|h| (h, Event::CrashUpdate(update.clone())))
                     .collect();
             }
             Action::RequestTrial { id, suspect } => {
@@ -447,7 +447,10 @@
     let slow = fleet.runs.pop().expect("a run");
     for number in 1..=3 {
         for host in 0..3 {
-            fleet.feed(host, Event::CrashNews(crash_of_elsewhere(number, &[SOUND])));
+            fleet.feed(
+                host,
+                Event::CrashUpdate(crash_of_elsewhere(number, &[SOUND])),
+            );
         }
         (0..20).for_each(|_| fleet.advance());
     }
@@ -467,8 +470,8 @@
     }
 }
 
-/// Returns the news of a crash of a server that no request of the test runs on.
-fn crash_of_elsewhere(incarnation: u64, parts: &[u64]) -> CrashNews {
+/// Returns a report of the crash of a server on which no request of the test runs.
+fn crash_of_elsewhere(incarnation: u64, parts: &[u64]) -> CrashUpdate {
     let suspects = parts.iter().map(|p| Suspect::Part(PromptPart::new(*p)));
     let report = route::CrashReport {
         backend: "w9".parse().expect("a name"),
@@ -476,9 +479,9 @@
         age: Micros::ZERO,
         suspects: suspects.collect(),
     };
-    CrashNews {
+    CrashUpdate {
         crashes: vec![report],
-        ..CrashNews::default()
+        ..CrashUpdate::default()
     }
 }
 
@@ -488,28 +491,28 @@
     let mut fleet = Fleet::new(3, 1, &[CRASHING]);
     fleet.run(600, seldom(&[SHARED, CRASHING]));
     let now = fleet.hosts[0].now;
-    let news = CrashNews {
+    let update = CrashUpdate {
         blocked: fleet.hosts[0].router.blocked_suspects(now),
-        ..CrashNews::default()
+        ..CrashUpdate::default()
     };
     let mut late = Host::new(|cfg| cfg.suspect_slots = false);
 
-    late.step(Event::CrashNews(news));
+    late.step(Event::CrashUpdate(update));
     let id = late.send(|r| r.options.parts = vec![PromptPart::new(CRASHING)]);
 
     assert_eq!(late.refused(), [(id, Code::CrashingPart)]);
 }
 
-/// Returns the news that another host has confirmed that a part crashes servers.
+/// Returns the update of another host that has confirmed that a part crashes servers.
 fn confirmed(part: PromptPart) -> Event {
     let blocked = route::BlockedSuspect {
         suspect: Suspect::Part(part),
         verdict: Verdict::Confirmed,
         age: Micros::ZERO,
     };
-    Event::CrashNews(CrashNews {
+    Event::CrashUpdate(CrashUpdate {
         blocked: vec![blocked],
-        ..CrashNews::default()
+        ..CrashUpdate::default()
     })
 }
 
@@ -551,7 +554,7 @@
     fleet.run(600, seldom(&[SHARED, CRASHING]));
     for number in 0..1_000 {
         let parts: Vec<u64> = (0..40).map(|n| 10_000 + number * 40 + n).collect();
-        fleet.feed(0, Event::CrashNews(crash_of_elsewhere(number, &parts)));
+        fleet.feed(0, Event::CrashUpdate(crash_of_elsewhere(number, &parts)));
     }
 
     assert_eq!(fleet.blocks(0, CRASHING), Some(Verdict::Confirmed));
@@ -576,9 +579,9 @@
             age: Micros::ZERO,
             suspects: suspects.clone(),
         };
-        host.step(Event::CrashNews(CrashNews {
+        host.step(Event::CrashUpdate(CrashUpdate {
             crashes: vec![report],
-            ..CrashNews::default()
+            ..CrashUpdate::default()
         }));
     }
 
@@ -599,7 +602,7 @@
         let mut host = Host::new(|cfg| cfg.suspect_slots = false);
         for number in 1..=3 {
             host.advance(1_000);
-            host.step(Event::CrashNews(crash_of_elsewhere(number, &[CRASHING])));
+            host.step(Event::CrashUpdate(crash_of_elsewhere(number, &[CRASHING])));
         }
         host.advance(1_000);
         let id = host.send(|r| r.options.parts = vec![part]);
@@ -621,17 +624,17 @@
     let mut host = Host::new(|cfg| cfg.suspect_slots = false);
     for number in 1..=4 {
         host.advance(1_000);
-        host.step(Event::CrashNews(crash_of_elsewhere(number, &[STRONGER])));
+        host.step(Event::CrashUpdate(crash_of_elsewhere(number, &[STRONGER])));
     }
     let part = PromptPart::new(CRASHING);
     let suspect = Suspect::Part(part);
-    host.step(Event::CrashNews(CrashNews {
+    host.step(Event::CrashUpdate(CrashUpdate {
         blocked: vec![route::BlockedSuspect {
             suspect,
             verdict: Verdict::Suspected,
             age: Micros::ZERO,
         }],
-        ..CrashNews::default()
+        ..CrashUpdate::default()
     }));
     for _ in 0..10 {
         host.advance(500);
@@ -666,7 +669,7 @@
             age,
             suspects: vec![part; 10_000],
         };
-        host.step(Event::CrashNews(CrashNews {
+        host.step(Event::CrashUpdate(CrashUpdate {
             crashes: vec![report; 3],
             responses: vec![route::ResponseReport { suspect: part, age }; 3],
             blocked: vec![
