Split the handling of crash evidence by concern, with the usual terms

Callers see no change: the router takes the same decisions and emits the same actions in the same order.

Cause: trial.rs held four jobs (admission, trials, collection and exchange of evidence), evidence.rs had one function for the whole assessment, and the names were figurative (explained, proven, calm, news, held). Evidence: duplicates listed the same walk over running requests in crash.rs and trial.rs, and the sorted insertion of a crash stood twice in evidence.rs.

RequestEntry::attempts_in_progress, insert_crash and Entry::set_verdict replace the repeated logic. The attempt at a stalled server is named so instead of held.

--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -4,13 +4,13 @@
 use types::{AdapterId, Code, Deadline, Instant, Micros, ModelId};
 
 use crate::{
+    blocking::SuspectAdmission,
     choose::{Estimate, Selection, request_work},
     event::{Action, RoutingRequest, SuspectState, Target},
     queue::Rank,
     requests::{Phase, RequestEntry},
     router::{Router, Scope},
     settings::LatencyMetric,
-    trial::SuspectAdmission,
 };
 
 /// Retry-after time of a refusal, unless it is estimated.
@@ -76,7 +76,7 @@
         if self.suspect_state(&request, now) == Some(SuspectState::Confirmed) {
             return Err(Code::CrashingRequest);
         }
-        if let Some(code) = self.refuses_suspect(now, &request) {
+        if let Some(code) = self.suspect_refusal(now, &request) {
             return Err(code);
         }
         if request.deadline.is_past(now) {
@@ -90,7 +90,7 @@
             adapter,
             rank,
             phase: Phase::Queued,
-            held: None,
+            stalled: None,
             attempts: 0,
             ran: Vec::new(),
             tried: Vec::new(),
@@ -229,7 +229,7 @@
         if deadline.is_past(now) {
             return self.refuse_queued(now, rank, slot, Code::DeadlineUnreachable, out);
         }
-        let admission = self.admit_suspects(now, entry);
+        let admission = self.suspect_admission(now, entry);
         if let SuspectAdmission::Refused(code) = admission {
             return self.refuse_queued(now, rank, slot, code, out);
         }
@@ -247,7 +247,7 @@
                         self.request_trial(now, slot, suspect, out);
                         return OfferOutcome::Waiting;
                     }
-                    SuspectAdmission::Waits => return OfferOutcome::Waiting,
+                    SuspectAdmission::AwaitsTrial => return OfferOutcome::Waiting,
                     SuspectAdmission::Admitted | SuspectAdmission::Refused(_) => {}
                 }
                 self.request_replica(now, slot, estimate.first_byte, out);
--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -170,8 +170,8 @@
             for tried in &mut entry.tried_dcs {
                 *tried = new_index(&map.dcs, *tried).unwrap_or(u16::MAX);
             }
-            let held = entry.held.as_mut().map(|held| &mut held.phase);
-            for phase in [Some(&mut entry.phase), held].into_iter().flatten() {
+            let stalled = entry.stalled.as_mut().map(|s| &mut s.phase);
+            for phase in [Some(&mut entry.phase), stalled].into_iter().flatten() {
                 match phase {
                     Phase::Running { backend, .. } | Phase::AwaitingSlot { backend, .. } => {
                         *backend = backend_of(*backend).unwrap_or(REMOVED_BACKEND);
--- /dev/null
+++ b/crates/route/src/blocking.rs
@@ -0,0 +1,111 @@
+//! Admission of requests that contain blocked suspects.
+
+use types::{Code, Instant};
+
+use crate::{
+    event::{BlockedSuspect, RoutingRequest, Suspect, Verdict},
+    requests::RequestEntry,
+    router::Router,
+    trial::TrialState,
+};
+
+/// Maximum number of parts of one prompt that are considered.
+const MAX_PARTS: usize = 32;
+
+/// Whether a queued request may be sent in spite of the suspects that it contains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SuspectAdmission {
+    Admitted,
+    /// A trial must be requested once a server can take the request.
+    NeedsTrial(Suspect),
+    /// A trial has been requested.
+    AwaitsTrial,
+    Refused(Code),
+}
+
+impl Router {
+    /// Returns what may crash the server that runs a request.
+    pub(crate) fn suspects_of(
+        &self,
+        request: &RoutingRequest,
+    ) -> impl Iterator<Item = Suspect> + use<> {
+        // With suspect slots, whole requests are tracked by their suspect records.
+        let whole = (!self.cfg.suspect_slots).then_some(Suspect::Request(request.fingerprint));
+        let parts = request.options.parts.iter().take(MAX_PARTS);
+        let parts: Vec<Suspect> = parts.map(|part| Suspect::Part(*part)).collect();
+        parts.into_iter().chain(whole)
+    }
+
+    /// Returns the suspects that this host blocks.
+    #[must_use]
+    pub fn blocked_suspects(&self, now: Instant) -> Vec<BlockedSuspect> {
+        self.evidence.blocked(now)
+    }
+
+    /// Returns the blocked suspect of a request with the strictest verdict.
+    #[must_use]
+    pub fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
+        if self.evidence.is_empty() || !self.cfg.suspects {
+            return None;
+        }
+        let blocked = self
+            .suspects_of(request)
+            .filter_map(|s| Some((s, self.evidence.verdict(s)?)));
+        blocked.max_by_key(|(_, verdict)| *verdict)
+    }
+
+    /// Returns the code with which an arriving request is refused because of a blocked suspect.
+    pub(crate) fn suspect_refusal(
+        &mut self,
+        now: Instant,
+        request: &RoutingRequest,
+    ) -> Option<Code> {
+        let (suspect, verdict) = self.blocked_suspect(request)?;
+        let allows_trial = self.has_single_blocked_suspect(request);
+        let ttl = self.cfg.confirmed_ttl;
+        self.evidence
+            .record_request(now, ttl, suspect, allows_trial);
+        if allows_trial && self.evidence.is_trial_due(now, suspect) {
+            return None;
+        }
+        Some(refusal_code(suspect, verdict))
+    }
+
+    /// Decides whether a queued request may be sent.
+    pub(crate) fn suspect_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
+        let Some((blocked, verdict)) = self.blocked_suspect(&entry.request) else {
+            return SuspectAdmission::Admitted;
+        };
+        let refused = SuspectAdmission::Refused(refusal_code(blocked, verdict));
+        if !self.has_single_blocked_suspect(&entry.request) {
+            return refused;
+        }
+        match entry.trial {
+            Some(TrialState::Granted { suspect, until })
+                if suspect == blocked && !until.is_past(now) =>
+            {
+                SuspectAdmission::Admitted
+            }
+            Some(TrialState::Requested { suspect, .. }) if suspect == blocked => {
+                SuspectAdmission::AwaitsTrial
+            }
+            _ if self.evidence.is_trial_due(now, blocked) => SuspectAdmission::NeedsTrial(blocked),
+            _ => refused,
+        }
+    }
+
+    /// Returns whether exactly one suspect of a request is blocked, so that a trial with it shows whether
+    /// this suspect crashes servers.
+    fn has_single_blocked_suspect(&self, request: &RoutingRequest) -> bool {
+        let is_blocked = |s: &Suspect| self.evidence.verdict(*s).is_some();
+        self.suspects_of(request).filter(is_blocked).count() == 1
+    }
+}
+
+fn refusal_code(suspect: Suspect, verdict: Verdict) -> Code {
+    match (suspect, verdict) {
+        (_, Verdict::Suspected) => Code::SuspectNotAdmitted,
+        (Suspect::Part(_), Verdict::Confirmed) => Code::CrashingPart,
+        (Suspect::Request(_), Verdict::Confirmed) => Code::CrashingRequest,
+    }
+}
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -1,19 +1,13 @@
-//! Crashes of backend servers and the requests suspected of causing them.
+//! Crashes of backend servers and the records of suspect requests.
 
-use types::{BackendId, Code, Deadline, Incarnation, Instant, Micros, RequestId};
+use types::{BackendId, Deadline, Incarnation, Instant};
 
 use crate::{
-    choose::Estimate,
     event::{Action, Fingerprint, RoutingRequest, SuspectRecord, SuspectState},
     requests::{Phase, RequestEntry},
     router::{Router, Scope},
 };
 
-/// Interval before a suspect slot is requested again after a denial.
-const SLOT_RETRY_INTERVAL: Micros = Micros::from_millis(50);
-/// Number of denials after which a suspect is refused.
-const MAX_DENIALS: u8 = 8;
-
 impl Router {
     /// Returns the suspect state of a request.
     pub(crate) fn suspect_state(
@@ -22,7 +16,7 @@
         now: Instant,
     ) -> Option<SuspectState> {
         if self.cfg.suspects {
-            self.suspects.state(request.fingerprint, now)
+            self.suspect_records.state(request.fingerprint, now)
         } else {
             None
         }
@@ -35,11 +29,14 @@
             return false;
         };
         let fingerprint = entry.request.fingerprint;
-        self.requests.iter().any(|(other, f)| {
-            other != slot && f.request.fingerprint == fingerprint && f.phase != Phase::Queued
+        self.requests.iter().any(|(other, entry)| {
+            other != slot
+                && entry.request.fingerprint == fingerprint
+                && entry.phase != Phase::Queued
         })
     }
 
+    /// Marks a backend server as dead and records the requests that were in flight there.
     pub(crate) fn crashed(
         &mut self,
         now: Instant,
@@ -51,25 +48,25 @@
             return;
         };
         let b = &mut self.backends[backend as usize];
-        if b.ended_incarnation == Some(incarnation) && b.incarnation != Some(incarnation) {
-            // The server has restarted since; only requests of the ended incarnation are affected.
-            self.record_suspects(now, backend, incarnation, out);
-            self.dispatch_queued(now, Scope::All, out);
-            return;
+        let has_restarted =
+            b.ended_incarnation == Some(incarnation) && b.incarnation != Some(incarnation);
+        // A server that has restarted since is alive; only requests of the ended incarnation are
+        // affected.
+        if !has_restarted {
+            b.incarnation = Some(incarnation);
+            b.ended_incarnation = Some(incarnation);
+            b.prefixes.clear();
+            self.set_dead(backend);
+            self.set_residents(backend, Vec::new(), Vec::new());
         }
-        b.incarnation = Some(incarnation);
-        b.ended_incarnation = Some(incarnation);
-        b.prefixes.clear();
-        self.set_dead(backend);
-        self.set_residents(backend, Vec::new(), Vec::new());
         self.record_suspects(now, backend, incarnation, out);
         self.dispatch_queued(now, Scope::All, out);
     }
 
-    /// Treats a request that failed by a crash as evidence of the crash.
+    /// Handles a crash that is known only from the failure of an attempt.
     ///
     /// `phase` is that of the failed attempt.
-    pub(crate) fn note_crash_failure(
+    pub(crate) fn record_crash_failure(
         &mut self,
         now: Instant,
         slot: u32,
@@ -94,17 +91,14 @@
             return;
         }
         let id = names.backend_id(backend).clone();
-        let known = self.suspects.get(entry.request.fingerprint);
-        let recorded = known.is_some_and(|m| m.backend == id && m.incarnation == incarnation);
-        if !recorded {
+        let record = self.suspect_records.get(entry.request.fingerprint);
+        let is_recorded = record.is_some_and(|r| r.backend == id && r.incarnation == incarnation);
+        if !is_recorded {
             self.crashed(now, &id, incarnation, out);
         }
     }
 
-    /// Records the requests that were in flight at a crash, and shares the records.
-    ///
-    /// A request that was also in flight at an earlier crash is confirmed as the cause if it ran as
-    /// a suspect or is the only such request. The other requests are not suspected.
+    /// Records what was in flight at a crash, and shares it.
     fn record_suspects(
         &mut self,
         now: Instant,
@@ -118,47 +112,53 @@
         let Some(id) = self.names.as_ref().map(|n| n.backend_id(backend).clone()) else {
             return;
         };
-        self.record_crash(now, (backend, id.clone()), incarnation, out);
-        if !self.cfg.suspect_slots {
-            return;
+        self.record_crash(now, backend, &id, incarnation, out);
+        if self.cfg.suspect_slots {
+            self.record_suspect_requests(now, backend, &id, incarnation, out);
         }
+    }
+
+    /// Records the requests that were in flight at a crash, and shares the records.
+    ///
+    /// A request that was also in flight at an earlier crash is confirmed as the cause if it ran as
+    /// a suspect or is the only such request. The other requests are not suspected.
+    fn record_suspect_requests(
+        &mut self,
+        now: Instant,
+        backend: u32,
+        id: &BackendId,
+        incarnation: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
         let ran = self.requests_run_on(backend, incarnation);
-        let causes = self.causes(&ran, &id, incarnation);
-        self.counts.confirmed += causes.len() as u64;
-        let is_new = |r: &&(Fingerprint, bool)| self.suspects.state(r.0, now).is_none();
-        let affected: Vec<(Fingerprint, SuspectState)> = if causes.is_empty() {
-            let unknown = ran.iter().filter(is_new);
-            unknown.map(|r| (r.0, SuspectState::Suspected)).collect()
-        } else {
-            let confirmed = causes.iter();
-            confirmed.map(|f| (*f, SuspectState::Confirmed)).collect()
-        };
-        let record = |(fingerprint, state)| SuspectRecord {
+        let record = |fingerprint, state| SuspectRecord {
             fingerprint,
             state,
             backend: id.clone(),
             incarnation,
         };
-        let records: Vec<SuspectRecord> = affected.into_iter().map(record).collect();
-        if causes.is_empty() {
-            self.counts.suspected += records.len() as u64;
-        }
+        let records: Vec<SuspectRecord> = match self.cause(&ran, id, incarnation) {
+            Some(cause) => {
+                self.counts.confirmed += 1;
+                vec![record(cause, SuspectState::Confirmed)]
+            }
+            None => {
+                let is_new =
+                    |r: &&(Fingerprint, bool)| self.suspect_records.state(r.0, now).is_none();
+                let suspected = ran.iter().filter(is_new);
+                let records: Vec<SuspectRecord> = suspected
+                    .map(|r| record(r.0, SuspectState::Suspected))
+                    .collect();
+                self.counts.suspected += records.len() as u64;
+                records
+            }
+        };
         self.store_records(now, &records);
         if !records.is_empty() {
             out.push(Action::ShareSuspects(records));
         }
     }
 
-    /// Returns the requests known to have caused this crash.
-    fn causes(
-        &self,
-        ran: &[(Fingerprint, bool)],
-        backend: &BackendId,
-        incarnation: Incarnation,
-    ) -> Vec<Fingerprint> {
-        Vec::from_iter(self.cause(ran, backend, incarnation))
-    }
-
     /// Returns the request that caused this crash: one that was suspected before and is the only
     /// such request, or ran in a suspect slot.
     ///
@@ -170,15 +170,17 @@
         backend: &BackendId,
         incarnation: Incarnation,
     ) -> Option<Fingerprint> {
-        let before =
-            |r: &&(Fingerprint, bool)| self.suspects.suspected_before(r.0, backend, incarnation);
-        let mut repeated = ran.iter().filter(before);
-        let first = repeated.next()?;
-        let alone = repeated.clone().next().is_none();
-        let cause = if alone || first.1 {
+        let was_suspected = |r: &&(Fingerprint, bool)| {
+            let records = &self.suspect_records;
+            records.is_suspected_before(r.0, backend, incarnation)
+        };
+        let mut suspected = ran.iter().filter(was_suspected);
+        let first = suspected.next()?;
+        let is_only_one = suspected.clone().next().is_none();
+        let cause = if is_only_one || first.1 {
             Some(first)
         } else {
-            repeated.find(|r| r.1)
+            suspected.find(|r| r.1)
         };
         cause.map(|r| r.0)
     }
@@ -186,15 +188,16 @@
     /// Returns the fingerprints that ran on one incarnation of a backend server, each with whether
     /// it ran in a suspect slot.
     fn requests_run_on(&self, backend: u32, incarnation: Incarnation) -> Vec<(Fingerprint, bool)> {
-        let is_there = |phase: Phase| phase.runs_on(backend, incarnation);
-        let same =
-            |f: &RequestEntry| is_there(f.phase) || f.held.is_some_and(|held| is_there(held.phase));
-        let running = self.requests.iter().filter(|(_, f)| same(f));
+        let is_there = |entry: &RequestEntry| {
+            let mut attempts = entry.attempts_in_progress();
+            attempts.any(|(phase, _)| phase.runs_on(backend, incarnation))
+        };
+        let running = self.requests.iter().filter(|(_, entry)| is_there(entry));
         let mut ran: Vec<(Fingerprint, bool)> = running
-            .map(|(_, f)| (f.request.fingerprint, f.as_suspect))
+            .map(|(_, entry)| (entry.request.fingerprint, entry.as_suspect))
             .collect();
-        let abandoned = self.abandoned.iter().filter(|d| d.backend == backend);
-        ran.extend(abandoned.map(|d| (d.fingerprint, d.as_suspect)));
+        let abandoned = self.abandoned.iter().filter(|a| a.backend == backend);
+        ran.extend(abandoned.map(|a| (a.fingerprint, a.as_suspect)));
         ran.sort_unstable();
         // Of two entries with the same fingerprint, the one that ran in a suspect slot is kept.
         ran.reverse();
@@ -205,7 +208,7 @@
     fn store_records(&mut self, now: Instant, records: &[SuspectRecord]) {
         for record in records {
             let until = Deadline::after(now, self.cfg.confirmed_ttl);
-            self.suspects.note(record.clone(), until);
+            self.suspect_records.apply(record.clone(), until);
         }
     }
 
@@ -230,7 +233,7 @@
         out: &mut Vec<Action>,
     ) {
         let fingerprint = entry.request.fingerprint;
-        let Some(record) = self.suspects.get(fingerprint) else {
+        let Some(record) = self.suspect_records.get(fingerprint) else {
             return;
         };
         if record.state != SuspectState::Suspected || !self.cfg.suspects {
@@ -243,94 +246,8 @@
         {
             record.backend = names.backend_id(backend).clone();
         }
-        self.suspects.note(record.clone(), Deadline::NEVER);
+        self.suspect_records.apply(record.clone(), Deadline::NEVER);
         self.counts.cleared += 1;
         out.push(Action::ShareSuspects(vec![record]));
     }
-
-    /// Requests a slot for a suspect on a backend server from a peer.
-    pub(crate) fn request_slot(
-        &mut self,
-        now: Instant,
-        slot: u32,
-        backend: u32,
-        baseline: f64,
-        out: &mut Vec<Action>,
-    ) {
-        let until = Deadline::after(now, self.cfg.slot_timeout);
-        let Some(entry) = self.requests.get_mut(slot) else {
-            return;
-        };
-        entry.phase = Phase::AwaitingSlot { backend, until };
-        entry.as_suspect = true;
-        #[expect(
-            clippy::cast_possible_truncation,
-            reason = "single precision suffices for an estimate"
-        )]
-        let baseline = baseline as f32;
-        entry.baseline = baseline;
-        let b = &mut self.backends[backend as usize];
-        b.add_own(now);
-        b.suspects += 1;
-        if let Some(names) = &self.names {
-            out.push(Action::RequestSlot {
-                id: entry.request.id,
-                fingerprint: entry.request.fingerprint,
-                backend: names.backend_id(backend).clone(),
-            });
-        }
-    }
-
-    pub(crate) fn slot_reply(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        granted: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(slot) = self.requests.find(id) else {
-            return;
-        };
-        let Some(entry) = self.requests.get(slot) else {
-            return;
-        };
-        let Phase::AwaitingSlot { backend, .. } = entry.phase else {
-            return;
-        };
-        let baseline = f64::from(entry.baseline);
-        let confirmed = self.suspect_state(&entry.request, now) == Some(SuspectState::Confirmed);
-        self.release(now, slot, false);
-        let usable = self
-            .backends
-            .get(backend as usize)
-            .is_some_and(|b| !self.cfg.liveness || b.takes_work(now));
-        if confirmed {
-            self.refuse(slot, Code::CrashingRequest, None, out);
-        } else if granted && usable {
-            self.backends[backend as usize].suspects += 1;
-            let estimate = Estimate {
-                baseline,
-                ..Estimate::default()
-            };
-            self.dispatch(now, slot, backend, estimate, out);
-        } else {
-            self.slot_denied(now, slot, out);
-        }
-    }
-
-    /// Queues a suspect again after its slot was denied, or refuses it after [`MAX_DENIALS`]
-    /// denials.
-    fn slot_denied(&mut self, now: Instant, slot: u32, out: &mut Vec<Action>) {
-        let Some(entry) = self.requests.get_mut(slot) else {
-            return;
-        };
-        entry.as_suspect = false;
-        entry.denials += 1;
-        entry.not_before = Deadline::after(now, SLOT_RETRY_INTERVAL);
-        if entry.denials >= MAX_DENIALS {
-            self.refuse(slot, Code::SuspectNotAdmitted, None, out);
-        } else {
-            self.enqueue(now, slot, out);
-        }
-    }
 }
--- /dev/null
+++ b/crates/route/src/crash_evidence.rs
@@ -0,0 +1,195 @@
+//! Collection of evidence of crashes, and its exchange with the other hosts.
+
+use types::{BackendId, Incarnation, Instant, Micros};
+
+use crate::{
+    event::{
+        Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
+    },
+    evidence::VerdictChange,
+    requests::{Phase, RequestEntry},
+    router::{Router, Scope},
+};
+
+/// Time for which a response must have gone on to show that its request does not crash the server.
+const SUSTAINED_RESPONSE_TIME: Micros = Micros::from_secs(1);
+
+/// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
+const ABANDONED_SUSPECT_TIME: Micros = Micros::from_secs(1);
+
+/// Maximum number of suspects in the report of one crash.
+const MAX_REPORTED_SUSPECTS: usize = 48;
+
+/// Returns whether a response has gone on for so long that its request is no suspect.
+pub(crate) fn is_sustained(responds_since: Option<Instant>, now: Instant) -> bool {
+    responds_since.is_some_and(|since| now.since(since) >= SUSTAINED_RESPONSE_TIME)
+}
+
+impl Router {
+    /// Records and shares a crash with the suspects that this host had in flight at the server.
+    pub(crate) fn record_crash(
+        &mut self,
+        now: Instant,
+        backend: u32,
+        id: &BackendId,
+        incarnation: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.cfg.suspects {
+            return;
+        }
+        let mut suspects = self.suspects_in_flight(now, backend, incarnation);
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        let report = CrashReport {
+            backend: id.clone(),
+            incarnation,
+            age: Micros::ZERO,
+            suspects,
+        };
+        if report.suspects.is_empty() || !self.evidence.is_new(&report) {
+            return;
+        }
+        self.counts.crashes += 1;
+        let ttl = self.cfg.confirmed_ttl;
+        let changes = self.evidence.record_crash(now, ttl, &report);
+        let update = CrashUpdate {
+            crashes: vec![report],
+            ..CrashUpdate::default()
+        };
+        self.share_changes(now, update, changes, out);
+    }
+
+    /// Returns the suspects of the requests that this host has in flight at an incarnation of a server,
+    /// without those whose response is sustained.
+    fn suspects_in_flight(
+        &self,
+        now: Instant,
+        backend: u32,
+        incarnation: Incarnation,
+    ) -> Vec<Suspect> {
+        let may_crash = |(phase, responds_since): (Phase, Option<Instant>)| {
+            phase.runs_on(backend, incarnation) && !is_sustained(responds_since, now)
+        };
+        let in_flight = |entry: &RequestEntry| entry.attempts_in_progress().any(may_crash);
+        let running = self.requests.iter().filter(|(_, entry)| in_flight(entry));
+        let mut suspects: Vec<Suspect> = running
+            .flat_map(|(_, entry)| self.suspects_of(&entry.request))
+            .collect();
+        let abandoned = self.abandoned.iter().filter(|a| {
+            a.backend == backend
+                && a.incarnation.is_none_or(|sent_to| sent_to == incarnation)
+                && now.since(a.at) < ABANDONED_SUSPECT_TIME
+        });
+        suspects.extend(abandoned.flat_map(|a| a.suspects.iter().copied()));
+        suspects
+    }
+
+    /// Records and shares that a response to a request was completed or is sustained.
+    pub(crate) fn record_response(
+        &mut self,
+        now: Instant,
+        request: &RoutingRequest,
+        out: &mut Vec<Action>,
+    ) {
+        if self.evidence.is_empty() || !self.cfg.suspects {
+            return;
+        }
+        let mut update = CrashUpdate::default();
+        let mut changes = Vec::new();
+        for suspect in self.suspects_of(request) {
+            if self.evidence.awaits_response(suspect) {
+                let age = Micros::ZERO;
+                changes.extend(self.evidence.record_response(now, suspect, age));
+                update.responses.push(ResponseReport { suspect, age });
+            }
+        }
+        if !update.is_empty() {
+            self.share_changes(now, update, changes, out);
+        }
+    }
+
+    /// Records and shares the responses that are sustained and concern a suspect.
+    pub(crate) fn record_sustained_responses(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.evidence.is_empty() {
+            return;
+        }
+        let awaits = |entry: &RequestEntry| {
+            let mut suspects = self.suspects_of(&entry.request);
+            is_sustained(entry.responds_since, now)
+                && suspects.any(|s| self.evidence.awaits_response(s))
+        };
+        let sustained = self.requests.iter().filter(|(_, entry)| awaits(entry));
+        let requests: Vec<RoutingRequest> = sustained.map(|(_, e)| e.request.clone()).collect();
+        for request in requests {
+            self.record_response(now, &request, out);
+        }
+    }
+
+    /// Applies what a peer learned of crashes.
+    pub(crate) fn apply_crash_update(
+        &mut self,
+        now: Instant,
+        update: &CrashUpdate,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.cfg.suspects {
+            return;
+        }
+        let ttl = self.cfg.confirmed_ttl;
+        let mut changes = Vec::new();
+        for report in &update.crashes {
+            changes.extend(self.evidence.record_crash(now, ttl, report));
+        }
+        for response in &update.responses {
+            let ResponseReport { suspect, age } = *response;
+            changes.extend(self.evidence.record_response(now, suspect, age));
+        }
+        for blocked in &update.blocked {
+            changes.extend(self.evidence.apply_blocked(now, ttl, blocked));
+        }
+        if !changes.is_empty() {
+            self.log_changes(changes, out);
+            self.dispatch_queued(now, Scope::All, out);
+        }
+    }
+
+    /// Shares what this host learned of crashes, with the suspects that it blocks since, and logs the
+    /// changed verdicts.
+    pub(crate) fn share_changes(
+        &mut self,
+        now: Instant,
+        update: CrashUpdate,
+        changes: impl IntoIterator<Item = VerdictChange>,
+        out: &mut Vec<Action>,
+    ) {
+        let changes: Vec<VerdictChange> = changes.into_iter().collect();
+        let blocked = self.evidence.blocked(now);
+        let is_changed = |b: &BlockedSuspect| changes.iter().any(|c| c.suspect == b.suspect);
+        let update = CrashUpdate {
+            blocked: blocked.into_iter().filter(is_changed).collect(),
+            ..update
+        };
+        if !update.is_empty() {
+            out.push(Action::ShareCrashes(update));
+        }
+        self.log_changes(changes, out);
+    }
+
+    /// Counts and logs the changed verdicts.
+    fn log_changes(&mut self, changes: Vec<VerdictChange>, out: &mut Vec<Action>) {
+        for change in changes {
+            if change.verdict.is_some() {
+                self.counts.blocked += 1;
+            } else {
+                self.counts.unblocked += 1;
+            }
+            out.push(Action::LogVerdict {
+                suspect: change.suspect,
+                verdict: change.verdict,
+                crashes: change.crashes,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/evidence/trials.rs
@@ -0,0 +1,99 @@
+//! Conditions for trials of blocked suspects.
+
+use types::{Deadline, Instant, Micros};
+
+use crate::{
+    event::{Suspect, Verdict},
+    evidence::{Evidence, VerdictChange, entry::Entry},
+};
+
+/// Number of trials of a blocked suspect over all hosts.
+///
+/// Two of them confirm a part that crashes servers. The third one is for a harmless part whose trial
+/// shared its server with another cause.
+pub const MAX_TRIALS: u8 = 3;
+
+/// Time from the last crash of any server to a trial. A response that is on its way can clear the suspect
+/// meanwhile, and a trial among other crashes shows little.
+const TRIAL_DELAY: Micros = Micros::from_secs(1);
+
+/// Time from the last request that allows a trial of a suspect for which its trials precede those of
+/// others.
+const PRECEDENCE_TIME: Micros = Micros::from_secs(3);
+
+/// Maximum time from the blocking of a suspect for which its trials wait for those of others.
+const MAX_PRECEDENCE_WAIT: Micros = Micros::from_secs(4);
+
+/// Time after which this host requests a trial of the same suspect again.
+const TRIAL_REQUEST_INTERVAL: Micros = Micros::from_millis(250);
+
+impl Evidence {
+    /// Extends the retention of a blocked suspect because a request with it arrived.
+    ///
+    /// `allows_trial` is whether the request could serve as a trial of the suspect.
+    pub(crate) fn record_request(
+        &mut self,
+        now: Instant,
+        ttl: Micros,
+        suspect: Suspect,
+        allows_trial: bool,
+    ) {
+        if let Some(entry) = self.get_mut(suspect) {
+            entry.until = Deadline::after(now, ttl);
+            if allows_trial {
+                entry.last_candidate = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether a trial of a blocked suspect may be requested now.
+    pub(crate) fn is_trial_due(&self, now: Instant, suspect: Suspect) -> bool {
+        let Some(entry) = self.get(suspect) else {
+            return false;
+        };
+        let is_long_ago = |crash: Instant| now.since(crash) >= TRIAL_DELAY;
+        entry.allows_trials()
+            && entry.trials < MAX_TRIALS
+            && entry.next_trial_request.is_past(now)
+            && is_long_ago(entry.last_crash)
+            && self.recent.last().is_none_or(|c| is_long_ago(c.at))
+            && !self.is_preceded(now, entry)
+    }
+
+    /// Returns whether another suspect must be tried before this one.
+    ///
+    /// The suspects with the most crashes come first, since their trials may crash the servers on which
+    /// others are tried. The others wait for a limited time, as these trials may take many seconds.
+    fn is_preceded(&self, now: Instant, entry: &Entry) -> bool {
+        if now.since(entry.blocked_since) >= MAX_PRECEDENCE_WAIT {
+            return false;
+        }
+        self.entries.iter().any(|other| {
+            other.allows_trials()
+                && other.crashes.len() > entry.crashes.len()
+                && other
+                    .last_candidate
+                    .is_some_and(|at| now.since(at) < PRECEDENCE_TIME)
+        })
+    }
+
+    /// Records that this host requested a trial of a suspect.
+    pub(crate) fn record_trial_request(&mut self, now: Instant, suspect: Suspect) {
+        if let Some(entry) = self.get_mut(suspect) {
+            entry.next_trial_request = Deadline::after(now, TRIAL_REQUEST_INTERVAL);
+        }
+    }
+
+    /// Records that this host was granted a trial of a suspect.
+    pub(crate) fn record_trial_grant(&mut self, suspect: Suspect) {
+        if let Some(entry) = self.get_mut(suspect) {
+            entry.trials += 1;
+        }
+    }
+
+    /// Confirms a suspect that has had all of its trials.
+    pub(crate) fn confirm_exhausted(&mut self, suspect: Suspect) -> Option<VerdictChange> {
+        let entry = self.get_mut(suspect)?;
+        (entry.verdict == Some(Verdict::Suspected)).then(|| entry.confirm())
+    }
+}
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -37,9 +37,9 @@
             return;
         }
         if failure.reason == RetryReason::Crash {
-            self.note_crash_failure(now, slot, phase, out);
+            self.record_crash_failure(now, slot, phase, out);
         }
-        self.release_held(now, slot);
+        self.release_stalled(now, slot);
         let backend = self.release(now, slot, failure.may_have_run);
         if let Some(backend) = backend {
             self.record_failure(now, backend, slot, failure.reason);
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -2,7 +2,7 @@
 
 use types::{Code, Deadline, Incarnation, Instant, RequestId, RetryReason};
 
-use crate::{event::RoutingRequest, queue::Rank, takeover::HeldAttempt, trial::Trial};
+use crate::{event::RoutingRequest, queue::Rank, takeover::StalledAttempt, trial::TrialState};
 
 /// Stage of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,12 +23,12 @@
 impl Phase {
     /// Returns whether a request in this phase runs on an incarnation of a backend server, as far as the
     /// incarnation that it was sent to is known.
-    pub(crate) fn runs_on(self, server: u32, life: Incarnation) -> bool {
+    pub(crate) fn runs_on(self, server: u32, running: Incarnation) -> bool {
         match self {
             Self::Running {
                 backend,
                 incarnation,
-            } => backend == server && incarnation.is_none_or(|sent_to| sent_to == life),
+            } => backend == server && incarnation.is_none_or(|sent_to| sent_to == running),
             _ => false,
         }
     }
@@ -52,7 +52,7 @@
     pub rank: Rank,
     pub phase: Phase,
     /// Attempt that goes on at a stalled server while the current one is tried.
-    pub held: Option<HeldAttempt>,
+    pub stalled: Option<StalledAttempt>,
     pub attempts: u8,
     /// Backend servers that may have run the request, each once.
     pub ran: Vec<u32>,
@@ -66,7 +66,7 @@
     /// Whether the attempt holds a suspect slot.
     pub as_suspect: bool,
     /// Trial of a blocked suspect that the request contains.
-    pub trial: Option<Trial>,
+    pub trial: Option<TrialState>,
     /// Code of a refusal, if a newer configuration removed its service, model or adapter.
     pub withdrawn: Option<Code>,
     /// Whether it was forwarded to this host and so must not be forwarded again.
@@ -89,6 +89,12 @@
 }
 
 impl RequestEntry {
+    /// Returns the current attempt and the one at a stalled server, each with the start of its response.
+    pub(crate) fn attempts_in_progress(&self) -> impl Iterator<Item = (Phase, Option<Instant>)> {
+        let stalled = self.stalled.map(|s| (s.phase, s.responds_since));
+        std::iter::once((self.phase, self.responds_since)).chain(stalled)
+    }
+
     /// Returns whether a backend server failed the request.
     pub(crate) fn is_tried(&self, backend: u32) -> bool {
         self.tried.iter().any(|t| t.backend == backend)
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,6 +10,7 @@
     backend::Backend,
     budget::RetryBudget,
     counts::Counts,
+    crash_evidence::is_sustained,
     demand::Demand,
     departed::DepartedServers,
     event::{Action, Event, Fingerprint, Suspect},
@@ -20,8 +21,7 @@
     remote::RemoteDc,
     requests::{Phase, RequestEntry, RequestTable},
     settings::{LatencyMetric, Settings},
-    suspect::Suspects,
-    trial::is_proven,
+    suspect_records::SuspectRecords,
     window::RetryWindow,
 };
 
@@ -58,8 +58,9 @@
     pub(crate) adapter_uses: Vec<Instant>,
     /// Load that peers have sent, sorted by host.
     pub(crate) peer_loads: Vec<PeerLoad>,
-    pub(crate) suspects: Suspects,
-    /// Evidence of all hosts of what crashes backend servers.
+    /// Records of the requests suspected of crashing backend servers.
+    pub(crate) suspect_records: SuspectRecords,
+    /// Evidence from all hosts of what crashes backend servers.
     pub(crate) evidence: Evidence,
     /// Requests that this host abandoned while a backend server may still run them.
     pub(crate) abandoned: Vec<AbandonedRequest>,
@@ -112,7 +113,7 @@
             model_slowdowns: Vec::new(),
             adapter_uses: Vec::new(),
             peer_loads: Vec::new(),
-            suspects: Suspects::default(),
+            suspect_records: SuspectRecords::default(),
             evidence: Evidence::default(),
             abandoned: Vec::new(),
             demand: Vec::new(),
@@ -201,10 +202,10 @@
     }
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.suspects.prune(now);
+        self.suspect_records.prune(now);
         self.evidence.prune(now);
-        self.record_progress(now, out);
-        self.abandoned.retain(|d| !d.until.is_past(now));
+        self.record_sustained_responses(now, out);
+        self.abandoned.retain(|a| !a.until.is_past(now));
         self.placement_requests.retain(|w| !w.2.is_past(now));
         self.rejected_placements.retain(|w| !w.2.is_past(now));
         self.expire_peer_loads(now);
@@ -225,11 +226,11 @@
             // The caller cancelled because the server did not respond in time.
             b.record_attempt(true, now);
         }
-        let held = self.release_held(now, slot);
+        let stalled = self.release_stalled(now, slot);
         let backend = self.release(now, slot, true);
         self.requests.remove(slot);
-        if let Some(held) = held {
-            self.dispatch_queued(now, Scope::Backend(held), out);
+        if let Some(stalled) = stalled {
+            self.dispatch_queued(now, Scope::Backend(stalled), out);
         }
         if let Some(backend) = backend {
             self.dispatch_queued(now, Scope::Backend(backend), out);
@@ -280,7 +281,7 @@
         let Some(slot) = self.requests.find(id) else {
             return;
         };
-        self.release_held(now, slot);
+        self.release_stalled(now, slot);
         let backend = self.release(now, slot, false);
         let Some(entry) = self.requests.remove(slot) else {
             return;
@@ -383,7 +384,7 @@
         else {
             return None;
         };
-        let suspects = if is_proven(responds_since, now) {
+        let suspects = if is_sustained(responds_since, now) {
             Vec::new()
         } else {
             self.suspects_of(&entry.request).collect()
--- a/crates/route/src/suspect.rs
+++ b/crates/route/src/suspect_records.rs
@@ -1,4 +1,4 @@
-//! Requests that were in flight when a backend server crashed.
+//! Records of the requests that were in flight when a backend server crashed.
 
 use types::{BackendId, Deadline, Incarnation, Instant};
 
@@ -11,13 +11,13 @@
     until: Deadline,
 }
 
-/// Table of suspects, sorted by fingerprint.
+/// Records of suspect requests, sorted by fingerprint.
 #[derive(Debug, Default)]
-pub(crate) struct Suspects {
+pub(crate) struct SuspectRecords {
     entries: Vec<Entry>,
 }
 
-impl Suspects {
+impl SuspectRecords {
     fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&fingerprint, |e| e.record.fingerprint)
@@ -28,8 +28,8 @@
         (!entry.until.is_past(now)).then_some(entry.record.state)
     }
 
-    /// Returns whether the request was already suspected for an earlier crash than this one.
-    pub(crate) fn suspected_before(
+    /// Returns whether the request is suspected because of another crash than this one.
+    pub(crate) fn is_suspected_before(
         &self,
         fingerprint: Fingerprint,
         backend: &BackendId,
@@ -37,25 +37,25 @@
     ) -> bool {
         self.find(fingerprint).is_ok_and(|at| {
             let record = &self.entries[at].record;
-            let same = record.backend == *backend && record.incarnation == incarnation;
-            record.state == SuspectState::Suspected && !same
+            let is_same_crash = record.backend == *backend && record.incarnation == incarnation;
+            record.state == SuspectState::Suspected && !is_same_crash
         })
     }
 
-    /// Applies a record; a suspicion never replaces a confirmation.
+    /// Applies a record; a suspected state never replaces a confirmed one.
     ///
     /// A confirmed request is the cause of a crash, so the other suspects of the same crash are
     /// cleared.
-    pub(crate) fn note(&mut self, record: SuspectRecord, until: Deadline) {
+    pub(crate) fn apply(&mut self, record: SuspectRecord, until: Deadline) {
         match record.state {
             SuspectState::Cleared => self.clear(record.fingerprint),
             SuspectState::Suspected => self.insert(record, until, false),
             SuspectState::Confirmed => {
-                let same = |e: &Entry| {
+                let is_same_crash = |e: &Entry| {
                     e.record.backend == record.backend && e.record.incarnation == record.incarnation
                 };
                 self.entries
-                    .retain(|e| e.record.state != SuspectState::Suspected || !same(e));
+                    .retain(|e| e.record.state != SuspectState::Suspected || !is_same_crash(e));
                 self.insert(record, until, true);
             }
         }
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Removes a suspicion; a confirmation stays until it expires.
+    /// Removes the record of a suspected request; that of a confirmed one stays until it expires.
     fn clear(&mut self, fingerprint: Fingerprint) {
         if let Ok(at) = self.find(fingerprint)
             && self.entries[at].record.state == SuspectState::Suspected
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -22,7 +22,7 @@
 
 /// Attempt that goes on at a stalled server while another server is tried.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct HeldAttempt {
+pub(crate) struct StalledAttempt {
     pub phase: Phase,
     pub dispatched: Instant,
     pub baseline: f32,
@@ -30,7 +30,7 @@
     pub responds_since: Option<Instant>,
 }
 
-impl HeldAttempt {
+impl StalledAttempt {
     /// Returns the backend server that the attempt was sent to.
     pub(crate) fn backend(&self) -> Option<u32> {
         match self.phase {
@@ -66,7 +66,7 @@
         }
         self.remove_pending_prefill(slot, backend);
         if let Some(entry) = self.requests.get_mut(slot) {
-            entry.held = Some(HeldAttempt {
+            entry.stalled = Some(StalledAttempt {
                 phase: entry.phase,
                 dispatched: entry.dispatched,
                 baseline: entry.baseline,
@@ -87,7 +87,7 @@
             others.clone().count() + 1 < usize::from(max)
                 || others.clone().any(|b| !entry.is_tried(*b))
         });
-        entry.held.is_none()
+        entry.stalled.is_none()
             && !suspect
             && entry.withdrawn.is_none()
             && entry.request.idempotent
@@ -123,14 +123,14 @@
         let Some(slot) = self.requests.find(id) else {
             return;
         };
-        let Some(held) = self.requests.get(slot).and_then(|entry| entry.held) else {
+        let Some(stalled) = self.requests.get(slot).and_then(|entry| entry.stalled) else {
             return;
         };
         let failure = failure.unwrap_or(SILENT);
         if failure.reason == RetryReason::Crash {
-            self.note_crash_failure(now, slot, held.phase, out);
+            self.record_crash_failure(now, slot, stalled.phase, out);
         }
-        let Some(backend) = self.release_held(now, slot) else {
+        let Some(backend) = self.release_stalled(now, slot) else {
             return;
         };
         self.record_failure(now, backend, slot, failure.reason);
@@ -154,7 +154,7 @@
         let Some(slot) = self.requests.find(id) else {
             return;
         };
-        if self.requests.get(slot).is_none_or(|e| e.held.is_none()) {
+        if self.requests.get(slot).is_none_or(|e| e.stalled.is_none()) {
             return;
         }
         let may_have_run = failure.is_none_or(|f| f.may_have_run);
@@ -176,12 +176,12 @@
             // A refused takeover leaves the attempts for failures of the server that goes on.
             entry.attempts = entry.attempts.saturating_sub(1);
         }
-        if let Some(held) = entry.held.take() {
-            entry.phase = held.phase;
-            entry.dispatched = held.dispatched;
-            entry.baseline = held.baseline;
-            entry.expected = held.expected;
-            entry.responds_since = held.responds_since;
+        if let Some(stalled) = entry.stalled.take() {
+            entry.phase = stalled.phase;
+            entry.dispatched = stalled.dispatched;
+            entry.baseline = stalled.baseline;
+            entry.expected = stalled.expected;
+            entry.responds_since = stalled.responds_since;
         }
         if let Some(backend) = backend {
             self.dispatch_queued(now, Scope::Backend(backend), out);
@@ -189,11 +189,12 @@
     }
 
     /// Removes the attempt at a stalled server, which may still run the request. Returns the server.
-    pub(crate) fn release_held(&mut self, now: Instant, slot: u32) -> Option<u32> {
-        let held = self.requests.get_mut(slot)?.held.take()?;
-        let backend = held.backend()?;
+    pub(crate) fn release_stalled(&mut self, now: Instant, slot: u32) -> Option<u32> {
+        let stalled = self.requests.get_mut(slot)?.stalled.take()?;
+        let backend = stalled.backend()?;
         let entry = self.requests.get(slot)?;
-        let abandoned = self.abandoned_attempt(now, entry, held.phase, held.responds_since)?;
+        let abandoned =
+            self.abandoned_attempt(now, entry, stalled.phase, stalled.responds_since)?;
         self.abandoned.push(AbandonedRequest {
             as_suspect: false,
             ..abandoned
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -143,7 +143,7 @@
 
     /// Returns the suspect records, for a peer that starts.
     pub fn suspect_records(&self) -> impl Iterator<Item = &SuspectRecord> {
-        self.suspects.records()
+        self.suspect_records.records()
     }
 
     /// Returns the bytes allocated by the router, without the configuration.
@@ -172,7 +172,7 @@
             + self.requests.heap_bytes()
             + self.queue.heap_bytes()
             + self.waiting.capacity() * size_of::<u32>()
-            + self.suspects.heap_bytes()
+            + self.suspect_records.heap_bytes()
             + self.evidence.heap_bytes()
             + self.abandoned.capacity() * size_of::<crate::router::AbandonedRequest>()
             + self.demand.capacity() * size_of::<crate::demand::Demand>()
