Name the status of a server after its connection ended, and the grants of trials

Callers see no change: the metric, its label 'judgement', the field 'judgement' and their values are the same.

Cause: Judgement, judge, judged and look_at named the status of a server, its check and a log line, while 'judgement' stood for the verdict on a suspect elsewhere. Evidence: three terms for one idea in liveness.rs, one term for two ideas in gate.

Judgement becomes ServerStatus, judge becomes check_server, look_at becomes probe, log::judged becomes log::connection_ended.

--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -1,8 +1,8 @@
-//! Judgement whether a backend server has crashed whose connection ended within a response.
+//! Detection of a crash of a backend server whose connection ended within a response.
 //!
-//! A refused connection alone does not show it: a server that stops as planned closes its port first,
-//! finishes its responses and ends. What shows that a process lives on is any other connection to it that
-//! is still open, as the kernel closes all connections of a process that ends.
+//! A refused connection alone does not show a crash: a server that stops as planned closes its port first,
+//! finishes its responses and ends. Any other connection to the server that is still open shows that its
+//! process is alive, as the kernel closes all connections of a process that ends.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -22,8 +22,8 @@
 /// Time after which all connections of a process that has ended are seen as closed.
 const CONNECTIONS_CLOSE_TIME: Duration = Duration::from_millis(10);
 
-/// Counter of judgements on servers whose connections ended within a response, by what they rest on.
-const JUDGEMENTS: &str = "celerytally_broken_response_judgements_total";
+/// Counter of servers whose connections ended within a response, by their status.
+const STATUS_COUNTER: &str = "celerytally_broken_response_judgements_total";
 
 /// Backend server and incarnation that an attempt was sent to.
 #[derive(Clone, Debug)]
@@ -32,24 +32,25 @@
     pub(crate) incarnation: Option<Incarnation>,
 }
 
-/// What is known of a server after its connection has ended.
+/// Status of a server after one of its connections has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Judgement {
+pub(crate) enum ServerStatus {
     /// It accepts connections.
     Accepts,
-    /// It can't be reached, and does not refuse connections.
+    /// It neither accepts nor refuses connections.
     Unreachable,
-    /// It refuses connections and leaves, so that it may have ended as planned.
+    /// It refuses connections and is leaving, so that it may have ended as planned.
     Leaves,
-    /// It refuses connections and keeps others open.
+    /// It refuses connections but keeps others open.
     StopsListening,
-    /// It refused connections before the end of the response.
+    /// It refused a connection already during the response.
     HadStoppedListening,
     /// It refuses connections and has closed all others.
     Crashed,
 }
 
-impl Judgement {
+impl ServerStatus {
+    /// Returns the value in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
             Self::Accepts => "accepts",
@@ -64,7 +65,8 @@
 
 /// Check whether a server accepts connections while it sends a response.
 ///
-/// It leaves a connection in the pool, which shows at the end of the response whether the process lives.
+/// The connection that it opens stays in the pool. At the end of the response, it shows whether the process
+/// is alive.
 #[derive(Debug)]
 pub(crate) struct PortCheck(Option<JoinHandle<bool>>);
 
@@ -108,17 +110,16 @@
         destination: &Destination,
         reason: RetryReason,
     ) -> RetryReason {
-        match self.judge(destination).await {
-            Judgement::Crashed => RetryReason::Crash,
+        match self.check_server(destination).await {
+            ServerStatus::Crashed => RetryReason::Crash,
             _ => reason,
         }
     }
 
-    /// Returns whether the end of a connection, which is the only mark of the end of a response, was that
-    /// of a crashed process.
+    /// Returns whether a response whose end is marked only by that of its connection was ended by a crash.
     ///
-    /// An orderly end counts as that of the response unless all shows a crash: what a stopping server has
-    /// finished is complete.
+    /// An orderly close ends the response unless the server has crashed: what a
+    /// stopping server has finished is complete.
     pub(crate) async fn ended_by_crash(
         &self,
         destination: &Destination,
@@ -129,17 +130,18 @@
             None => false,
         };
         if had_stopped_listening {
-            record(destination, Judgement::HadStoppedListening);
+            record_status(destination, ServerStatus::HadStoppedListening);
             return false;
         }
-        self.judge(destination).await == Judgement::Crashed
+        self.check_server(destination).await == ServerStatus::Crashed
     }
 
-    async fn judge(&self, destination: &Destination) -> Judgement {
-        let judgement = self.look_at(destination).await;
-        record(destination, judgement);
+    /// Determines and records the status of a server, and reports a crash to the router.
+    async fn check_server(&self, destination: &Destination) -> ServerStatus {
+        let status = self.probe(destination).await;
+        record_status(destination, status);
         // If the incarnation is unknown, the router learns of the crash from the failed attempt alone.
-        if judgement == Judgement::Crashed
+        if status == ServerStatus::Crashed
             && let Some(incarnation) = destination.incarnation
         {
             self.dispatcher.feed(Event::Crashed {
@@ -147,27 +149,28 @@
                 incarnation,
             });
         }
-        judgement
+        status
     }
 
-    async fn look_at(&self, destination: &Destination) -> Judgement {
+    /// Determines the status of a server by opening a connection to it.
+    async fn probe(&self, destination: &Destination) -> ServerStatus {
         let server = &destination.server;
         match self.pool.open(server.addr).await {
             Ok(connection) => {
                 self.pool.release(connection, None);
-                return Judgement::Accepts;
+                return ServerStatus::Accepts;
             }
             Err(e) if e.is_refused() => {}
-            Err(_unreachable) => return Judgement::Unreachable,
+            Err(_unreachable) => return ServerStatus::Unreachable,
         }
         if self.is_leaving(destination) {
-            return Judgement::Leaves;
+            return ServerStatus::Leaves;
         }
         sleep(CONNECTIONS_CLOSE_TIME).await;
         if self.pool.has_open_connection(server.addr) {
-            Judgement::StopsListening
+            ServerStatus::StopsListening
         } else {
-            Judgement::Crashed
+            ServerStatus::Crashed
         }
     }
 
@@ -178,14 +181,15 @@
     }
 }
 
-fn record(destination: &Destination, judgement: Judgement) {
-    let label = judgement.label();
-    counter!(JUDGEMENTS, "judgement" => label).increment(1);
-    log::judged(&destination.server.id, destination.incarnation, label);
+/// Counts and logs the status of a server whose connection ended.
+fn record_status(destination: &Destination, status: ServerStatus) {
+    let label = status.label();
+    counter!(STATUS_COUNTER, "judgement" => label).increment(1);
+    log::connection_ended(&destination.server.id, destination.incarnation, label);
 }
 
-/// Returns whether only the end of the connection marks that of the body, which a crash brings about as
-/// well.
+/// Returns whether only the end of the connection marks the end of the body, so that a crash looks the
+/// same.
 pub(crate) fn ends_with_connection(method: &Method, head: &response::Parts) -> bool {
     let has_no_body = *method == Method::HEAD
         || matches!(
@@ -195,7 +199,7 @@
     !has_no_body && !is_framed(head)
 }
 
-/// Returns whether the length of a body is stated, or its end is marked.
+/// Returns whether the headers state the length of the body or a transfer coding that marks its end.
 pub(crate) fn is_framed(head: &response::Parts) -> bool {
     let headers = &head.headers;
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -45,7 +45,7 @@
     tracing::warn!(decision = "attempt_failed", request, %backend, reason, may_have_run, attempt);
 }
 
-/// Logs which suspect keeps a request from the backend servers.
+/// Logs the blocked suspect because of which a request is not sent.
 pub(crate) fn blocked(request: &str, suspect: Suspect, verdict: Verdict) {
     tracing::info!(decision = "blocked", request, %suspect, ?verdict);
 }
@@ -55,10 +55,14 @@
     tracing::info!(decision = "attempt_cancelled", request, %backend, attempt);
 }
 
-/// Logs what a server is judged to be whose connection ended within a response.
-pub(crate) fn judged(backend: &BackendId, incarnation: Option<Incarnation>, judgement: &str) {
+/// Logs the status of a server whose connection ended within a response.
+pub(crate) fn connection_ended(
+    backend: &BackendId,
+    incarnation: Option<Incarnation>,
+    status: &str,
+) {
     let life = incarnation.map(|i| i.to_string());
-    tracing::info!(belief = "backend", %backend, life, judgement, "connection ended");
+    tracing::info!(belief = "backend", %backend, life, judgement = status, "connection ended");
 }
 
 /// Logs the first announcement of a backend server that it leaves.
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -17,7 +17,7 @@
     message::{Readiness, Row, RowState},
     residents::ResidentsTable,
     slot::Slots,
-    trial::Trials,
+    trial::TrialGrants,
     version::Versions,
 };
 
@@ -64,7 +64,7 @@
     pub(crate) loads: Loads,
     pub(crate) residents: ResidentsTable,
     pub(crate) slots: Slots,
-    pub(crate) trials: Trials,
+    pub(crate) trial_grants: TrialGrants,
     pub(crate) round: u64,
     pub(crate) watching: bool,
     pub(crate) next_read: Deadline,
@@ -105,7 +105,7 @@
             loads: Loads::default(),
             residents: ResidentsTable::default(),
             slots: Slots::default(),
-            trials: Trials::default(),
+            trial_grants: TrialGrants::default(),
             round: 0,
             watching: false,
             next_read: Deadline::at(now),
@@ -391,7 +391,7 @@
         if now.since(self.started) < hold {
             return TrialReply::Denied;
         }
-        self.trials.grant(now, suspect)
+        self.trial_grants.grant(now, suspect)
     }
 
     /// Returns the members as of now.
