Name the parts of the tests of crashing parts by what they are

Callers see no change; no assertion, bound or seed is changed.

Cause: the tests used 'sound', 'held', 'seldom', 'scene', 'served' and 'stronger' for harmless parts, blocked parts, an interval, a scenario, counts and the number of crashes. One simulation step was one long function.

--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -8,18 +8,27 @@
 
 use crate::fixture::{Host, LOCAL, model};
 
-/// Time after the fifth crash from which at most [`MAX_LATER`] requests may reach servers.
+/// Time after crash number [`BOUND_CRASHES`] from which at most [`MAX_LATER_REQUESTS`] requests with a
+/// crashing part may reach servers.
 const STABLE_WINDOW: Micros = Micros::from_secs(4);
-const CRASHES: usize = 5;
-const MAX_LATER: usize = 3;
+/// Number of crashes after which the bound holds.
+const BOUND_CRASHES: usize = 5;
+/// Maximum number of requests with a crashing part that may reach servers later.
+const MAX_LATER_REQUESTS: usize = 3;
 
-/// Seeds of the simulations. Those above 3 failed once: trials were repeated, sound parts confirmed by
-/// trials among other crashes, or never tried because a stronger part could not be tried.
+/// Seeds of the simulations. Those above 3 failed once: trials were repeated, harmless parts were confirmed
+/// by trials among other crashes, or never tried because a part with more crashes could not be tried.
 const SEEDS: [u64; 11] = [0, 1, 2, 3, 6, 16, 51, 68, 98, 179, 286];
 
+/// Part of most prompts.
 const SHARED: u64 = 1;
+
+/// Part that crashes servers.
 const CRASHING: u64 = 666;
 
+/// Harmless part of prompts of its own.
+const HARMLESS: u64 = 50;
+
 /// Duration of a step of the simulation.
 const STEP_MS: u64 = 20;
 
@@ -37,7 +46,9 @@
     host: usize,
     id: RequestId,
     server: usize,
+    /// Step at which the request or the server ends.
     ends: u64,
+    /// Whether the request crashes the server.
     crashes: bool,
 }
 
@@ -50,15 +61,18 @@
     /// Step of the restart of each server that is down.
     down: Vec<Option<u64>>,
     runs: Vec<Run>,
-    /// Granted trials and the step of each.
+    /// Suspects of the granted trials, with the step of each.
     trials: Vec<(Suspect, u64)>,
+    /// Parts that crash servers.
     crashing: Vec<u64>,
     /// Parts of the requests that were sent, by host and id.
     sent: Vec<(usize, RequestId, Vec<u64>)>,
-    /// Steps at which requests with crashing parts reached servers, and the part.
+    /// Steps at which requests with crashing parts reached servers, with the part.
     arrivals: Vec<(u64, u64)>,
+    /// Steps at which servers crashed, with the part that caused it; zero for another cause.
     crashes: Vec<(u64, u64)>,
-    sound: Vec<(u64, bool)>,
+    /// Steps at which harmless requests were dispatched or refused, with whether they were dispatched.
+    harmless: Vec<(u64, bool)>,
 }
 
 impl Fleet {
@@ -86,7 +100,7 @@
             sent: Vec::new(),
             arrivals: Vec::new(),
             crashes: Vec::new(),
-            sound: Vec::new(),
+            harmless: Vec::new(),
         }
     }
 
@@ -94,7 +108,7 @@
         parts.iter().copied().find(|p| self.crashing.contains(p))
     }
 
-    /// Feeds an event to a host and performs what follows from it at all hosts.
+    /// Feeds an event to a host and performs the resulting actions at all hosts.
     fn feed(&mut self, host: usize, event: Event) {
         let mut events = vec![(host, event)];
         while !events.is_empty() {
@@ -106,6 +120,7 @@
         }
     }
 
+    /// Performs an action and returns the events that follow, each with its host.
     fn perform(&mut self, host: usize, action: Action) -> Vec<(usize, Event)> {
         match action {
             Action::Dispatch { id, backend, .. } => {
@@ -119,7 +134,7 @@
                     .collect();
             }
             Action::RequestTrial { id, suspect } => {
-                let reply = self.grant(suspect);
+                let reply = self.grant_trial(suspect);
                 return vec![(host, Event::TrialReply { id, suspect, reply })];
             }
             _ => {}
@@ -127,7 +142,8 @@
         Vec::new()
     }
 
-    fn grant(&mut self, suspect: Suspect) -> TrialReply {
+    /// Replies to a request for a trial as the granting hosts do.
+    fn grant_trial(&mut self, suspect: Suspect) -> TrialReply {
         let granted: Vec<u64> = self
             .trials
             .iter()
@@ -164,7 +180,7 @@
         let crashing = self.crashing_part(&parts);
         match crashing {
             Some(part) => self.arrivals.push((self.step, part)),
-            None => self.sound.push((self.step, true)),
+            None => self.harmless.push((self.step, true)),
         }
         let duration = match crashing {
             Some(_) => CRASH_STEPS,
@@ -183,7 +199,7 @@
     fn record_refusal(&mut self, host: usize, id: RequestId) {
         let parts = self.parts_of(host, id);
         if self.crashing_part(&parts).is_none() {
-            self.sound.push((self.step, false));
+            self.harmless.push((self.step, false));
         }
     }
 
@@ -195,7 +211,7 @@
         self.feed(host, Event::Arrive(request));
     }
 
-    /// Ends a server: all that runs there fails.
+    /// Crashes a server because of a part, and fails all requests that run there.
     fn crash(&mut self, server: usize, part: u64) {
         self.down[server] = Some(self.step + RESTART_STEPS);
         self.crashes.push((self.step, part));
@@ -227,20 +243,27 @@
         }
     }
 
-    /// Lets time pass: runs end, servers crash and restart.
+    /// Advances by one step: requests end, and servers crash and restart.
     fn advance(&mut self) {
         self.step += 1;
         for host in 0..self.hosts.len() {
             self.hosts[host].now = self.hosts[host].now + Micros::from_millis(STEP_MS);
             self.feed(host, Event::Tick);
         }
+        self.end_due_runs();
+        self.restart_due_servers();
+    }
+
+    /// Finishes the requests whose time is over, or crashes their servers.
+    fn end_due_runs(&mut self) {
         while let Some(at) = self.runs.iter().position(|r| r.ends <= self.step) {
             let run = self.runs.remove(at);
             if run.crashes {
                 let parts = self.parts_of(run.host, run.id);
                 let part = self.crashing_part(&parts).expect("a crashing part");
+                let server = run.server;
+                // The crash fails this request after all others on the server.
                 self.runs.push(run);
-                let server = self.runs.last().expect("the run").server;
                 self.crash(server, part);
             } else {
                 let finished = Event::Finished {
@@ -251,6 +274,10 @@
                 self.feed(run.host, finished);
             }
         }
+    }
+
+    /// Restarts the servers whose downtime is over; each reports to all hosts.
+    fn restart_due_servers(&mut self) {
         for (server, name) in LOCAL.iter().enumerate() {
             if self.down[server].is_some_and(|at| at <= self.step) {
                 self.down[server] = None;
@@ -265,14 +292,14 @@
         }
     }
 
-    /// Sends sound requests for a number of steps, and besides what `also` sends.
-    fn run(&mut self, steps: u64, mut also: impl FnMut(&mut Self)) {
+    /// Advances by a number of steps. In each, a harmless request is sent and `each_step` is called.
+    fn run(&mut self, steps: u64, mut each_step: impl FnMut(&mut Self)) {
         for _ in 0..steps {
             self.advance();
             let host = self.rng.random_range(0..self.hosts.len());
-            let subject = 100 + self.rng.random_range(0..30);
-            self.send(host, &[SHARED, subject], |_| {});
-            also(self);
+            let topic = 100 + self.rng.random_range(0..30);
+            self.send(host, &[SHARED, topic], |_| {});
+            each_step(self);
         }
     }
 
@@ -284,7 +311,7 @@
             .filter(|c| c.1 == part)
             .map(|c| c.0)
             .collect();
-        let Some(fifth) = crashes.get(CRASHES - 1) else {
+        let Some(fifth) = crashes.get(BOUND_CRASHES - 1) else {
             return 0;
         };
         let bound = fifth + STABLE_WINDOW.get() / 1_000 / STEP_MS;
@@ -292,7 +319,8 @@
         later.count()
     }
 
-    fn blocks(&self, host: usize, part: u64) -> Option<Verdict> {
+    /// Returns the verdict of a host on a part, if it blocks the part.
+    fn verdict_at(&self, host: usize, part: u64) -> Option<Verdict> {
         let now = self.hosts[host].now;
         let blocked = self.hosts[host].router.blocked_suspects(now);
         let suspect = Suspect::Part(PromptPart::new(part));
@@ -302,20 +330,21 @@
             .map(|b| b.verdict)
     }
 
-    /// Returns the share of the sound requests since a step that began at a server.
-    fn share_begun(&self, since: u64) -> f64 {
+    /// Returns the share of the harmless requests since a step that were dispatched.
+    fn dispatched_share(&self, since: u64) -> f64 {
         let all: Vec<bool> = self
-            .sound
+            .harmless
             .iter()
-            .filter(|s| s.0 >= since)
-            .map(|s| s.1)
+            .filter(|(step, _)| *step >= since)
+            .map(|(_, is_dispatched)| *is_dispatched)
             .collect();
-        all.iter().filter(|begun| **begun).count() as f64 / all.len().max(1) as f64
+        let dispatched = all.iter().filter(|is_dispatched| **is_dispatched).count();
+        dispatched as f64 / all.len().max(1) as f64
     }
 }
 
 /// Sends a request with the parts at a random host every seventh step.
-fn seldom(parts: &'static [u64]) -> impl FnMut(&mut Fleet) {
+fn every_seventh_step(parts: &'static [u64]) -> impl FnMut(&mut Fleet) {
     move |fleet| {
         if fleet.step.is_multiple_of(7) {
             let host = fleet.rng.random_range(0..fleet.hosts.len());
@@ -324,27 +353,37 @@
     }
 }
 
-/// Asserts that all hosts block the part, that few requests reached servers after the bound, and that
-/// sound requests are served.
-fn assert_held(fleet: &Fleet, parts: &[u64], case: &str) {
+/// Asserts that all hosts block the given parts and no harmless one, that few requests with them reached
+/// servers after the bound, and that harmless requests are served.
+fn assert_only_blocked(fleet: &Fleet, parts: &[u64], case: &str) {
     for part in parts {
         let later = fleet.arrivals_after_bound(*part);
-        assert!(later <= MAX_LATER, "{case}: {later} later");
+        assert!(later <= MAX_LATER_REQUESTS, "{case}: {later} later");
         for host in 0..fleet.hosts.len() {
-            assert!(fleet.blocks(host, *part).is_some(), "{case}: host {host}");
+            assert!(
+                fleet.verdict_at(host, *part).is_some(),
+                "{case}: host {host}"
+            );
         }
     }
-    for sound in std::iter::once(SHARED).chain(100..130) {
+    for harmless in std::iter::once(SHARED).chain(100..130) {
         for host in 0..fleet.hosts.len() {
-            assert_eq!(fleet.blocks(host, sound), None, "{case}: part {sound}");
+            assert_eq!(
+                fleet.verdict_at(host, harmless),
+                None,
+                "{case}: part {harmless}"
+            );
         }
     }
-    let share = fleet.share_begun(fleet.step - 100);
-    assert!(share > 0.9, "{case}: {share} of the sound requests began");
+    let share = fleet.dispatched_share(fleet.step - 100);
+    assert!(
+        share > 0.9,
+        "{case}: {share} of the harmless requests were dispatched"
+    );
 }
 
-/// Guards against requests of which no two are alike and that crash one server after the other, wherever
-/// the crashing part stands between sound ones.
+/// Guards against requests that crash one server after the other though no two are alike, wherever the
+/// crashing part stands among harmless ones.
 #[test]
 fn a_crashing_part_is_blocked_on_all_hosts_wherever_it_stands() {
     let prompts: [&'static [u64]; 4] = [
@@ -357,8 +396,8 @@
         for seed in SEEDS {
             let mut fleet = Fleet::new(3, seed, &[CRASHING]);
             fleet.run(50, |_| {});
-            fleet.run(900, seldom(parts));
-            assert_held(&fleet, &[CRASHING], &format!("{parts:?}, seed {seed}"));
+            fleet.run(900, every_seventh_step(parts));
+            assert_only_blocked(&fleet, &[CRASHING], &format!("{parts:?}, seed {seed}"));
         }
     }
 }
@@ -369,12 +408,15 @@
     for seed in SEEDS {
         let mut fleet = Fleet::new(3, seed, &[CRASHING, 667]);
         fleet.run(50, |_| {});
-        let (mut first, mut second) = (seldom(&[SHARED, CRASHING]), seldom(&[SHARED, 667]));
+        let (mut first, mut second) = (
+            every_seventh_step(&[SHARED, CRASHING]),
+            every_seventh_step(&[SHARED, 667]),
+        );
         fleet.run(1_200, |fleet| {
             first(fleet);
             second(fleet);
         });
-        assert_held(&fleet, &[CRASHING, 667], &format!("seed {seed}"));
+        assert_only_blocked(&fleet, &[CRASHING, 667], &format!("seed {seed}"));
     }
 }
 
@@ -389,12 +431,12 @@
             fleet.send(host, &[SHARED, CRASHING], |r| r.target = target);
         }
     });
-    assert_held(&fleet, &[CRASHING], "two models");
+    assert_only_blocked(&fleet, &[CRASHING], "two models");
 }
 
-/// Guards against sound parts that are blocked because servers crash for other reasons.
+/// Guards against harmless parts that are blocked because servers crash for other reasons.
 #[test]
-fn sound_parts_are_not_blocked_by_crashes_with_other_causes() {
+fn harmless_parts_are_not_blocked_by_crashes_with_other_causes() {
     for seed in SEEDS {
         let mut fleet = Fleet::new(3, seed, &[]);
         fleet.run(900, |fleet| {
@@ -406,12 +448,12 @@
             }
         });
         fleet.run(600, |_| {});
-        assert_held(&fleet, &[], &format!("seed {seed}"));
+        assert_only_blocked(&fleet, &[], &format!("seed {seed}"));
     }
 }
 
-/// Crashes the server of a request with a part of its own as soon as it runs, several times.
-fn block_sound_part(fleet: &mut Fleet, part: u64) {
+/// Crashes the servers of several requests with a harmless part, so that all hosts block it.
+fn block_harmless_part(fleet: &mut Fleet, part: u64) {
     for _ in 0..3 {
         fleet.send(0, &[part], |r| r.idempotent = false);
         let server = fleet.runs.last().expect("a run").server;
@@ -422,39 +464,37 @@
     }
 }
 
-/// Guards against a sound part that stays blocked after three coincidences.
+/// Guards against a harmless part that stays blocked after it was in flight at three crashes by chance.
 #[test]
 fn a_blocked_part_is_cleared_by_a_trial_that_is_answered() {
-    const SOUND: u64 = 50;
     let mut fleet = Fleet::new(3, 1, &[]);
-    block_sound_part(&mut fleet, SOUND);
-    assert_eq!(fleet.blocks(1, SOUND), Some(Verdict::Suspected));
+    block_harmless_part(&mut fleet, HARMLESS);
+    assert_eq!(fleet.verdict_at(1, HARMLESS), Some(Verdict::Suspected));
 
-    fleet.run(100, seldom(&[SOUND]));
+    fleet.run(100, every_seventh_step(&[HARMLESS]));
 
     for host in 0..3 {
-        assert_eq!(fleet.blocks(host, SOUND), None, "host {host}");
+        assert_eq!(fleet.verdict_at(host, HARMLESS), None, "host {host}");
     }
-    assert!(fleet.share_begun(fleet.step - 50) > 0.9);
+    assert!(fleet.dispatched_share(fleet.step - 50) > 0.9);
 }
 
 /// Guards against a part that stays blocked although a request that ran meanwhile was answered.
 #[test]
 fn a_response_at_any_host_clears_a_part_everywhere() {
-    const SOUND: u64 = 50;
     let mut fleet = Fleet::new(3, 1, &[]);
-    fleet.send(2, &[SOUND], |_| {});
+    fleet.send(2, &[HARMLESS], |_| {});
     let slow = fleet.runs.pop().expect("a run");
     for number in 1..=3 {
         for host in 0..3 {
             fleet.feed(
                 host,
-                Event::CrashUpdate(crash_of_elsewhere(number, &[SOUND])),
+                Event::CrashUpdate(crash_at_other_server(number, &[HARMLESS])),
             );
         }
         (0..20).for_each(|_| fleet.advance());
     }
-    assert_eq!(fleet.blocks(1, SOUND), Some(Verdict::Suspected));
+    assert_eq!(fleet.verdict_at(1, HARMLESS), Some(Verdict::Suspected));
 
     fleet.feed(
         2,
@@ -466,12 +506,12 @@
     );
 
     for host in 0..3 {
-        assert_eq!(fleet.blocks(host, SOUND), None, "host {host}");
+        assert_eq!(fleet.verdict_at(host, HARMLESS), None, "host {host}");
     }
 }
 
 /// Returns a report of the crash of a server on which no request of the test runs.
-fn crash_of_elsewhere(incarnation: u64, parts: &[u64]) -> CrashUpdate {
+fn crash_at_other_server(incarnation: u64, parts: &[u64]) -> CrashUpdate {
     let suspects = parts.iter().map(|p| Suspect::Part(PromptPart::new(*p)));
     let report = route::CrashReport {
         backend: "w9".parse().expect("a name"),
@@ -485,11 +525,11 @@
     }
 }
 
-/// Guards against a host that starts later, or was away, and sends what the others block.
+/// Guards against a host that starts later, or was disconnected, and sends requests that the others block.
 #[test]
 fn a_host_that_starts_later_learns_what_is_blocked() {
     let mut fleet = Fleet::new(3, 1, &[CRASHING]);
-    fleet.run(600, seldom(&[SHARED, CRASHING]));
+    fleet.run(600, every_seventh_step(&[SHARED, CRASHING]));
     let now = fleet.hosts[0].now;
     let update = CrashUpdate {
         blocked: fleet.hosts[0].router.blocked_suspects(now),
@@ -518,7 +558,7 @@
 
 /// Guards against a queued request, or a repetition, that reaches a server after its part was blocked.
 #[test]
-fn what_waits_when_a_part_is_blocked_is_refused() {
+fn a_queued_request_is_refused_when_its_part_is_blocked() {
     let mut host = Host::empty(|cfg| cfg.suspect_slots = false);
     host.report("w1", 1, crate::fixture::LIMIT, &["m1"]);
     let part = PromptPart::new(CRASHING);
@@ -530,7 +570,7 @@
     assert_eq!(host.refused(), [(waiting, Code::CrashingPart)]);
 }
 
-/// Guards against blocked parts that are forgotten while requests with them still come, and against ones
+/// Guards against blocked parts that are removed while requests with them still arrive, and against ones
 /// that are kept forever.
 #[test]
 fn a_blocked_part_is_kept_as_long_as_requests_with_it_come() {
@@ -551,20 +591,20 @@
 #[test]
 fn invented_parts_do_not_displace_a_blocked_one_and_take_bounded_memory() {
     let mut fleet = Fleet::new(1, 1, &[CRASHING]);
-    fleet.run(600, seldom(&[SHARED, CRASHING]));
+    fleet.run(600, every_seventh_step(&[SHARED, CRASHING]));
     for number in 0..1_000 {
         let parts: Vec<u64> = (0..40).map(|n| 10_000 + number * 40 + n).collect();
-        fleet.feed(0, Event::CrashUpdate(crash_of_elsewhere(number, &parts)));
+        fleet.feed(0, Event::CrashUpdate(crash_at_other_server(number, &parts)));
     }
 
-    assert_eq!(fleet.blocks(0, CRASHING), Some(Verdict::Confirmed));
+    assert_eq!(fleet.verdict_at(0, CRASHING), Some(Verdict::Confirmed));
     assert!(fleet.hosts[0].router.memory_bytes() < 1 << 20);
 }
 
-/// Guards against the requests that shared servers with a crashing part, and stay refused after it was
-/// found.
+/// Guards against requests that shared servers with a crashing part and stay refused after the crashes are
+/// attributed to the part.
 #[test]
-fn requests_that_were_in_flight_at_explained_crashes_are_not_refused() {
+fn requests_in_flight_at_crashes_attributed_to_a_part_are_not_refused() {
     let mut host = Host::new(|cfg| cfg.suspect_slots = false);
     let fingerprint = route::Fingerprint::new(77);
     let suspects = vec![
@@ -602,7 +642,10 @@
         let mut host = Host::new(|cfg| cfg.suspect_slots = false);
         for number in 1..=3 {
             host.advance(1_000);
-            host.step(Event::CrashUpdate(crash_of_elsewhere(number, &[CRASHING])));
+            host.step(Event::CrashUpdate(crash_at_other_server(
+                number,
+                &[CRASHING],
+            )));
         }
         host.advance(1_000);
         let id = host.send(|r| r.options.parts = vec![part]);
@@ -616,15 +659,18 @@
     }
 }
 
-/// Guards against a blocked sound part that waits for the trials of another one without end: one sound
+/// Guards against a blocked harmless part that waits without end for the trials of another one: one harmless
 /// part was still blocked nine seconds after the faults of seed 1019 of the soak.
 #[test]
-fn a_blocked_part_is_tried_soon_though_a_stronger_one_is_not_decided() {
-    const STRONGER: u64 = 667;
+fn a_blocked_part_is_tried_soon_though_one_with_more_crashes_is_undecided() {
+    const MORE_CRASHES: u64 = 667;
     let mut host = Host::new(|cfg| cfg.suspect_slots = false);
     for number in 1..=4 {
         host.advance(1_000);
-        host.step(Event::CrashUpdate(crash_of_elsewhere(number, &[STRONGER])));
+        host.step(Event::CrashUpdate(crash_at_other_server(
+            number,
+            &[MORE_CRASHES],
+        )));
     }
     let part = PromptPart::new(CRASHING);
     let suspect = Suspect::Part(part);
@@ -638,7 +684,7 @@
     }));
     for _ in 0..10 {
         host.advance(500);
-        let id = host.send(|r| r.options.parts = vec![PromptPart::new(STRONGER)]);
+        let id = host.send(|r| r.options.parts = vec![PromptPart::new(MORE_CRASHES)]);
         if host
             .out
             .iter()
@@ -646,7 +692,7 @@
         {
             host.step(Event::TrialReply {
                 id,
-                suspect: Suspect::Part(PromptPart::new(STRONGER)),
+                suspect: Suspect::Part(PromptPart::new(MORE_CRASHES)),
                 reply: TrialReply::Denied,
             });
         }
@@ -657,9 +703,9 @@
     assert_eq!(host.out, [Action::RequestTrial { id, suspect }]);
 }
 
-/// Guards against a message of another host that ends the process or blocks what is sound.
+/// Guards against a message of another host that crashes the process or blocks a harmless part.
 #[test]
-fn extreme_news_of_crashes_are_harmless() {
+fn crash_updates_with_extreme_values_are_harmless() {
     let mut host = Host::new(|cfg| cfg.suspect_slots = false);
     let part = Suspect::Part(PromptPart::new(u64::MAX));
     for age in [Micros::ZERO, Micros::new(u64::MAX)] {
