Split admit.rs by concern

Callers see no change: functions and constants are moved unchanged; some are visible in the crate now.

Evidence: a comparison of the lines before and after finds only imports, module lines and one signature that the formatter wraps.

admit.rs keeps admission; dispatch_queue.rs, dispatch.rs, no_candidate.rs, placement.rs, retry_after.rs and demand.rs take the rest.

--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -4,8 +4,8 @@
 use types::{Code, Instant};
 
 use crate::{
-    admit::micros,
     backend::Backend,
+    dispatch::micros,
     event::Action,
     names::{IndexMapping, NameIndex},
     requests::Phase,
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -2,6 +2,8 @@
 
 use types::{Instant, Micros};
 
+use crate::{choose::request_work, router::Router, settings::LatencyMetric};
+
 /// Exponentially decaying sums for one model.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Demand {
@@ -42,3 +44,28 @@
         )
     }
 }
+
+impl Router {
+    /// Adds a served or refused request to the demand for its model.
+    pub(crate) fn record_demand(&mut self, now: Instant, slot: u32, missed: bool) {
+        let Some(entry) = self.requests.get(slot) else {
+            return;
+        };
+        let Some(model) = entry.model else {
+            return;
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "single precision suffices for a smoothed rate"
+        )]
+        let amount = match self.cfg.latency_metric {
+            LatencyMetric::Completion => {
+                request_work(&self.cfg, &entry.request, entry.request.output_tokens)
+            }
+            LatencyMetric::FirstToken => self.demand_seconds(entry, model),
+        } as f32;
+        let half_life = self.cfg.demand_half_life;
+        let missed = f32::from(u8::from(missed));
+        self.demand[usize::from(model)].add(amount, missed, now, half_life);
+    }
+}
