--- a/crates/celerytally/src/integration.rs
+++ b/crates/celerytally/src/integration.rs
@@ -116,8 +116,8 @@
 }
 
 impl gate::Peers for GatePeers {
-    async fn share_suspects(&self, marks: Vec<SuspectRecord>) {
-        let shared = self.exchange.share_suspects(marks).await;
+    async fn share_suspects(&self, records: Vec<SuspectRecord>) {
+        let shared = self.exchange.share_suspects(records).await;
         if !shared.missed.is_empty() {
             tracing::debug!(missed = ?shared.missed, "suspects not acknowledged");
         }
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -137,21 +137,18 @@
             backend: id.clone(),
             incarnation,
         };
-        let records: Vec<SuspectRecord> = match self.cause(&ran, id, incarnation) {
-            Some(cause) => {
-                self.counts.confirmed += 1;
-                vec![record(cause, SuspectState::Confirmed)]
-            }
-            None => {
-                let is_new =
-                    |r: &&(Fingerprint, bool)| self.suspect_records.state(r.0, now).is_none();
-                let suspected = ran.iter().filter(is_new);
-                let records: Vec<SuspectRecord> = suspected
-                    .map(|r| record(r.0, SuspectState::Suspected))
-                    .collect();
-                self.counts.suspected += records.len() as u64;
-                records
-            }
+        let cause = self.cause(&ran, id, incarnation);
+        let records: Vec<SuspectRecord> = if let Some(cause) = cause {
+            self.counts.confirmed += 1;
+            vec![record(cause, SuspectState::Confirmed)]
+        } else {
+            let is_new = |r: &&(Fingerprint, bool)| self.suspect_records.state(r.0, now).is_none();
+            let suspected = ran.iter().filter(is_new);
+            let records: Vec<SuspectRecord> = suspected
+                .map(|r| record(r.0, SuspectState::Suspected))
+                .collect();
+            self.counts.suspected += records.len() as u64;
+            records
         };
         self.store_records(now, &records);
         if !records.is_empty() {
