--- a/crates/celerytally/src/integration.rs
+++ b/crates/celerytally/src/integration.rs
@@ -8,7 +8,7 @@
 use engine::{Client, Server};
 use orders::SendOutcome;
 use peer::{Handle, MemberState};
-use route::{CrashNews, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
 use store::HttpPlatform;
 use tokio::sync::mpsc;
 use types::{
@@ -116,15 +116,15 @@
 }
 
 impl gate::Peers for GatePeers {
-    async fn share_suspects(&self, marks: Vec<SuspectRecord>) {
-        let shared = self.exchange.share_suspects(marks).await;
+    async fn share_suspects(&self, records: Vec<SuspectRecord>) {
+        let shared = self.exchange.share_suspects(records).await;
         if !shared.missed.is_empty() {
             tracing::debug!(missed = ?shared.missed, "suspects not acknowledged");
         }
     }
 
-    fn crashes_learned(&self, news: CrashNews) {
-        self.exchange.push_crash_news(&news);
+    fn share_crashes(&self, update: CrashUpdate) {
+        self.exchange.push_crash_update(&update);
     }
 
     async fn request_trial(&self, suspect: Suspect) -> TrialReply {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,30 +38,38 @@
 mod admit;
 mod apply;
 mod backend;
+mod blocking;
 mod budget;
 mod choose;
 mod counts;
 mod crash;
+mod crash_evidence;
 mod demand;
 mod departed;
+mod dispatch;
+mod dispatch_queue;
 mod event;
 mod evidence;
 mod fail;
 mod first_token;
 mod names;
+mod no_candidate;
 mod observe;
 mod overdue;
 mod peer_load;
+mod placement;
 mod prefix;
 mod queue;
 mod remote;
 mod replica;
 mod requests;
+mod retry_after;
 mod router;
 mod settings;
 mod slots;
 mod slowdown;
-mod suspect;
+mod suspect_records;
+mod suspect_slot;
 mod takeover;
 mod trial;
 mod view;
@@ -69,7 +77,7 @@
 
 pub use counts::Counts;
 pub use event::{
-    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashNews, CrashReport, Event,
+    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashReport, CrashUpdate, Event,
     Failure, Fingerprint, Liveness, RequestOptions, ResponseReport, RoutingRequest, Suspect,
     SuspectRecord, SuspectState, Target, TrialReply, Verdict,
 };
