Judge the end of a response whose transfer coding is not chunked

A caller got 200 with half of a body, framed as whole, when the response named a transfer coding other than chunked and its server crashed within it. Such a response ends with its connection, as one without a length does, but any transfer coding counted as a mark of the end. Only the chunked one does now.

promises/unchunked_encodings failed before with status 200 and the body "half", and passes now.

--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use engine::{Connection, Pool, Server};
-use http::{Method, StatusCode, header, response};
+use http::{HeaderValue, Method, StatusCode, header, response};
 use metrics::counter;
 use route::Event;
 use tokio::{task::JoinHandle, time::sleep};
@@ -200,7 +200,21 @@
 }
 
 /// Returns whether the headers state the length of the body or a transfer coding that marks its end.
+///
+/// Only the chunked coding marks it, and any transfer coding overrides a stated length.
 pub(crate) fn is_framed(head: &response::Parts) -> bool {
     let headers = &head.headers;
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+    let codings = headers.get_all(header::TRANSFER_ENCODING);
+    match codings.iter().next_back() {
+        Some(value) => ends_chunked(value),
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+fn ends_chunked(codings: &HeaderValue) -> bool {
+    let last = codings
+        .to_str()
+        .ok()
+        .and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
