--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -22,12 +22,12 @@
         attempt::{Attempt, OpenResponse, keep, may_have_run_failure, not_run_failure},
         buffer::{Beginning, Incomplete, count_unbuffered, read_whole, stated_len},
         codec::HeaderCodec,
+        hedge::{Hedged, Responded, run_hedged},
         implies_not_run,
         inbound::Inbound,
         liveness::ends_with_connection,
         log,
         position::Position,
-        responded::{Contested, Responded, run_contested},
     },
     record::{Progress, RequestRecord},
     refusal::{Refusal, is_suspect_code},
@@ -176,8 +176,8 @@
     ) -> Result<OpenResponse, (BackendId, Failure)> {
         let mut backend = attempt.server.id.clone();
         let mut first_byte = attempt.first_byte;
-        let contested = Contested::default();
-        let mut current = Box::pin(run_contested(attempt, contested.clone()));
+        let hedged = Hedged::default();
+        let mut current = Box::pin(run_hedged(attempt, hedged.clone()));
         loop {
             let stalls_at = self.stalls_at(first_byte);
             if stalls_at >= self.inbound.deadline_at {
@@ -196,8 +196,8 @@
             };
             let other = attempt.server.id.clone();
             let other_first_byte = attempt.first_byte;
-            contested.set(true);
-            let next = Box::pin(run_contested(attempt, contested.clone()));
+            hedged.set(true);
+            let next = Box::pin(run_hedged(attempt, hedged.clone()));
             match select(current, next).await {
                 Either::Left((responded, next)) => match self.accept(responded) {
                     Ok(response) => {
@@ -220,7 +220,7 @@
                     }
                 },
             }
-            contested.set(false);
+            hedged.set(false);
         }
     }
 
--- a/crates/gate/src/proxy/responded.rs
+++ b/crates/gate/src/proxy/hedge.rs
@@ -34,11 +34,11 @@
 
 /// Whether an attempt has another one beside it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Contested(Arc<AtomicBool>);
+pub(crate) struct Hedged(Arc<AtomicBool>);
 
-impl Contested {
-    pub(crate) fn set(&self, contested: bool) {
-        self.0.store(contested, Ordering::Relaxed);
+impl Hedged {
+    pub(crate) fn set(&self, hedged: bool) {
+        self.0.store(hedged, Ordering::Relaxed);
     }
 
     fn get(&self) -> bool {
@@ -54,15 +54,15 @@
 ///
 /// # Errors
 /// The failure of the attempt.
-pub(crate) async fn run_contested<R: StateMachine, N: Peers, C: HeaderCodec>(
+pub(crate) async fn run_hedged<R: StateMachine, N: Peers, C: HeaderCodec>(
     attempt: Attempt<R, N, C>,
-    contested: Contested,
+    hedged: Hedged,
 ) -> Result<Responded, Failure> {
     let (shared, inbound) = (Arc::clone(&attempt.shared), Arc::clone(&attempt.inbound));
     let mut response = attempt.run().await?;
     let is_refusal = implies_not_run(response.head.status);
     let is_error = is_refusal || response.head.status.is_server_error();
-    if !is_error || !contested.get() {
+    if !is_error || !hedged.get() {
         return Ok(Responded::Open(response));
     }
     let read = read_whole(&mut response.body, &shared.buffers);
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod exchange;
 mod headers;
+mod hedge;
 mod idle;
 mod inbound;
 mod kind;
@@ -19,7 +20,6 @@
 mod position;
 mod refused_head;
 mod relay;
-mod responded;
 
 use std::{
     fmt,
