--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod configuration;
 mod crashing_parts;
+mod crashing_requests;
 mod first_token;
 mod fixture;
 mod memory;
