Report all suspects of a crash, those of earlier crashes first

What operators saw: a request, or a part of prompts, that crashes servers beside many requests in flight goes on to reach servers.

Cause: the suspects in flight at a crash were sorted and cut at 48. Parts sort before requests and small numbers first, so that the same suspect was cut each time, and the crash taught nothing of it. The table of 512 suspects removed the oldest ones, whatever their crashes.

Change: a report holds up to 1,024 suspects and is split into datagrams. Above that, those of earlier crashes come first, then those whose attempt changed last. What is left out is logged and counted. The table holds 2,048 suspects, and the one with the fewest crashes gives way. The log line of a crash names requests as well as parts.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -282,7 +282,8 @@
                 }
             }
             // The router of this bench estimates finish times and asks for no second copy.
-            Action::RequestReplica { .. } | Action::LogVerdict { .. } => {}
+            Action::RequestReplica { .. } | Action::LogCrash { .. } | Action::LogVerdict { .. } => {
+            }
         }
     }
 
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -361,10 +361,8 @@
                 });
             }
             Action::ShareSuspects(records) => self.share_suspects_then(records, Vec::new()),
-            Action::ShareCrashes(update) => {
-                update.crashes.iter().for_each(log_crash);
-                self.0.peers.share_crashes(update);
-            }
+            Action::ShareCrashes(update) => self.0.peers.share_crashes(update),
+            Action::LogCrash { report, omitted } => log_crash(&report, omitted),
             Action::RequestTrial { id, suspect } => {
                 let this = self.clone();
                 tokio::spawn(async move {
@@ -402,15 +400,23 @@
     }
 }
 
+/// Maximum number of suspects in the log line of a crash.
+const MAX_LOGGED_SUSPECTS: usize = 32;
+
 /// Logs and counts a crash at which this host had requests in flight.
-fn log_crash(report: &CrashReport) {
+fn log_crash(report: &CrashReport, omitted: usize) {
     metrics::counter!("celerytally_backend_crashes_total").increment(1);
+    let omitted_total = u64::try_from(omitted).unwrap_or(u64::MAX);
+    metrics::counter!("celerytally_omitted_suspects_total").increment(omitted_total);
+    let first = report.suspects.iter().take(MAX_LOGGED_SUSPECTS);
+    let first: Vec<String> = first.map(Suspect::to_string).collect();
     tracing::warn!(
         belief = "crash",
         backend = %report.backend,
         incarnation = %report.incarnation,
         suspects = report.suspects.len(),
-        parts = ?report.suspects.iter().filter(|s| matches!(s, Suspect::Part(_))).collect::<Vec<_>>(),
+        omitted,
+        first = first.join(", "),
         "backend server crashed"
     );
 }
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -4,7 +4,7 @@
 
 use std::{cmp::Reverse, io, net::SocketAddr};
 
-use route::CrashUpdate;
+use route::{CrashReport, CrashUpdate};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use types::{DataCentreId, HostId, Incarnation};
@@ -176,6 +176,17 @@
     }
 }
 
+/// Splits the report of a crash into ones that fit in a datagram.
+fn split_report(report: &CrashReport) -> impl Iterator<Item = CrashReport> {
+    report
+        .suspects
+        .chunks(MAX_SUSPECTS)
+        .map(|suspects| CrashReport {
+            suspects: suspects.to_vec(),
+            ..report.clone()
+        })
+}
+
 /// Truncates a crash update to what fits in a datagram.
 ///
 /// [`Datagram::crash_updates`] has split it before, so that only one of its lists has entries.
@@ -196,7 +207,8 @@
             host: host.clone(),
             update,
         };
-        let crashes = update.crashes.into_iter().map(|report| CrashUpdate {
+        let reports = update.crashes.iter().flat_map(split_report);
+        let crashes = reports.map(|report| CrashUpdate {
             crashes: vec![report],
             ..CrashUpdate::default()
         });
--- a/crates/peer/tests/sockets.rs
+++ b/crates/peer/tests/sockets.rs
@@ -325,3 +325,31 @@
         "{counted} of {seen}"
     );
 }
+
+/// Guards against suspects of a crash that are cut off because they do not fit in one datagram.
+#[test]
+fn a_report_of_a_crash_is_split_into_datagrams() {
+    let suspects: Vec<route::Suspect> = (0..200)
+        .map(|n| route::Suspect::Part(types::PromptPart::new(n)))
+        .collect();
+    let report = route::CrashReport {
+        backend: "w1".parse().expect("a name"),
+        incarnation: types::Incarnation::new(1),
+        age: types::Micros::ZERO,
+        suspects: suspects.clone(),
+    };
+    let update = route::CrashUpdate {
+        crashes: vec![report],
+        ..route::CrashUpdate::default()
+    };
+
+    let datagrams = peer::Datagram::crash_updates(&"h1".parse().expect("a name"), update);
+
+    let reported = datagrams.iter().flat_map(|datagram| match datagram {
+        peer::Datagram::Crashes { update, .. } => update.crashes.clone(),
+        other => panic!("{other:?}"),
+    });
+    let reported: Vec<Vec<route::Suspect>> = reported.map(|r| r.suspects).collect();
+    assert!(reported.len() > 1 && reported.iter().all(|part| part.len() <= 48));
+    assert_eq!(reported.concat(), suspects);
+}
--- a/crates/route/src/counts.rs
+++ b/crates/route/src/counts.rs
@@ -25,6 +25,8 @@
     pub cleared: u64,
     /// Crashes of backend servers at which this host had requests in flight.
     pub crashes: u64,
+    /// Suspects that were left out of reports of crashes because there were too many.
+    pub omitted_suspects: u64,
     /// Suspects that were blocked, or confirmed after that.
     pub blocked: u64,
     /// Blocked suspects that were cleared.
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -187,7 +187,7 @@
     fn requests_run_on(&self, backend: u32, incarnation: Incarnation) -> Vec<(Fingerprint, bool)> {
         let is_there = |entry: &RequestEntry| {
             let mut attempts = entry.attempts_in_progress();
-            attempts.any(|(phase, _)| phase.runs_on(backend, incarnation))
+            attempts.any(|a| a.phase.runs_on(backend, incarnation))
         };
         let running = self.requests.iter().filter(|(_, entry)| is_there(entry));
         let mut ran: Vec<(Fingerprint, bool)> = running
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -1,5 +1,7 @@
 //! Collection of evidence of crashes, and its exchange with the other hosts.
 
+use std::cmp::Reverse;
+
 use types::{BackendId, Incarnation, Instant, Micros};
 
 use crate::{
@@ -7,7 +9,7 @@
         Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
     },
     evidence::VerdictChange,
-    requests::{Phase, RequestEntry},
+    requests::{AttemptInProgress, RequestEntry},
     router::{Router, Scope},
 };
 
@@ -17,8 +19,15 @@
 /// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
 const ABANDONED_SUSPECT_TIME: Micros = Micros::from_secs(1);
 
-/// Maximum number of suspects in the report of one crash.
-const MAX_REPORTED_SUSPECTS: usize = 48;
+/// Maximum number of suspects in the report of one crash; the slots of a server limit what is in flight there.
+const MAX_REPORTED_SUSPECTS: usize = 1_024;
+
+/// Suspect of a request that is in flight.
+struct SuspectInFlight {
+    suspect: Suspect,
+    /// Time of the last change of its attempt.
+    changed_at: Instant,
+}
 
 /// Returns whether a response has gone on for so long that its request is no suspect.
 pub(crate) fn is_sustained(responds_since: Option<Instant>, now: Instant) -> bool {
@@ -39,19 +48,22 @@
             return;
         }
         let mut suspects = self.suspects_in_flight(now, backend, incarnation);
-        suspects.sort_unstable();
-        suspects.dedup();
-        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        let omitted = self.keep_most_suspicious(&mut suspects);
         let report = CrashReport {
             backend: id.clone(),
             incarnation,
             age: Micros::ZERO,
-            suspects,
+            suspects: suspects.into_iter().map(|s| s.suspect).collect(),
         };
         if report.suspects.is_empty() || !self.evidence.is_new(&report) {
             return;
         }
         self.counts.crashes += 1;
+        self.counts.omitted_suspects += omitted as u64;
+        out.push(Action::LogCrash {
+            report: report.clone(),
+            omitted,
+        });
         let ttl = self.cfg.confirmed_ttl;
         let changes = self.evidence.record_crash(now, ttl, &report);
         let update = CrashUpdate {
@@ -68,24 +80,52 @@
         now: Instant,
         backend: u32,
         incarnation: Incarnation,
-    ) -> Vec<Suspect> {
-        let may_crash = |(phase, responds_since): (Phase, Option<Instant>)| {
-            phase.runs_on(backend, incarnation) && !is_sustained(responds_since, now)
+    ) -> Vec<SuspectInFlight> {
+        let mut suspects = Vec::new();
+        let mut add = |suspect, changed_at| {
+            suspects.push(SuspectInFlight {
+                suspect,
+                changed_at,
+            });
         };
-        let in_flight = |entry: &RequestEntry| entry.attempts_in_progress().any(may_crash);
-        let running = self.requests.iter().filter(|(_, entry)| in_flight(entry));
-        let mut suspects: Vec<Suspect> = running
-            .flat_map(|(_, entry)| self.suspects_of(&entry.request))
-            .collect();
+        for (_, entry) in self.requests.iter() {
+            let may_crash = |attempt: &AttemptInProgress| {
+                attempt.phase.runs_on(backend, incarnation)
+                    && !is_sustained(attempt.responds_since, now)
+            };
+            let attempts = entry.attempts_in_progress().filter(may_crash);
+            if let Some(changed_at) = attempts.map(|a| a.changed_at()).max() {
+                self.suspects_of(&entry.request)
+                    .for_each(|s| add(s, changed_at));
+            }
+        }
         let abandoned = self.abandoned.iter().filter(|a| {
             a.backend == backend
                 && a.incarnation.is_none_or(|sent_to| sent_to == incarnation)
                 && now.since(a.at) < ABANDONED_SUSPECT_TIME
         });
-        suspects.extend(abandoned.flat_map(|a| a.suspects.iter().copied()));
+        for request in abandoned {
+            request.suspects.iter().for_each(|s| add(*s, request.at));
+        }
         suspects
     }
 
+    /// Removes duplicates, and what exceeds [`MAX_REPORTED_SUSPECTS`]. Returns the number of the latter.
+    ///
+    /// The suspects of earlier crashes come first, then those whose attempt started or began to be answered
+    /// last, as a request crashes its server soon after that.
+    fn keep_most_suspicious(&self, suspects: &mut Vec<SuspectInFlight>) -> usize {
+        suspects.sort_unstable_by_key(|s| (s.suspect, Reverse(s.changed_at)));
+        suspects.dedup_by_key(|s| s.suspect);
+        suspects.sort_by_cached_key(|s| {
+            let crashes = self.evidence.crashes(s.suspect);
+            (Reverse(crashes), Reverse(s.changed_at))
+        });
+        let omitted = suspects.len().saturating_sub(MAX_REPORTED_SUSPECTS);
+        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        omitted
+    }
+
     /// Records and shares that a response to a request was completed or is sustained.
     pub(crate) fn record_response(
         &mut self,
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -485,6 +485,13 @@
         /// The suspect.
         suspect: Suspect,
     },
+    /// Log that a backend server crashed while this host had requests in flight there.
+    LogCrash {
+        /// What this host reports of the crash, the suspects of earlier crashes first.
+        report: CrashReport,
+        /// Number of suspects that are left out of the report.
+        omitted: usize,
+    },
     /// Log that the verdict on a suspect changed.
     LogVerdict {
         /// The suspect.
--- a/crates/route/src/evidence/mod.rs
+++ b/crates/route/src/evidence/mod.rs
@@ -20,7 +20,7 @@
 const CLOCK_TOLERANCE: Micros = Micros::from_millis(500);
 
 /// Maximum number of suspects, which bounds what a caller can add with invented parts.
-const MAX_ENTRIES: usize = 512;
+const MAX_ENTRIES: usize = 2_048;
 
 /// Maximum number of recent crashes kept to determine at which share of them a part was in flight.
 const MAX_RECENT_CRASHES: usize = 128;
@@ -54,6 +54,11 @@
         blocked.collect()
     }
 
+    /// Returns the number of crashes at which a suspect was in flight since the last response.
+    pub(crate) fn crashes(&self, suspect: Suspect) -> usize {
+        self.get(suspect).map_or(0, |e| e.crashes.len())
+    }
+
     /// Returns whether a response to a request with the suspect would change anything.
     pub(crate) fn awaits_response(&self, suspect: Suspect) -> bool {
         self.get(suspect)
@@ -83,7 +88,11 @@
         };
         insert_crash(&mut self.recent, &crash, MAX_RECENT_CRASHES);
         let mut is_new = false;
-        for suspect in &report.suspects {
+        // Known suspects come first, so that new ones do not displace them.
+        let is_known = |s: &&Suspect| self.get(**s).is_some();
+        let (known, unknown): (Vec<Suspect>, Vec<Suspect>) =
+            report.suspects.iter().partition(is_known);
+        for suspect in known.iter().chain(&unknown) {
             let Some(entry) = self.get_or_insert(*suspect, now, ttl) else {
                 continue;
             };
@@ -165,8 +174,8 @@
 
     /// Returns the entry of a suspect, which is added if there is none.
     ///
-    /// If the table is full, the unblocked suspect whose last crash is the oldest is removed; `None` if
-    /// all are blocked.
+    /// If the table is full, the unblocked suspect with the fewest crashes is removed, the one whose last
+    /// crash is the oldest among them; `None` if all are blocked.
     fn get_or_insert(&mut self, suspect: Suspect, now: Instant, ttl: Micros) -> Option<&mut Entry> {
         if let Ok(at) = self.find(suspect) {
             return Some(&mut self.entries[at]);
@@ -174,7 +183,7 @@
         if self.entries.len() >= MAX_ENTRIES {
             let unblocked = self.entries.iter().enumerate();
             let unblocked = unblocked.filter(|(_, e)| e.verdict.is_none());
-            let (oldest, _) = unblocked.min_by_key(|(_, e)| e.last_crash)?;
+            let (oldest, _) = unblocked.min_by_key(|(_, e)| (e.crashes.len(), e.last_crash))?;
             self.entries.remove(oldest);
         }
         let at = self.find(suspect).unwrap_or_else(|at| at);
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -34,6 +34,22 @@
     }
 }
 
+/// Attempt of a request that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptInProgress {
+    pub phase: Phase,
+    pub dispatched: Instant,
+    /// Start of the response.
+    pub responds_since: Option<Instant>,
+}
+
+impl AttemptInProgress {
+    /// Returns the time of its start or, later, of that of its response.
+    pub(crate) fn changed_at(&self) -> Instant {
+        self.responds_since.unwrap_or(self.dispatched)
+    }
+}
+
 /// Backend server that failed a request, which is not sent there again.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TriedServer {
@@ -91,10 +107,19 @@
 }
 
 impl RequestEntry {
-    /// Returns the current attempt and the one at a stalled server, each with the start of its response.
-    pub(crate) fn attempts_in_progress(&self) -> impl Iterator<Item = (Phase, Option<Instant>)> {
-        let stalled = self.stalled.map(|s| (s.phase, s.responds_since));
-        std::iter::once((self.phase, self.responds_since)).chain(stalled)
+    /// Returns the current attempt and the one at a stalled server.
+    pub(crate) fn attempts_in_progress(&self) -> impl Iterator<Item = AttemptInProgress> {
+        let current = AttemptInProgress {
+            phase: self.phase,
+            dispatched: self.dispatched,
+            responds_since: self.responds_since,
+        };
+        let stalled = self.stalled.map(|s| AttemptInProgress {
+            phase: s.phase,
+            dispatched: s.dispatched,
+            responds_since: s.responds_since,
+        });
+        std::iter::once(current).chain(stalled)
     }
 
     /// Returns whether a backend server failed the request.
