Record the crash of a server that was to take over

What operators saw: a request that crashes servers is sent to more of them than it may.

Cause: a failure by a crash was recorded for the current attempt and for the stalled one, but not for the attempt that runs beside a stalled one. Without a known incarnation nothing else reports that crash.

Measured: a_crash_of_a_server_that_was_to_take_over_is_recorded failed before and passes.

--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -162,6 +162,11 @@
         if self.requests.get(slot).is_none_or(|e| e.stalled.is_none()) {
             return;
         }
+        if failure.is_some_and(|f| f.reason == RetryReason::Crash)
+            && let Some(entry) = self.requests.get(slot)
+        {
+            self.record_crash_failure(now, slot, entry.phase, out);
+        }
         let may_have_run = failure.is_none_or(|f| f.may_have_run);
         let backend = self.release(now, slot, may_have_run);
         if let (Some(backend), Some(failure)) = (backend, failure) {
