Record crashes of servers whose entries are gone

What operators saw: requests that crash servers reach more of them than they may where the platform removes the entry of a crashed server at once.

Cause: the router knew running requests by the index of their server. Once the entry was removed, the index was lost, and a crash was assigned to no request. The check of the port also took a server without an entry for one that leaves.

Change: a removed server keeps an index of its own while requests run there. A server without an entry leaves only if it announced so, or was listed as leaving, before.

--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -12,14 +12,21 @@
     router::Router,
 };
 
-/// Index that marks a backend server which the configuration no longer contains.
-const REMOVED_BACKEND: u32 = u32::MAX;
-
 /// Minimum time, in seconds, after which callers of a removed service return; at most twice of it.
 ///
 /// Other hosts apply a new configuration some tenths of a second later.
 const WITHDRAWN_RETRY_SECONDS: f64 = 0.3;
 
+/// New indexes of the backend servers by their old ones. Those of removed servers do not change any more.
+#[derive(Debug, Default)]
+struct BackendMapping(Vec<u32>);
+
+impl BackendMapping {
+    fn new_index(&self, old: u32) -> u32 {
+        self.0.get(old as usize).copied().unwrap_or(old)
+    }
+}
+
 impl Router {
     /// Replaces the configuration by a newer one.
     pub(crate) fn apply(&mut self, now: Instant, new: NameIndex, out: &mut Vec<Action>) {
@@ -27,7 +34,7 @@
             Some(old) => IndexMapping::new(old, &new),
             None => IndexMapping::default(),
         };
-        self.remap_backends(now, &map, &new);
+        let backends = self.remap_backends(now, &map, &new);
         self.remap_remote_dcs(&map, &new);
         let models = new.deployment().models.len();
         self.demand = remapped(&map.models, std::mem::take(&mut self.demand), models);
@@ -47,7 +54,18 @@
         self.names = Some(new);
         self.rebuild_lists();
         self.sum_if_heard();
-        self.remap_requests(&map, out);
+        self.remap_requests(&map, &backends, out);
+        self.forget_unused_servers();
+    }
+
+    /// Removes the names of the removed servers at which no request runs any more.
+    fn forget_unused_servers(&mut self) {
+        let mut used: Vec<u32> = self.abandoned.iter().map(|a| a.backend).collect();
+        for (_, entry) in self.requests.iter() {
+            let phases = entry.attempts_in_progress().map(|a| a.phase);
+            used.extend(phases.filter_map(Phase::backend));
+        }
+        self.removed.retain(|index| used.contains(&index));
     }
 
     /// Recomputes the load sent by peers, if peers have reported any; otherwise the loads from
@@ -58,18 +76,30 @@
         }
     }
 
-    fn remap_backends(&mut self, now: Instant, map: &IndexMapping, new: &NameIndex) {
+    /// Moves the backend servers to their new indexes. Returns the mapping.
+    fn remap_backends(
+        &mut self,
+        now: Instant,
+        map: &IndexMapping,
+        new: &NameIndex,
+    ) -> BackendMapping {
         let servers = &new.deployment().backends;
         let mut backends: Vec<Backend> = servers.iter().map(|_| Backend::new()).collect();
         let mut is_new = vec![true; servers.len()];
         let before = std::mem::take(&mut self.backends);
+        let mut moved = BackendMapping::default();
         for (at, (old, to)) in (0_u32..).zip(before.into_iter().zip(&map.backends)) {
             match (to, &self.names) {
                 (Some(to), _) => {
                     backends[*to as usize] = old;
                     is_new[*to as usize] = false;
+                    moved.0.push(*to);
+                }
+                (None, Some(names)) => {
+                    let id = names.backend_id(at);
+                    self.departed.record(now, id, &old);
+                    moved.0.push(self.removed.add(id));
                 }
-                (None, Some(names)) => self.departed.record(now, names.backend_id(at), &old),
                 (None, None) => {}
             }
         }
@@ -105,10 +135,10 @@
             b.adapters.sort_unstable();
         }
         self.backends = backends;
-        self.abandoned.retain_mut(|d| {
-            let to = map.backends.get(d.backend as usize).copied().flatten();
-            to.inspect(|to| d.backend = *to).is_some()
-        });
+        for abandoned in &mut self.abandoned {
+            abandoned.backend = moved.new_index(abandoned.backend);
+        }
+        moved
     }
 
     fn remap_remote_dcs(&mut self, map: &IndexMapping, new: &NameIndex) {
@@ -153,7 +183,12 @@
 
     /// Maps the requests to the new indexes; queued requests whose service, model or adapter was
     /// removed are refused.
-    fn remap_requests(&mut self, map: &IndexMapping, out: &mut Vec<Action>) {
+    fn remap_requests(
+        &mut self,
+        map: &IndexMapping,
+        backends: &BackendMapping,
+        out: &mut Vec<Action>,
+    ) {
         self.waiting = vec![0; self.demand.len()];
         for slot in self.requests.slots() {
             let Some(entry) = self.requests.get_mut(slot) else {
@@ -162,10 +197,9 @@
             let service = new_index(&map.services, entry.service);
             let model = entry.model.map(|m| new_index(&map.models, m));
             let adapter = entry.adapter.map(|a| new_index(&map.adapters, a));
-            let backend_of = |b: u32| map.backends.get(b as usize).copied().flatten();
             let tried = entry.tried.iter_mut().map(|tried| &mut tried.backend);
             for backend in tried.chain(&mut entry.ran) {
-                *backend = backend_of(*backend).unwrap_or(REMOVED_BACKEND);
+                *backend = backends.new_index(*backend);
             }
             for tried in &mut entry.tried_dcs {
                 *tried = new_index(&map.dcs, *tried).unwrap_or(u16::MAX);
@@ -174,7 +208,7 @@
             for phase in [Some(&mut entry.phase), stalled].into_iter().flatten() {
                 match phase {
                     Phase::Running { backend, .. } | Phase::AwaitingSlot { backend, .. } => {
-                        *backend = backend_of(*backend).unwrap_or(REMOVED_BACKEND);
+                        *backend = backends.new_index(*backend);
                     }
                     Phase::Forwarded { dc } => *dc = new_index(&map.dcs, *dc).unwrap_or(u16::MAX),
                     Phase::Queued => {}
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -44,23 +44,43 @@
         incarnation: Incarnation,
         out: &mut Vec<Action>,
     ) {
-        let Some(backend) = self.names.as_ref().and_then(|n| n.backend(backend)) else {
-            return;
-        };
+        if let Some(index) = self.names.as_ref().and_then(|n| n.backend(backend)) {
+            self.end_incarnation(index, incarnation);
+        }
+        self.record_suspects(now, backend, incarnation, out);
+        self.dispatch_queued(now, Scope::All, out);
+    }
+
+    /// Marks a backend server as dead, unless it has restarted since.
+    fn end_incarnation(&mut self, backend: u32, incarnation: Incarnation) {
         let b = &mut self.backends[backend as usize];
         let has_restarted =
             b.ended_incarnation == Some(incarnation) && b.incarnation != Some(incarnation);
-        // A server that has restarted since is alive; only requests of the ended incarnation are
-        // affected.
-        if !has_restarted {
-            b.incarnation = Some(incarnation);
-            b.ended_incarnation = Some(incarnation);
-            b.prefixes.clear();
-            self.set_dead(backend);
-            self.set_residents(backend, Vec::new(), Vec::new());
+        if has_restarted {
+            return;
         }
-        self.record_suspects(now, backend, incarnation, out);
-        self.dispatch_queued(now, Scope::All, out);
+        b.incarnation = Some(incarnation);
+        b.ended_incarnation = Some(incarnation);
+        b.prefixes.clear();
+        self.set_dead(backend);
+        self.set_residents(backend, Vec::new(), Vec::new());
+    }
+
+    /// Returns the indexes under which requests run at a backend server. There are several if its entry was
+    /// removed and returned.
+    pub(crate) fn indexes_of(&self, id: &BackendId) -> Vec<u32> {
+        let current = self.names.as_ref().and_then(|n| n.backend(id));
+        current
+            .into_iter()
+            .chain(self.removed.indexes(id))
+            .collect()
+    }
+
+    fn name_of(&self, backend: u32) -> Option<&BackendId> {
+        if (backend as usize) < self.backends.len() {
+            return self.names.as_ref().map(|n| n.backend_id(backend));
+        }
+        self.removed.name(backend)
     }
 
     /// Handles a crash that is known only from the failure of an attempt.
@@ -84,13 +104,9 @@
             return;
         };
         let incarnation = incarnation.unwrap_or_default();
-        let Some(names) = &self.names else {
+        let Some(id) = self.name_of(backend).cloned() else {
             return;
         };
-        if self.backends.get(backend as usize).is_none() {
-            return;
-        }
-        let id = names.backend_id(backend).clone();
         let record = self.suspect_records.get(entry.request.fingerprint);
         let is_recorded = record.is_some_and(|r| r.backend == id && r.incarnation == incarnation);
         if !is_recorded {
@@ -102,19 +118,16 @@
     fn record_suspects(
         &mut self,
         now: Instant,
-        backend: u32,
+        id: &BackendId,
         incarnation: Incarnation,
         out: &mut Vec<Action>,
     ) {
         if !self.cfg.suspects {
             return;
         }
-        let Some(id) = self.names.as_ref().map(|n| n.backend_id(backend).clone()) else {
-            return;
-        };
-        self.record_crash(now, backend, &id, incarnation, out);
+        self.record_crash(now, id, incarnation, out);
         if self.cfg.suspect_slots {
-            self.record_suspect_requests(now, backend, &id, incarnation, out);
+            self.record_suspect_requests(now, id, incarnation, out);
         }
     }
 
@@ -125,12 +138,11 @@
     fn record_suspect_requests(
         &mut self,
         now: Instant,
-        backend: u32,
         id: &BackendId,
         incarnation: Incarnation,
         out: &mut Vec<Action>,
     ) {
-        let ran = self.requests_run_on(backend, incarnation);
+        let ran = self.requests_run_on(&self.indexes_of(id), incarnation);
         let record = |fingerprint, state| SuspectRecord {
             fingerprint,
             state,
@@ -184,16 +196,23 @@
 
     /// Returns the fingerprints that ran on one incarnation of a backend server, each with whether
     /// it ran in a suspect slot.
-    fn requests_run_on(&self, backend: u32, incarnation: Incarnation) -> Vec<(Fingerprint, bool)> {
+    fn requests_run_on(
+        &self,
+        backends: &[u32],
+        incarnation: Incarnation,
+    ) -> Vec<(Fingerprint, bool)> {
         let is_there = |entry: &RequestEntry| {
             let mut attempts = entry.attempts_in_progress();
-            attempts.any(|a| a.phase.runs_on(backend, incarnation))
+            attempts.any(|a| a.phase.runs_on(backends, incarnation))
         };
         let running = self.requests.iter().filter(|(_, entry)| is_there(entry));
         let mut ran: Vec<(Fingerprint, bool)> = running
             .map(|(_, entry)| (entry.request.fingerprint, entry.as_suspect))
             .collect();
-        let abandoned = self.abandoned.iter().filter(|a| a.backend == backend);
+        let abandoned = self
+            .abandoned
+            .iter()
+            .filter(|a| backends.contains(&a.backend));
         ran.extend(abandoned.map(|a| (a.fingerprint, a.as_suspect)));
         ran.sort_unstable();
         // Of two entries with the same fingerprint, the one that ran in a suspect slot is kept.
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -39,7 +39,6 @@
     pub(crate) fn record_crash(
         &mut self,
         now: Instant,
-        backend: u32,
         id: &BackendId,
         incarnation: Incarnation,
         out: &mut Vec<Action>,
@@ -47,7 +46,7 @@
         if !self.cfg.suspects {
             return;
         }
-        let mut suspects = self.suspects_in_flight(now, backend, incarnation);
+        let mut suspects = self.suspects_in_flight(now, &self.indexes_of(id), incarnation);
         let omitted = self.keep_most_suspicious(&mut suspects);
         let report = CrashReport {
             backend: id.clone(),
@@ -78,7 +77,7 @@
     fn suspects_in_flight(
         &self,
         now: Instant,
-        backend: u32,
+        backends: &[u32],
         incarnation: Incarnation,
     ) -> Vec<SuspectInFlight> {
         let mut suspects = Vec::new();
@@ -90,7 +89,7 @@
         };
         for (_, entry) in self.requests.iter() {
             let may_crash = |attempt: &AttemptInProgress| {
-                attempt.phase.runs_on(backend, incarnation)
+                attempt.phase.runs_on(backends, incarnation)
                     && !is_sustained(attempt.responds_since, now)
             };
             let attempts = entry.attempts_in_progress().filter(may_crash);
@@ -100,7 +99,7 @@
             }
         }
         let abandoned = self.abandoned.iter().filter(|a| {
-            a.backend == backend
+            backends.contains(&a.backend)
                 && a.incarnation.is_none_or(|sent_to| sent_to == incarnation)
                 && now.since(a.at) < ABANDONED_SUSPECT_TIME
         });
--- a/crates/route/src/departed.rs
+++ b/crates/route/src/departed.rs
@@ -1,7 +1,8 @@
-//! What backend servers announced whose entries were removed, in case the same process is listed
-//! again.
+//! Backend servers whose entries were removed.
 //!
-//! An entry that expired during an outage of the platform returns although its server still leaves.
+//! What they announced is kept in case the same process is listed again: an entry that expired during an
+//! outage of the platform returns although its server still leaves. Their names are kept while requests run
+//! there, as a server may crash after its entry is gone.
 
 use types::{BackendId, Deadline, Incarnation, Instant, Micros};
 
@@ -18,7 +19,7 @@
 struct Departed {
     id: BackendId,
     incarnation: Incarnation,
-    is_leaving: bool,
+    leaving_by: Option<LeavingBy>,
     held_off_until: Deadline,
     until: Deadline,
 }
@@ -28,27 +29,32 @@
 pub(crate) struct DepartedServers(Vec<Departed>);
 
 impl DepartedServers {
-    /// Records what a removed server announced, if anything.
+    /// Records what a removed server announced and whether it was listed as leaving.
     pub(crate) fn record(&mut self, now: Instant, id: &BackendId, removed: &Backend) {
         self.0.retain(|d| !d.until.is_past(now) && d.id != *id);
-        let is_leaving = removed.leaving_by == Some(LeavingBy::Server);
         let Some(incarnation) = removed.incarnation else {
             return;
         };
-        if !is_leaving && removed.held_off_until.is_past(now) {
+        if removed.leaving_by.is_none() && removed.held_off_until.is_past(now) {
             return;
         }
         let at = self.0.partition_point(|d| d.id < *id);
         let departed = Departed {
             id: id.clone(),
             incarnation,
-            is_leaving,
+            leaving_by: removed.leaving_by,
             held_off_until: removed.held_off_until,
             until: Deadline::after(now, DEPARTED_TTL),
         };
         self.0.insert(at, departed);
     }
 
+    /// Returns whether a server was leaving when its entry was removed.
+    pub(crate) fn was_leaving(&self, id: &BackendId) -> bool {
+        let at = self.0.binary_search_by(|d| d.id.cmp(id));
+        at.is_ok_and(|at| self.0[at].leaving_by.is_some())
+    }
+
     /// Restores what a server announced before its entry was removed; a registration of another
     /// incarnation clears it.
     pub(crate) fn restore(&mut self, now: Instant, id: &BackendId, backend: &mut Backend) {
@@ -61,9 +67,49 @@
         }
         backend.incarnation = Some(departed.incarnation);
         backend.held_off_until = departed.held_off_until;
-        if departed.is_leaving {
+        if departed.leaving_by == Some(LeavingBy::Server) {
             backend.liveness = Liveness::Leaving;
             backend.leaving_by = Some(LeavingBy::Server);
         }
     }
 }
+
+/// Name of a removed server at which requests still run.
+#[derive(Debug)]
+struct Removed {
+    index: u32,
+    id: BackendId,
+}
+
+/// Names of the removed servers at which requests still run.
+///
+/// Each has an index of its own, above those of the configured servers.
+#[derive(Debug, Default)]
+pub(crate) struct RemovedServers(Vec<Removed>);
+
+impl RemovedServers {
+    /// Adds a server and returns its index.
+    pub(crate) fn add(&mut self, id: &BackendId) -> u32 {
+        let lowest = self.0.iter().map(|r| r.index).min();
+        let index = lowest.unwrap_or(u32::MAX) - 1;
+        let id = id.clone();
+        self.0.push(Removed { index, id });
+        index
+    }
+
+    /// Keeps the servers whose index is in use.
+    pub(crate) fn retain(&mut self, is_used: impl Fn(u32) -> bool) {
+        self.0.retain(|r| is_used(r.index));
+    }
+
+    pub(crate) fn name(&self, index: u32) -> Option<&BackendId> {
+        let found = self.0.iter().find(|r| r.index == index);
+        found.map(|r| &r.id)
+    }
+
+    /// Returns the indexes of the servers with a name.
+    pub(crate) fn indexes<'a>(&'a self, id: &'a BackendId) -> impl Iterator<Item = u32> + 'a {
+        let named = self.0.iter().filter(move |r| r.id == *id);
+        named.map(|r| r.index)
+    }
+}
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -21,14 +21,24 @@
 }
 
 impl Phase {
+    /// Returns the index of the backend server that has the request.
+    pub(crate) fn backend(self) -> Option<u32> {
+        match self {
+            Self::Running { backend, .. } | Self::AwaitingSlot { backend, .. } => Some(backend),
+            Self::Queued | Self::Forwarded { .. } => None,
+        }
+    }
+
     /// Returns whether a request in this phase runs on an incarnation of a backend server, as far as the
     /// incarnation that it was sent to is known.
-    pub(crate) fn runs_on(self, server: u32, running: Incarnation) -> bool {
+    ///
+    /// `servers` are the indexes of the backend server.
+    pub(crate) fn runs_on(self, servers: &[u32], running: Incarnation) -> bool {
         match self {
             Self::Running {
                 backend,
                 incarnation,
-            } => backend == server && incarnation.is_none_or(|sent_to| sent_to == running),
+            } => servers.contains(&backend) && incarnation.is_none_or(|sent_to| sent_to == running),
             _ => false,
         }
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,7 +12,7 @@
     counts::Counts,
     crash_evidence::is_sustained,
     demand::Demand,
-    departed::DepartedServers,
+    departed::{DepartedServers, RemovedServers},
     event::{Action, Event, Fingerprint, Suspect},
     evidence::Evidence,
     names::NameIndex,
@@ -37,6 +37,7 @@
     /// Backend servers by their index.
     pub(crate) backends: Vec<Backend>,
     pub(crate) departed: DepartedServers,
+    pub(crate) removed: RemovedServers,
     /// Backend servers of this data centre that hold a model, by model index.
     pub(crate) holders: Vec<Vec<u32>>,
     /// Backend servers of this data centre by service index.
@@ -101,6 +102,7 @@
             names: None,
             backends: Vec::new(),
             departed: DepartedServers::default(),
+            removed: RemovedServers::default(),
             holders: Vec::new(),
             members: Vec::new(),
             remote_dcs: Vec::new(),
@@ -352,12 +354,12 @@
             }
             Phase::AwaitingSlot { backend, .. } | Phase::Running { backend, .. } => {
                 self.remove_pending_prefill(slot, backend);
+                self.abandoned.extend(abandoned.flatten());
                 let b = self.backends.get_mut(backend as usize)?;
                 b.remove_own(now);
                 if as_suspect {
                     b.suspects = b.suspects.saturating_sub(1);
                 }
-                self.abandoned.extend(abandoned.flatten());
                 Some(backend)
             }
             Phase::Forwarded { dc } => {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -56,12 +56,16 @@
         &self.counts
     }
 
-    /// Returns whether a backend server leaves, or is not configured any more.
+    /// Returns whether a backend server leaves, or left before its entry was removed.
+    ///
+    /// The absence of an entry shows nothing: the platform may remove that of a crashed server at once.
     #[must_use]
     pub fn is_leaving(&self, id: &BackendId) -> bool {
         let index = self.names.as_ref().and_then(|names| names.backend(id));
-        let backend = index.and_then(|at| self.backends.get(at as usize));
-        backend.is_none_or(|b| b.leaving_by.is_some() || b.liveness == Liveness::Leaving)
+        match index.and_then(|at| self.backends.get(at as usize)) {
+            Some(b) => b.leaving_by.is_some() || b.liveness == Liveness::Leaving,
+            None => self.departed.was_leaving(id),
+        }
     }
 
     /// Returns the view of every configured backend server, sorted by name.
