Add a host's own requests to the crashes that others report

What operators saw: a request whose callers leave early crashes one server after the other.

Cause: a host blamed its requests for a crash only if it detected the crash by one of their connections. It gives up the connections of requests whose callers have left, or which another server has taken over, so that a report of another host named everything in flight but the request that caused it.

Change: a host that receives a report adds what it had in flight at that time, and shares what is new.

Measured: a_host_adds_its_requests_to_a_crash_that_another_host_reports failed before and passes.

--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -1,6 +1,6 @@
 //! Crashes of backend servers and the records of suspect requests.
 
-use types::{BackendId, Deadline, Incarnation, Instant};
+use types::{BackendId, Deadline, Incarnation, Instant, Micros};
 
 use crate::{
     event::{Action, Fingerprint, RoutingRequest, SuspectRecord, SuspectState},
@@ -125,7 +125,7 @@
         if !self.cfg.suspects {
             return;
         }
-        self.record_crash(now, id, incarnation, out);
+        self.record_crash(now, id, incarnation, Micros::ZERO, out);
         if self.cfg.suspect_slots {
             self.record_suspect_requests(now, id, incarnation, out);
         }
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -8,7 +8,7 @@
     event::{
         Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
     },
-    evidence::VerdictChange,
+    evidence::{VerdictChange, time_of},
     requests::{AttemptInProgress, RequestEntry},
     router::{Router, Scope},
 };
@@ -19,6 +19,9 @@
 /// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
 const ABANDONED_SUSPECT_TIME: Micros = Micros::from_secs(1);
 
+/// Time by which hosts may disagree on when a server crashed, as each detects the crash by itself.
+const DETECTION_TOLERANCE: Micros = Micros::from_millis(500);
+
 /// Maximum number of suspects in the report of one crash; the slots of a server limit what is in flight there.
 const MAX_REPORTED_SUSPECTS: usize = 1_024;
 
@@ -36,25 +39,30 @@
 
 impl Router {
     /// Records and shares a crash with the suspects that this host had in flight at the server.
+    ///
+    /// `age` is the time since the crash.
     pub(crate) fn record_crash(
         &mut self,
         now: Instant,
         id: &BackendId,
         incarnation: Incarnation,
+        age: Micros,
         out: &mut Vec<Action>,
     ) {
         if !self.cfg.suspects {
             return;
         }
-        let mut suspects = self.suspects_in_flight(now, &self.indexes_of(id), incarnation);
+        let crashed_at = time_of(now, age);
+        let mut suspects = self.suspects_in_flight(crashed_at, &self.indexes_of(id), incarnation);
         let omitted = self.keep_most_suspicious(&mut suspects);
-        let report = CrashReport {
+        let mut report = CrashReport {
             backend: id.clone(),
             incarnation,
-            age: Micros::ZERO,
+            age,
             suspects: suspects.into_iter().map(|s| s.suspect).collect(),
         };
-        if report.suspects.is_empty() || !self.evidence.is_new(&report) {
+        self.evidence.retain_new(&mut report, crashed_at);
+        if report.suspects.is_empty() {
             return;
         }
         self.counts.crashes += 1;
@@ -72,11 +80,11 @@
         self.share_changes(now, update, changes, out);
     }
 
-    /// Returns the suspects of the requests that this host has in flight at an incarnation of a server,
-    /// without those whose response is sustained.
+    /// Returns the suspects of the requests that this host had in flight at an incarnation of a server when it
+    /// crashed, without those whose response is sustained.
     fn suspects_in_flight(
         &self,
-        now: Instant,
+        crashed_at: Instant,
         backends: &[u32],
         incarnation: Incarnation,
     ) -> Vec<SuspectInFlight> {
@@ -90,7 +98,7 @@
         for (_, entry) in self.requests.iter() {
             let may_crash = |attempt: &AttemptInProgress| {
                 attempt.phase.runs_on(backends, incarnation)
-                    && !is_sustained(attempt.responds_since, now)
+                    && !is_sustained(attempt.responds_since, crashed_at)
             };
             let attempts = entry.attempts_in_progress().filter(may_crash);
             if let Some(changed_at) = attempts.map(|a| a.changed_at()).max() {
@@ -101,7 +109,8 @@
         let abandoned = self.abandoned.iter().filter(|a| {
             backends.contains(&a.backend)
                 && a.incarnation.is_none_or(|sent_to| sent_to == incarnation)
-                && now.since(a.at) < ABANDONED_SUSPECT_TIME
+                && crashed_at.since(a.at) < ABANDONED_SUSPECT_TIME
+                && a.at.since(crashed_at) < DETECTION_TOLERANCE
         });
         for request in abandoned {
             request.suspects.iter().for_each(|s| add(*s, request.at));
@@ -180,6 +189,13 @@
         let mut changes = Vec::new();
         for report in &update.crashes {
             changes.extend(self.evidence.record_crash(now, ttl, report));
+            let CrashReport {
+                backend,
+                incarnation,
+                age,
+                ..
+            } = report;
+            self.record_crash(now, backend, *incarnation, *age, out);
         }
         for response in &update.responses {
             let ResponseReport { suspect, age } = *response;
--- a/crates/route/src/evidence/entry.rs
+++ b/crates/route/src/evidence/entry.rs
@@ -26,10 +26,6 @@
     pub(super) fn is_same(&self, other: &Self) -> bool {
         self.backend == other.backend && self.incarnation == other.incarnation
     }
-
-    pub(super) fn is_reported_by(&self, report: &CrashReport) -> bool {
-        self.backend == report.backend && self.incarnation == report.incarnation
-    }
 }
 
 /// Inserts a crash into a list sorted by time, and drops the oldest crash if the list is too long.
@@ -124,10 +120,21 @@
         }
     }
 
+    /// Returns whether a response followed a time.
+    pub(super) fn is_answered(&self, since: Instant) -> bool {
+        self.answered_at.is_some_and(|at| at >= since)
+    }
+
+    /// Returns whether the crash of a report is recorded.
+    pub(super) fn is_reported(&self, report: &CrashReport) -> bool {
+        let is_same =
+            |c: &Crash| c.backend == report.backend && c.incarnation == report.incarnation;
+        self.crashes.iter().any(is_same)
+    }
+
     /// Adds a crash, unless a response followed it. Returns whether the crash is new.
     pub(super) fn add_crash(&mut self, crash: &Crash) -> bool {
-        let is_answered = self.answered_at.is_some_and(|at| at >= crash.at);
-        if is_answered || !insert_crash(&mut self.crashes, crash, MAX_CRASHES) {
+        if self.is_answered(crash.at) || !insert_crash(&mut self.crashes, crash, MAX_CRASHES) {
             return false;
         }
         self.last_crash = self.last_crash.max(crash.at);
--- a/crates/route/src/evidence/mod.rs
+++ b/crates/route/src/evidence/mod.rs
@@ -65,13 +65,14 @@
             .is_some_and(|e| e.verdict.is_some() || !e.crashes.is_empty())
     }
 
-    /// Returns whether a report contains a suspect that is not yet recorded for its crash.
-    pub(crate) fn is_new(&self, report: &CrashReport) -> bool {
-        let is_recorded = |suspect: &Suspect| {
-            self.get(*suspect)
-                .is_some_and(|e| e.crashes.iter().any(|c| c.is_reported_by(report)))
-        };
-        !report.suspects.iter().all(is_recorded)
+    /// Removes the suspects from a report that are recorded for its crash, or answered since.
+    pub(crate) fn retain_new(&self, report: &mut CrashReport, crashed_at: Instant) {
+        let mut suspects = std::mem::take(&mut report.suspects);
+        suspects.retain(|suspect| {
+            let entry = self.get(*suspect);
+            entry.is_none_or(|e| !e.is_answered(crashed_at) && !e.is_reported(report))
+        });
+        report.suspects = suspects;
     }
 
     /// Adds a crash to the suspects that were in flight. Returns the verdicts that changed.
@@ -194,6 +195,6 @@
 }
 
 /// Returns the time of what happened `age` ago.
-fn time_of(now: Instant, age: Micros) -> Instant {
+pub(crate) fn time_of(now: Instant, age: Micros) -> Instant {
     Instant::from_micros(now.as_micros().saturating_sub(age.get()))
 }
