Record crashes of servers that are back, or out of reach, at the check

What operators saw: a request that crashes servers which restart at once, or that no longer can be reached, is never suspected.

Cause: a crash was recognized by a refused connection alone. A server that accepts connections again, or does not answer, gave a truncated response from which nothing followed.

Change: attempts whose connection broke are marked. If the incarnation is replaced, or its entry removed, within five seconds without notice, the break counts as a crash at that time.

--- a/crates/route/src/apply.rs
+++ b/crates/route/src/apply.rs
@@ -1,7 +1,7 @@
 //! Switch to a new configuration that preserves the learned state.
 
 use rand::RngExt;
-use types::{Code, Instant};
+use types::{BackendId, Code, Incarnation, Instant};
 
 use crate::{
     backend::Backend,
@@ -34,6 +34,7 @@
             Some(old) => IndexMapping::new(old, &new),
             None => IndexMapping::default(),
         };
+        let ended = self.removed_without_notice(&map);
         let backends = self.remap_backends(now, &map, &new);
         self.remap_remote_dcs(&map, &new);
         let models = new.deployment().models.len();
@@ -55,9 +56,24 @@
         self.rebuild_lists();
         self.sum_if_heard();
         self.remap_requests(&map, &backends, out);
+        for (id, incarnation) in ended {
+            self.record_unnoticed_crash(now, &id, incarnation, out);
+        }
         self.forget_unused_servers();
     }
 
+    /// Returns the servers that the new configuration lacks although they have not announced that they leave.
+    fn removed_without_notice(&self, map: &IndexMapping) -> Vec<(BackendId, Incarnation)> {
+        let Some(names) = &self.names else {
+            return Vec::new();
+        };
+        let servers = (0_u32..).zip(self.backends.iter().zip(&map.backends));
+        let removed = servers.filter(|(_, (b, to))| to.is_none() && b.leaving_by.is_none());
+        removed
+            .filter_map(|(at, (b, _))| Some((names.backend_id(at).clone(), b.incarnation?)))
+            .collect()
+    }
+
     /// Removes the names of the removed servers at which no request runs any more.
     fn forget_unused_servers(&mut self) {
         let mut used: Vec<u32> = self.abandoned.iter().map(|a| a.backend).collect();
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -2,14 +2,14 @@
 
 use std::cmp::Reverse;
 
-use types::{BackendId, Incarnation, Instant, Micros};
+use types::{BackendId, Incarnation, Instant, Micros, RetryReason};
 
 use crate::{
     event::{
         Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
     },
     evidence::{VerdictChange, time_of},
-    requests::{AttemptInProgress, RequestEntry},
+    requests::{AttemptInProgress, Phase, RequestEntry},
     router::{Router, Scope},
 };
 
@@ -22,6 +22,10 @@
 /// Time by which hosts may disagree on when a server crashed, as each detects the crash by itself.
 const DETECTION_TOLERANCE: Micros = Micros::from_millis(500);
 
+/// Maximum time from the break of a connection to the news that its server has ended without notice, for which
+/// the end explains the break.
+const UNNOTICED_CRASH_TIME: Micros = Micros::from_secs(5);
+
 /// Maximum number of suspects in the report of one crash; the slots of a server limit what is in flight there.
 const MAX_REPORTED_SUSPECTS: usize = 1_024;
 
@@ -118,6 +122,40 @@
         suspects
     }
 
+    /// Records that the connection of an attempt that has just ended was broken.
+    pub(crate) fn record_break(&mut self, phase: Phase, reason: RetryReason) {
+        let is_broken = matches!(reason, RetryReason::ConnectionLost | RetryReason::Truncated);
+        if let Some(last) = self.abandoned.last_mut()
+            && is_broken
+            && phase.backend() == Some(last.backend)
+        {
+            last.is_broken = true;
+        }
+    }
+
+    /// Records a crash of a server that has ended without notice, if connections to it broke shortly before.
+    ///
+    /// A server that is back at once, or that cannot be reached, does not refuse the connection that
+    /// would show the crash.
+    pub(crate) fn record_unnoticed_crash(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        incarnation: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        let indexes = self.indexes_of(id);
+        let broken = self.abandoned.iter().filter(|a| {
+            a.is_broken
+                && indexes.contains(&a.backend)
+                && a.incarnation.is_none_or(|sent_to| sent_to == incarnation)
+                && now.since(a.at) < UNNOTICED_CRASH_TIME
+        });
+        if let Some(crashed_at) = broken.map(|a| a.at).max() {
+            self.record_crash(now, id, incarnation, now.since(crashed_at), out);
+        }
+    }
+
     /// Removes duplicates, and what exceeds [`MAX_REPORTED_SUSPECTS`]. Returns the number of the latter.
     ///
     /// The suspects of earlier crashes come first, then those whose attempt started or began to be answered
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -41,6 +41,7 @@
         }
         self.release_stalled(now, slot);
         let backend = self.release(now, slot, failure.may_have_run);
+        self.record_break(phase, failure.reason);
         if let Some(backend) = backend {
             self.record_failure(now, backend, slot, failure.reason);
         }
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -36,6 +36,26 @@
         self.names.as_ref()?.backend(id)
     }
 
+    /// Returns the incarnation of a backend server that has not announced that it leaves.
+    fn running_incarnation(&self, backend: u32) -> Option<Incarnation> {
+        let b = &self.backends[backend as usize];
+        b.incarnation.filter(|_| b.leaving_by.is_none())
+    }
+
+    /// Records a crash if another incarnation has replaced one without notice and connections broke there.
+    fn record_replaced(
+        &mut self,
+        now: Instant,
+        id: &BackendId,
+        before: Option<Incarnation>,
+        current: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(ended) = before.filter(|ended| *ended != current) {
+            self.record_unnoticed_crash(now, id, ended, out);
+        }
+    }
+
     pub(crate) fn report(
         &mut self,
         now: Instant,
@@ -48,10 +68,13 @@
         };
         let age = Micros::from_millis(report.age_ms);
         let measured_at = Instant::from_micros(now.as_micros().saturating_sub(age.get()));
+        let before = self.running_incarnation(backend);
         let b = &mut self.backends[backend as usize];
         if !b.accept_incarnation(report.incarnation, measured_at) {
             return;
         }
+        self.record_replaced(now, id, before, report.incarnation, out);
+        let b = &mut self.backends[backend as usize];
         #[expect(
             clippy::cast_possible_truncation,
             reason = "single precision suffices for a rate"
@@ -224,10 +247,13 @@
             return;
         };
         let measured_at = Instant::from_micros(now.as_micros().saturating_sub(age.get()));
+        let before = self.running_incarnation(backend);
         let b = &mut self.backends[backend as usize];
         if !b.accept_incarnation(load.incarnation, measured_at) {
             return;
         }
+        self.record_replaced(now, id, before, load.incarnation, out);
+        let b = &mut self.backends[backend as usize];
         match load.liveness {
             Liveness::Leaving => b.set_leaving(LeavingBy::Server),
             Liveness::Dead if measured_at >= b.measured_at && !b.local => self.set_dead(backend),
@@ -258,11 +284,14 @@
         let Some(backend) = self.backend_index(id) else {
             return;
         };
+        let before = self.running_incarnation(backend);
         let b = &mut self.backends[backend as usize];
         let new_incarnation = b.incarnation != Some(registration.incarnation);
         if !b.accept_registration(registration.incarnation, now) {
             return;
         }
+        self.record_replaced(now, id, before, registration.incarnation, out);
+        let b = &mut self.backends[backend as usize];
         if registration.leaving {
             b.set_leaving(LeavingBy::Server);
         } else if b.leaving_by.is_none() {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -86,6 +86,8 @@
     pub as_suspect: bool,
     /// What may crash the server; empty once the response shows that nothing does.
     pub suspects: Vec<Suspect>,
+    /// Whether its connection broke, so that the server may have ended.
+    pub is_broken: bool,
     pub at: Instant,
     pub until: Deadline,
 }
@@ -397,6 +399,7 @@
             incarnation,
             as_suspect: entry.as_suspect,
             suspects,
+            is_broken: false,
             at: now,
             until: Deadline::after(now, ABANDONED_TTL),
         })
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -134,6 +134,7 @@
         let Some(backend) = self.release_stalled(now, slot) else {
             return;
         };
+        self.record_break(stalled.phase, failure.reason);
         self.record_failure(now, backend, slot, failure.reason);
         if let Some(entry) = self.requests.get_mut(slot) {
             if is_silent {
@@ -162,13 +163,17 @@
         if self.requests.get(slot).is_none_or(|e| e.stalled.is_none()) {
             return;
         }
-        if failure.is_some_and(|f| f.reason == RetryReason::Crash)
-            && let Some(entry) = self.requests.get(slot)
-        {
-            self.record_crash_failure(now, slot, entry.phase, out);
+        let Some(phase) = self.requests.get(slot).map(|e| e.phase) else {
+            return;
+        };
+        if failure.is_some_and(|f| f.reason == RetryReason::Crash) {
+            self.record_crash_failure(now, slot, phase, out);
         }
         let may_have_run = failure.is_none_or(|f| f.may_have_run);
         let backend = self.release(now, slot, may_have_run);
+        if let Some(failure) = failure {
+            self.record_break(phase, failure.reason);
+        }
         if let (Some(backend), Some(failure)) = (backend, failure) {
             self.record_failure(now, backend, slot, failure.reason);
         }
