Judge by arriving data whether a response is sustained

What operators saw: a request that crashes servers is cleared beside hosts that are paused.

Cause: a response counted as sustained a second after its first byte. A host that was paused after the first event took the response for sustained when it went on, cleared the request on all hosts and left it out of the crash.

--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -468,6 +468,12 @@
         self.dispatcher.feed(Event::FirstByte(self.id));
     }
 
+    /// Reports that data of the response have arrived for so long that the request does not crash the
+    /// server.
+    pub(crate) fn sustained(&self) {
+        self.dispatcher.feed(Event::Sustained(self.id));
+    }
+
     pub(crate) fn finished(&mut self, tokens: u32, ok: bool) {
         self.active = false;
         let id = self.id;
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -20,6 +20,7 @@
 mod position;
 mod refused_head;
 mod relay;
+mod sustained;
 
 use std::{
     fmt,
--- a/crates/gate/src/proxy/relay/mod.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -27,6 +27,7 @@
         events::EventSplitter,
         exchange::Exchange,
         kind::StreamKind,
+        sustained::Periods,
     },
     record::{End, Progress},
     refusal::Refusal,
@@ -111,6 +112,8 @@
     events: EventSplitter,
     /// Last bytes of the current response.
     tail: Vec<u8>,
+    /// Periods in which data of the current response arrived.
+    periods: Periods,
     /// How the current response relates to the events that were forwarded before it.
     origin: Origin,
     /// Charge of a partial event that is held back.
@@ -130,6 +133,7 @@
             received: VecDeque::new(),
             events: EventSplitter::default(),
             tail: Vec::new(),
+            periods: Periods::default(),
             origin: Origin::First,
         }
     }
@@ -333,6 +337,9 @@
         if self.exchange.record.timing.events == 0 {
             self.exchange.handle.first_byte();
         }
+        if self.periods.record_data(TokioInstant::now()) {
+            self.exchange.handle.sustained();
+        }
         self.exchange.record.part(1);
     }
 }
--- a/crates/gate/src/proxy/relay/takeover.rs
+++ b/crates/gate/src/proxy/relay/takeover.rs
@@ -18,6 +18,7 @@
         events::EventSplitter,
         kind::StreamKind,
         position::Position,
+        sustained::Periods,
     },
     record::Progress,
     refusal::Refusal,
@@ -105,6 +106,7 @@
         self.events.discard_partial();
         self.received.clear();
         self.tail.clear();
+        self.periods = Periods::default();
         let answered = self.exchange.record.progress == Progress::Answering;
         let after_event = self.exchange.position.last_event_id().is_some();
         self.origin = if answered || after_event {
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -70,6 +70,7 @@
             ran: Vec::new(),
             tried: Vec::new(),
             responds_since: None,
+            is_sustained: false,
             may_have_run: false,
             retry: None,
             as_suspect: false,
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use types::{BackendId, Incarnation, Instant, Micros, RetryReason};
+use types::{BackendId, Incarnation, Instant, Micros, RequestId, RetryReason};
 
 use crate::{
     event::{
@@ -13,9 +13,6 @@
     router::{Router, Scope},
 };
 
-/// Time for which a response must have gone on to show that its request does not crash the server.
-const SUSTAINED_RESPONSE_TIME: Micros = Micros::from_secs(1);
-
 /// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
 const ABANDONED_SUSPECT_TIME: Micros = Micros::from_secs(1);
 
@@ -36,11 +33,6 @@
     changed_at: Instant,
 }
 
-/// Returns whether a response has gone on for so long that its request is no suspect.
-pub(crate) fn is_sustained(responds_since: Option<Instant>, now: Instant) -> bool {
-    responds_since.is_some_and(|since| now.since(since) >= SUSTAINED_RESPONSE_TIME)
-}
-
 impl Router {
     /// Records and shares a crash with the suspects that this host had in flight at the server.
     ///
@@ -101,8 +93,7 @@
         };
         for (_, entry) in self.requests.iter() {
             let may_crash = |attempt: &AttemptInProgress| {
-                attempt.phase.runs_on(backends, incarnation)
-                    && !is_sustained(attempt.responds_since, crashed_at)
+                attempt.phase.runs_on(backends, incarnation) && !attempt.is_sustained
             };
             let attempts = entry.attempts_in_progress().filter(may_crash);
             if let Some(changed_at) = attempts.map(|a| a.changed_at()).max() {
@@ -196,6 +187,17 @@
         }
     }
 
+    /// Records that a response is sustained.
+    pub(crate) fn sustained(&mut self, now: Instant, id: RequestId, out: &mut Vec<Action>) {
+        let slot = self.requests.find(id);
+        let Some(entry) = slot.and_then(|slot| self.requests.get_mut(slot)) else {
+            return;
+        };
+        entry.is_sustained = true;
+        let request = entry.request.clone();
+        self.record_response(now, &request, out);
+    }
+
     /// Records and shares the responses that are sustained and concern a suspect.
     pub(crate) fn record_sustained_responses(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.evidence.is_empty() {
@@ -203,8 +205,7 @@
         }
         let awaits = |entry: &RequestEntry| {
             let mut suspects = self.suspects_of(&entry.request);
-            is_sustained(entry.responds_since, now)
-                && suspects.any(|s| self.evidence.awaits_response(s))
+            entry.is_sustained && suspects.any(|s| self.evidence.awaits_response(s))
         };
         let sustained = self.requests.iter().filter(|(_, entry)| awaits(entry));
         let requests: Vec<RoutingRequest> = sustained.map(|(_, e)| e.request.clone()).collect();
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -40,6 +40,7 @@
         b.own_work += prefill_seconds;
         entry.dispatched = now;
         entry.responds_since = None;
+        entry.is_sustained = false;
         // A trial is one dispatch; a repetition needs another one.
         entry.trial = None;
         entry.attempts += 1;
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -270,6 +270,8 @@
     Cancel(RequestId),
     /// The first byte of the response arrived.
     FirstByte(RequestId),
+    /// Data of the response have arrived for so long that its request does not crash the server.
+    Sustained(RequestId),
     /// The response is complete.
     Finished {
         /// The request.
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -51,6 +51,8 @@
     pub dispatched: Instant,
     /// Start of the response.
     pub responds_since: Option<Instant>,
+    /// Whether data of the response have arrived for a while.
+    pub is_sustained: bool,
 }
 
 impl AttemptInProgress {
@@ -88,6 +90,8 @@
     pub tried: Vec<TriedServer>,
     /// Start of the response to the last attempt.
     pub responds_since: Option<Instant>,
+    /// Whether data of the response to the last attempt have arrived for a while.
+    pub is_sustained: bool,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
     pub retry: Option<RetryReason>,
@@ -123,11 +127,13 @@
             phase: self.phase,
             dispatched: self.dispatched,
             responds_since: self.responds_since,
+            is_sustained: self.is_sustained,
         };
         let stalled = self.stalled.map(|s| AttemptInProgress {
             phase: s.phase,
             dispatched: s.dispatched,
             responds_since: s.responds_since,
+            is_sustained: s.is_sustained,
         });
         std::iter::once(current).chain(stalled)
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,7 +10,6 @@
     backend::Backend,
     budget::RetryBudget,
     counts::Counts,
-    crash_evidence::is_sustained,
     demand::Demand,
     departed::{DepartedServers, RemovedServers},
     event::{Action, Event, Fingerprint, Suspect},
@@ -138,6 +137,7 @@
             Event::Arrive(request) => self.arrive(now, request, out),
             Event::Cancel(id) => self.cancel(now, id, out),
             Event::FirstByte(id) => self.first_byte(now, id),
+            Event::Sustained(id) => self.sustained(now, id, out),
             Event::Finished { id, tokens, ok } => self.finished(now, id, tokens, ok, out),
             Event::Failed { id, failure } => self.failed(now, id, failure, out),
             Event::Stalled(id) => self.stalled(now, id, out),
@@ -346,7 +346,7 @@
         let (phase, rank, model) = (entry.phase, entry.rank, entry.model);
         let as_suspect = entry.as_suspect;
         let abandoned =
-            abandon.then(|| self.abandoned_attempt(now, entry, phase, entry.responds_since));
+            abandon.then(|| self.abandoned_attempt(now, entry, phase, entry.is_sustained));
         match phase {
             Phase::Queued => {
                 if self.queue.remove(rank) {
@@ -379,7 +379,7 @@
         now: Instant,
         entry: &RequestEntry,
         phase: Phase,
-        responds_since: Option<Instant>,
+        is_sustained: bool,
     ) -> Option<AbandonedRequest> {
         let Phase::Running {
             backend,
@@ -388,7 +388,7 @@
         else {
             return None;
         };
-        let suspects = if is_sustained(responds_since, now) {
+        let suspects = if is_sustained {
             Vec::new()
         } else {
             self.suspects_of(&entry.request).collect()
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -28,6 +28,7 @@
     pub baseline: f32,
     pub expected: f32,
     pub responds_since: Option<Instant>,
+    pub is_sustained: bool,
 }
 
 impl StalledAttempt {
@@ -72,6 +73,7 @@
                 baseline: entry.baseline,
                 expected: entry.expected,
                 responds_since: entry.responds_since,
+                is_sustained: entry.is_sustained,
             });
             entry.retry = Some(RetryReason::Silent);
         }
@@ -197,6 +199,7 @@
             entry.baseline = stalled.baseline;
             entry.expected = stalled.expected;
             entry.responds_since = stalled.responds_since;
+            entry.is_sustained = stalled.is_sustained;
         }
         if let Some(backend) = backend {
             self.dispatch_queued(now, Scope::Backend(backend), out);
@@ -208,8 +211,7 @@
         let stalled = self.requests.get_mut(slot)?.stalled.take()?;
         let backend = stalled.backend()?;
         let entry = self.requests.get(slot)?;
-        let abandoned =
-            self.abandoned_attempt(now, entry, stalled.phase, stalled.responds_since)?;
+        let abandoned = self.abandoned_attempt(now, entry, stalled.phase, stalled.is_sustained)?;
         self.abandoned.push(AbandonedRequest {
             as_suspect: false,
             ..abandoned
