Clear requests only by responses whose server was alive at their end

What operators saw: a request that crashes servers is cleared and sent again.

Cause: the end of a response without a length counts as complete if the server had stopped listening, leaves, keeps other connections or cannot be reached. The caller gets such a response, as a server that stops as planned completes its responses; but it also cleared the request, although a server that crashes right after the head of its response looks the same.

Change: such an end neither clears anything nor shows a crash. It counts as a broken attempt, so that news of the server's end still makes it a crash.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -377,6 +377,7 @@
             id,
             tokens,
             ok: true,
+            is_harmless: true,
         };
         self.send_event(host, done(id));
         if origin != host {
--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -331,7 +331,7 @@
             .deadline
             .is_past(self.runner.clock.now());
         let ok = ok && !late;
-        self.handle.finished(tokens, ok);
+        self.handle.finished(tokens, ok, true);
         // A forwarded request is counted by the entry host that received it from the caller.
         if ok && !self.request.ticket.forwarded {
             self.runner.counters.in_time();
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -474,10 +474,16 @@
         self.dispatcher.feed(Event::Sustained(self.id));
     }
 
-    pub(crate) fn finished(&mut self, tokens: u32, ok: bool) {
+    /// Reports the end of the response. `is_harmless` is whether its server was alive then.
+    pub(crate) fn finished(&mut self, tokens: u32, ok: bool, is_harmless: bool) {
         self.active = false;
         let id = self.id;
-        self.dispatcher.feed(Event::Finished { id, tokens, ok });
+        self.dispatcher.feed(Event::Finished {
+            id,
+            tokens,
+            ok,
+            is_harmless,
+        });
     }
 
     pub(crate) fn failed(&self, failure: Failure) {
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -25,7 +25,7 @@
         hedge::{Hedged, Responded, run_hedged},
         implies_not_run,
         inbound::Inbound,
-        liveness::ends_with_connection,
+        liveness::{UnmarkedEnd, ends_with_connection},
         log,
         position::Position,
     },
@@ -46,6 +46,8 @@
     pub(crate) backend: BackendId,
     pub(crate) head: response::Parts,
     pub(crate) body: Bytes,
+    /// Whether its server was alive at its end.
+    pub(crate) is_harmless: bool,
 }
 
 /// Response of which a part was read.
@@ -372,9 +374,11 @@
                 return None;
             }
         };
-        if ends_with_connection(&self.inbound.head.method, &head)
-            && self.shared.ended_by_crash(&destination, port).await
-        {
+        let mut end = UnmarkedEnd::Alive;
+        if ends_with_connection(&self.inbound.head.method, &head) {
+            end = self.shared.unmarked_end(&destination, port).await;
+        }
+        if end == UnmarkedEnd::Crash {
             self.report_failure(&backend, may_have_run_failure(RetryReason::Crash));
             return None;
         }
@@ -383,6 +387,7 @@
             backend,
             head,
             body,
+            is_harmless: end == UnmarkedEnd::Alive,
         };
         let is_refusal = implies_not_run(whole.head.status);
         if self.is_untrue(whole.head.status) {
--- a/crates/gate/src/proxy/hedge.rs
+++ b/crates/gate/src/proxy/hedge.rs
@@ -83,6 +83,7 @@
         backend,
         head,
         body,
+        is_harmless: false,
     }))
 }
 
--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -49,6 +49,17 @@
     Crashed,
 }
 
+/// What ended a response whose end is marked only by that of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UnmarkedEnd {
+    /// The server has crashed; the response is incomplete.
+    Crash,
+    /// The server was alive afterwards.
+    Alive,
+    /// Nothing shows a crash, but the server may have ended.
+    Unclear,
+}
+
 impl ServerStatus {
     /// Returns the value in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
@@ -116,24 +127,28 @@
         }
     }
 
-    /// Returns whether a response whose end is marked only by that of its connection was ended by a crash.
+    /// Returns what ended a response whose end is marked only by that of its connection.
     ///
     /// An orderly close ends the response unless the server has crashed: what a
     /// stopping server has finished is complete.
-    pub(crate) async fn ended_by_crash(
+    pub(crate) async fn unmarked_end(
         &self,
         destination: &Destination,
         port: Option<PortCheck>,
-    ) -> bool {
+    ) -> UnmarkedEnd {
         let had_stopped_listening = match port {
             Some(port) => port.was_refused().await,
             None => false,
         };
         if had_stopped_listening {
             record_status(destination, ServerStatus::HadStoppedListening);
-            return false;
+            return UnmarkedEnd::Unclear;
+        }
+        match self.check_server(destination).await {
+            ServerStatus::Crashed => UnmarkedEnd::Crash,
+            ServerStatus::Accepts => UnmarkedEnd::Alive,
+            _ => UnmarkedEnd::Unclear,
         }
-        self.check_server(destination).await == ServerStatus::Crashed
     }
 
     /// Determines and records the status of a server, and reports a crash to the router.
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -401,7 +401,8 @@
             match read {
                 Some(ReadResponse::Complete(whole)) => {
                     let status = whole.head.status;
-                    exchange.handle.finished(0, !status.is_server_error());
+                    let ok = !status.is_server_error();
+                    exchange.handle.finished(0, ok, whole.is_harmless);
                     exchange.record.end(&End::Answered {
                         backend: Some(whole.backend.clone()),
                         status: status.as_u16(),
--- a/crates/gate/src/proxy/relay/end.rs
+++ b/crates/gate/src/proxy/relay/end.rs
@@ -7,7 +7,12 @@
 use crate::{
     dispatcher::StateMachine,
     peers::Peers,
-    proxy::{attempt::keep, codec::HeaderCodec, events::ends_event, liveness::is_framed},
+    proxy::{
+        attempt::keep,
+        codec::HeaderCodec,
+        events::ends_event,
+        liveness::{UnmarkedEnd, is_framed},
+    },
     record::End,
 };
 
@@ -43,15 +48,16 @@
         let response = self.response.as_mut()?;
         let (port, destination) = (response.port.take(), response.destination.clone());
         let shared = &self.exchange.shared;
-        let crashed = shared.ended_by_crash(&destination, port).await;
-        crashed.then_some(RetryReason::Crash)
+        self.end = shared.unmarked_end(&destination, port).await;
+        (self.end == UnmarkedEnd::Crash).then_some(RetryReason::Crash)
     }
 
     /// Records the end of the stream and returns the bytes after its last complete event.
     pub(super) fn finish(&mut self) -> Option<Bytes> {
         let response = self.response.take()?;
         let exchange = &mut self.exchange;
-        exchange.handle.finished(0, true);
+        let is_harmless = self.end == UnmarkedEnd::Alive;
+        exchange.handle.finished(0, true, is_harmless);
         let status = response.head.status.as_u16();
         keep(&exchange.shared.pool, response.connection, &response.head);
         metrics::histogram!("celerytally_longest_pause_seconds")
--- a/crates/gate/src/proxy/relay/mod.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -27,6 +27,7 @@
         events::EventSplitter,
         exchange::Exchange,
         kind::StreamKind,
+        liveness::UnmarkedEnd,
         sustained::Periods,
     },
     record::{End, Progress},
@@ -114,6 +115,8 @@
     tail: Vec<u8>,
     /// Periods in which data of the current response arrived.
     periods: Periods,
+    /// What ended the current response; `Alive` for one whose end is marked.
+    end: UnmarkedEnd,
     /// How the current response relates to the events that were forwarded before it.
     origin: Origin,
     /// Charge of a partial event that is held back.
@@ -134,6 +137,7 @@
             events: EventSplitter::default(),
             tail: Vec::new(),
             periods: Periods::default(),
+            end: UnmarkedEnd::Alive,
             origin: Origin::First,
         }
     }
--- a/crates/gate/src/proxy/relay/plain.rs
+++ b/crates/gate/src/proxy/relay/plain.rs
@@ -16,7 +16,7 @@
         buffer::Beginning,
         codec::HeaderCodec,
         exchange::{BegunResponse, Exchange},
-        liveness::ends_with_connection,
+        liveness::{UnmarkedEnd, ends_with_connection},
     },
     record::End,
 };
@@ -30,6 +30,8 @@
     beginning: Beginning,
     /// Data that were read and not passed on yet.
     received: Bytes,
+    /// What ended the response; `Alive` for one whose end is marked.
+    end: UnmarkedEnd,
 }
 
 impl<R: StateMachine, N: Peers, C: HeaderCodec> PlainRelay<R, N, C> {
@@ -39,6 +41,7 @@
             response: Some(begun.response),
             beginning: begun.beginning,
             received: Bytes::new(),
+            end: UnmarkedEnd::Alive,
         }
     }
 
@@ -106,11 +109,11 @@
             }
             Part::End if ends_with_connection(method, &response.head) => {
                 let check = response.port.take();
-                let crashed = shared.ended_by_crash(&response.destination, check).await;
-                if crashed {
-                    Part::Failed(RetryReason::Crash)
-                } else {
-                    Part::End
+                let end = shared.unmarked_end(&response.destination, check).await;
+                self.end = end;
+                match end {
+                    UnmarkedEnd::Crash => Part::Failed(RetryReason::Crash),
+                    UnmarkedEnd::Alive | UnmarkedEnd::Unclear => Part::End,
                 }
             }
             part => part,
@@ -124,7 +127,10 @@
         };
         let exchange = &mut self.exchange;
         let status = response.head.status;
-        exchange.handle.finished(0, !status.is_server_error());
+        let is_harmless = self.end == UnmarkedEnd::Alive;
+        exchange
+            .handle
+            .finished(0, !status.is_server_error(), is_harmless);
         keep(&exchange.shared.pool, response.connection, &response.head);
         exchange.record.end(&End::Answered {
             backend: Some(response.backend),
--- a/crates/gate/src/proxy/relay/takeover.rs
+++ b/crates/gate/src/proxy/relay/takeover.rs
@@ -17,6 +17,7 @@
         codec::HeaderCodec,
         events::EventSplitter,
         kind::StreamKind,
+        liveness::UnmarkedEnd,
         position::Position,
         sustained::Periods,
     },
@@ -107,6 +108,7 @@
         self.received.clear();
         self.tail.clear();
         self.periods = Periods::default();
+        self.end = UnmarkedEnd::Alive;
         let answered = self.exchange.record.progress == Progress::Answering;
         let after_event = self.exchange.position.last_event_id().is_some();
         self.origin = if answered || after_event {
--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -144,6 +144,7 @@
                     id,
                     tokens: 100,
                     ok: true,
+                    is_harmless: true,
                 };
                 router.step(now, done, &mut out);
             });
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -280,6 +280,8 @@
         tokens: u32,
         /// Whether the response was in time and without error.
         ok: bool,
+        /// Whether the server was alive at the end of the response, so that the request does not crash it.
+        is_harmless: bool,
     },
     /// An attempt failed; the router retries or refuses.
     Failed {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -138,7 +138,12 @@
             Event::Cancel(id) => self.cancel(now, id, out),
             Event::FirstByte(id) => self.first_byte(now, id),
             Event::Sustained(id) => self.sustained(now, id, out),
-            Event::Finished { id, tokens, ok } => self.finished(now, id, tokens, ok, out),
+            Event::Finished {
+                id,
+                tokens,
+                ok,
+                is_harmless,
+            } => self.finished(now, id, (tokens, ok), is_harmless, out),
             Event::Failed { id, failure } => self.failed(now, id, failure, out),
             Event::Stalled(id) => self.stalled(now, id, out),
             Event::TakenOver { id, failure } => self.taken_over(now, id, failure, out),
@@ -278,22 +283,27 @@
         &mut self,
         now: Instant,
         id: RequestId,
-        tokens: u32,
-        ok: bool,
+        (tokens, ok): (u32, bool),
+        is_harmless: bool,
         out: &mut Vec<Action>,
     ) {
         let Some(slot) = self.requests.find(id) else {
             return;
         };
         self.release_stalled(now, slot);
-        let backend = self.release(now, slot, false);
+        let backend = self.release(now, slot, !is_harmless);
+        if !is_harmless && let Some(unclear) = self.abandoned.last_mut() {
+            unclear.is_broken = true;
+        }
         let Some(entry) = self.requests.remove(slot) else {
             return;
         };
         if ok {
             self.counts.succeeded += 1;
             self.budget.deposit();
-            self.record_response(now, &entry.request, out);
+            if is_harmless {
+                self.record_response(now, &entry.request, out);
+            }
         }
         if let Some(backend) = backend {
             // A request whose model was removed has none, but is not a plain one.
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -270,6 +270,7 @@
                     id: run.id,
                     tokens: 10,
                     ok: true,
+                    is_harmless: true,
                 };
                 self.feed(run.host, finished);
             }
@@ -502,6 +503,7 @@
             id: slow.id,
             tokens: 1,
             ok: true,
+            is_harmless: true,
         },
     );
 
--- a/crates/route/tests/behaviour/fixture.rs
+++ b/crates/route/tests/behaviour/fixture.rs
@@ -194,6 +194,7 @@
             id,
             tokens: 50,
             ok: true,
+            is_harmless: true,
         });
     }
 
