Log what each crash is blamed on, and which response clears a suspect

What operators saw: the log of a crash counted its suspects and named the parts of prompts among them, but no request, and a cleared suspect had no reason.

Change: the line of a crash names the first suspects of any kind; a changed judgement has its cause; a response that removes evidence has a line with the request and the server, and a counter.

--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -8,7 +8,7 @@
 
 use config::ActiveConfig;
 use engine::Server;
-use route::{Action, CrashReport, Event, Failure, RoutingRequest, Suspect, Verdict};
+use route::{Action, CrashReport, Event, Failure, RoutingRequest, Suspect, Verdict, VerdictCause};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use types::{
     AdapterId, Announcement, BackendId, Clock, Code, DataCentreId, Instant, Micros, ModelId,
@@ -31,7 +31,12 @@
         None
     }
 
-    /// Returns whether a backend server leaves, or is not registered any more.
+    /// Returns the suspects of a request against which a response would remove crashes.
+    fn awaited_suspects(&self, _request: &RoutingRequest) -> Vec<Suspect> {
+        Vec::new()
+    }
+
+    /// Returns whether a backend server leaves, or left before its entry was removed.
     fn is_leaving(&self, _backend: &BackendId) -> bool {
         false
     }
@@ -46,6 +51,10 @@
         Self::blocked_suspect(self, request)
     }
 
+    fn awaited_suspects(&self, request: &RoutingRequest) -> Vec<Suspect> {
+        Self::awaited_suspects(self, request)
+    }
+
     fn is_leaving(&self, backend: &BackendId) -> bool {
         Self::is_leaving(self, backend)
     }
@@ -198,6 +207,10 @@
         lock(&self.0.router).blocked_suspect(request)
     }
 
+    pub(crate) fn awaited_suspects(&self, request: &RoutingRequest) -> Vec<Suspect> {
+        lock(&self.0.router).awaited_suspects(request)
+    }
+
     pub(crate) fn is_leaving(&self, backend: &BackendId) -> bool {
         lock(&self.0.router).is_leaving(backend)
     }
@@ -375,7 +388,8 @@
                 suspect,
                 verdict,
                 crashes,
-            } => log_verdict(suspect, verdict, crashes),
+                cause,
+            } => log_verdict(suspect, verdict, crashes, cause),
         }
     }
 
@@ -400,36 +414,45 @@
     }
 }
 
-/// Maximum number of suspects in the log line of a crash.
+/// Maximum number of suspects in a log line.
 const MAX_LOGGED_SUSPECTS: usize = 32;
 
+/// Returns the names of the first suspects for a log line.
+pub(crate) fn first_suspects(suspects: &[Suspect]) -> String {
+    let first = suspects.iter().take(MAX_LOGGED_SUSPECTS);
+    let first: Vec<String> = first.map(Suspect::to_string).collect();
+    first.join(", ")
+}
+
 /// Logs and counts a crash at which this host had requests in flight.
 fn log_crash(report: &CrashReport, omitted: usize) {
     metrics::counter!("celerytally_backend_crashes_total").increment(1);
     let omitted_total = u64::try_from(omitted).unwrap_or(u64::MAX);
     metrics::counter!("celerytally_omitted_suspects_total").increment(omitted_total);
-    let first = report.suspects.iter().take(MAX_LOGGED_SUSPECTS);
-    let first: Vec<String> = first.map(Suspect::to_string).collect();
     tracing::warn!(
         belief = "crash",
         backend = %report.backend,
         incarnation = %report.incarnation,
         suspects = report.suspects.len(),
         omitted,
-        first = first.join(", "),
+        first = first_suspects(&report.suspects),
         "backend server crashed"
     );
 }
 
 /// Logs and counts a changed verdict on a suspect.
-fn log_verdict(suspect: Suspect, verdict: Option<Verdict>, crashes: usize) {
+fn log_verdict(suspect: Suspect, verdict: Option<Verdict>, crashes: usize, cause: VerdictCause) {
     let state = match verdict {
         None => "cleared",
         Some(Verdict::Suspected) => "suspected",
         Some(Verdict::Confirmed) => "confirmed",
     };
-    metrics::counter!("celerytally_suspects_total", "state" => state).increment(1);
-    tracing::warn!(belief = "suspect", %suspect, state, crashes, "judgement on a suspect changed");
+    let cause = cause.label();
+    metrics::counter!("celerytally_suspects_total", "state" => state, "cause" => cause)
+        .increment(1);
+    tracing::warn!(
+        belief = "suspect", %suspect, state, cause, crashes, "judgement on a suspect changed"
+    );
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -156,6 +156,29 @@
         }
     }
 
+    /// Reports the end of the response of a backend server. `is_harmless` is whether the server was alive then.
+    pub(crate) fn finish(&mut self, backend: &BackendId, ok: bool, is_harmless: bool) {
+        if ok && is_harmless {
+            self.log_answered_suspects(backend);
+        }
+        self.handle.finished(0, ok, is_harmless);
+    }
+
+    /// Reports that data of the response of a backend server have arrived for a while.
+    pub(crate) fn sustained(&mut self, backend: &BackendId) {
+        self.log_answered_suspects(backend);
+        self.handle.sustained();
+    }
+
+    /// Logs the suspects against which a response removes crashes.
+    fn log_answered_suspects(&self, backend: &BackendId) {
+        let dispatcher = &self.shared.dispatcher;
+        let suspects = dispatcher.awaited_suspects(&self.inbound.ticket);
+        if !suspects.is_empty() {
+            log::answered_suspects(&self.record.id, backend, &suspects);
+        }
+    }
+
     fn start_attempt(&mut self, server: Server, first_byte: Micros) -> Attempt<R, N, C> {
         self.record.sent();
         Attempt {
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -6,7 +6,7 @@
 use route::{Failure, Suspect, Target, Verdict};
 use types::{AdapterId, Announcement, BackendId, Incarnation, Micros, RetryReason};
 
-use crate::{proxy::inbound::Inbound, record::millis};
+use crate::{dispatcher::first_suspects, proxy::inbound::Inbound, record::millis};
 
 /// Returns the requested model and adapter, or empty strings.
 fn target_names(inbound: &Inbound) -> (&str, &str) {
@@ -50,6 +50,13 @@
     tracing::info!(decision = "blocked", request, %suspect, ?verdict);
 }
 
+/// Logs and counts a response that removes crashes from the evidence against suspects.
+pub(crate) fn answered_suspects(request: &str, backend: &BackendId, suspects: &[Suspect]) {
+    metrics::counter!("celerytally_suspect_responses_total").increment(1);
+    let suspects = first_suspects(suspects);
+    tracing::info!(belief = "suspect", request, %backend, suspects, "suspects answered");
+}
+
 /// Logs an attempt that was cancelled because a stalled server went on before it responded.
 pub(crate) fn attempt_cancelled(request: &str, backend: &BackendId, attempt: u8) {
     tracing::info!(decision = "attempt_cancelled", request, %backend, attempt);
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -402,7 +402,7 @@
                 Some(ReadResponse::Complete(whole)) => {
                     let status = whole.head.status;
                     let ok = !status.is_server_error();
-                    exchange.handle.finished(0, ok, whole.is_harmless);
+                    exchange.finish(&whole.backend, ok, whole.is_harmless);
                     exchange.record.end(&End::Answered {
                         backend: Some(whole.backend.clone()),
                         status: status.as_u16(),
--- a/crates/gate/src/proxy/relay/end.rs
+++ b/crates/gate/src/proxy/relay/end.rs
@@ -57,7 +57,7 @@
         let response = self.response.take()?;
         let exchange = &mut self.exchange;
         let is_harmless = self.end == UnmarkedEnd::Alive;
-        exchange.handle.finished(0, true, is_harmless);
+        exchange.finish(&response.backend, true, is_harmless);
         let status = response.head.status.as_u16();
         keep(&exchange.shared.pool, response.connection, &response.head);
         metrics::histogram!("celerytally_longest_pause_seconds")
--- a/crates/gate/src/proxy/relay/mod.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -341,8 +341,10 @@
         if self.exchange.record.timing.events == 0 {
             self.exchange.handle.first_byte();
         }
-        if self.periods.record_data(TokioInstant::now()) {
-            self.exchange.handle.sustained();
+        if self.periods.record_data(TokioInstant::now())
+            && let Some(response) = &self.response
+        {
+            self.exchange.sustained(&response.backend);
         }
         self.exchange.record.part(1);
     }
--- a/crates/gate/src/proxy/relay/plain.rs
+++ b/crates/gate/src/proxy/relay/plain.rs
@@ -128,9 +128,7 @@
         let exchange = &mut self.exchange;
         let status = response.head.status;
         let is_harmless = self.end == UnmarkedEnd::Alive;
-        exchange
-            .handle
-            .finished(0, !status.is_server_error(), is_harmless);
+        exchange.finish(&response.backend, !status.is_server_error(), is_harmless);
         keep(&exchange.shared.pool, response.connection, &response.head);
         exchange.record.end(&End::Answered {
             backend: Some(response.backend),
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -76,6 +76,7 @@
             .collect()
     }
 
+    /// Returns the name of a backend server, which may have been removed.
     fn name_of(&self, backend: u32) -> Option<&BackendId> {
         if (backend as usize) < self.backends.len() {
             return self.names.as_ref().map(|n| n.backend_id(backend));
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -163,6 +163,17 @@
         omitted
     }
 
+    /// Returns the suspects of a request against which a response would remove crashes.
+    #[must_use]
+    pub fn awaited_suspects(&self, request: &RoutingRequest) -> Vec<Suspect> {
+        if self.evidence.is_empty() || !self.cfg.suspects {
+            return Vec::new();
+        }
+        let mut suspects: Vec<Suspect> = self.suspects_of(request).collect();
+        suspects.retain(|s| self.evidence.awaits_response(*s));
+        suspects
+    }
+
     /// Records and shares that a response to a request was completed or is sustained.
     pub(crate) fn record_response(
         &mut self,
@@ -170,17 +181,12 @@
         request: &RoutingRequest,
         out: &mut Vec<Action>,
     ) {
-        if self.evidence.is_empty() || !self.cfg.suspects {
-            return;
-        }
         let mut update = CrashUpdate::default();
         let mut changes = Vec::new();
-        for suspect in self.suspects_of(request) {
-            if self.evidence.awaits_response(suspect) {
-                let age = Micros::ZERO;
-                changes.extend(self.evidence.record_response(now, suspect, age));
-                update.responses.push(ResponseReport { suspect, age });
-            }
+        for suspect in self.awaited_suspects(request) {
+            let age = Micros::ZERO;
+            changes.extend(self.evidence.record_response(now, suspect, age));
+            update.responses.push(ResponseReport { suspect, age });
         }
         if !update.is_empty() {
             self.share_changes(now, update, changes, out);
@@ -283,6 +289,7 @@
                 suspect: change.suspect,
                 verdict: change.verdict,
                 crashes: change.crashes,
+                cause: change.cause,
             });
         }
     }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -171,6 +171,35 @@
     Confirmed,
 }
 
+/// Why the verdict on a suspect changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VerdictCause {
+    /// The suspect was in flight at too many crashes.
+    Crashes,
+    /// Its trials are over.
+    Trials,
+    /// A request with it was answered.
+    Response,
+    /// The crashes are attributed to another suspect.
+    OtherSuspect,
+    /// Another host blocks it.
+    OtherHost,
+}
+
+impl VerdictCause {
+    /// Returns the value in logs and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Crashes => "crashes",
+            Self::Trials => "trials",
+            Self::Response => "response",
+            Self::OtherSuspect => "other_suspect",
+            Self::OtherHost => "other_host",
+        }
+    }
+}
+
 /// Crash of a backend server and what one host had in flight there.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct CrashReport {
@@ -504,6 +533,8 @@
         verdict: Option<Verdict>,
         /// Number of crashes that this host counts against it.
         crashes: usize,
+        /// Why it changed.
+        cause: VerdictCause,
     },
     /// Request a further replica of an adapter from the controller, because its holders are busy.
     RequestReplica {
--- a/crates/route/src/evidence/attribution.rs
+++ b/crates/route/src/evidence/attribution.rs
@@ -3,7 +3,7 @@
 use types::{Instant, Micros};
 
 use crate::{
-    event::Verdict,
+    event::{Verdict, VerdictCause},
     evidence::{
         Evidence, VerdictChange,
         entry::{Crash, Entry, MAX_PART_CRASHES, MAX_REQUEST_CRASHES},
@@ -50,7 +50,7 @@
                 changes.push(entry.block(now));
             }
             if attribution.confirmed.contains(&at) && entry.verdict == Some(Verdict::Suspected) {
-                changes.push(entry.confirm());
+                changes.push(entry.confirm(VerdictCause::Crashes));
             }
             if !is_blocked && has_other_cause[at] {
                 changes.push(entry.clear_with_other_cause());
--- a/crates/route/src/evidence/entry.rs
+++ b/crates/route/src/evidence/entry.rs
@@ -2,7 +2,7 @@
 
 use types::{BackendId, Deadline, Incarnation, Instant};
 
-use crate::event::{CrashReport, Suspect, Verdict};
+use crate::event::{CrashReport, Suspect, Verdict, VerdictCause};
 
 /// Number of crashes after which a part of prompts is blocked.
 pub(super) const MAX_PART_CRASHES: usize = 3;
@@ -51,6 +51,7 @@
     pub verdict: Option<Verdict>,
     /// Number of crashes that this host counts against the suspect.
     pub crashes: usize,
+    pub cause: VerdictCause,
 }
 
 /// Suspect with the evidence against it.
@@ -153,22 +154,23 @@
         } else {
             at >= self.last_crash
         };
-        is_cleared.then(|| self.clear())
+        is_cleared.then(|| self.clear(VerdictCause::Response))
     }
 
     /// Blocks a suspect that was not blocked.
     pub(super) fn block(&mut self, now: Instant) -> VerdictChange {
         self.blocked_since = now;
-        self.set_verdict(Some(match self.suspect {
+        let verdict = match self.suspect {
             Suspect::Part(_) => Verdict::Suspected,
             // Only resends of the same request contain it, so it needs no trial.
             Suspect::Request(_) => Verdict::Confirmed,
-        }))
+        };
+        self.set_verdict(Some(verdict), VerdictCause::Crashes)
     }
 
     /// Excludes the suspect from further trials.
-    pub(super) fn confirm(&mut self) -> VerdictChange {
-        self.set_verdict(Some(Verdict::Confirmed))
+    pub(super) fn confirm(&mut self, cause: VerdictCause) -> VerdictChange {
+        self.set_verdict(Some(Verdict::Confirmed), cause)
     }
 
     /// Clears a suspect whose crashes have another cause.
@@ -176,20 +178,25 @@
     /// Reports of other hosts that still block it for these crashes have no effect.
     pub(super) fn clear_with_other_cause(&mut self) -> VerdictChange {
         self.answered_at = self.answered_at.max(Some(self.last_crash));
-        self.clear()
+        self.clear(VerdictCause::OtherSuspect)
     }
 
-    fn clear(&mut self) -> VerdictChange {
+    fn clear(&mut self, cause: VerdictCause) -> VerdictChange {
         self.trials = 0;
-        self.set_verdict(None)
+        self.set_verdict(None, cause)
     }
 
-    pub(super) fn set_verdict(&mut self, verdict: Option<Verdict>) -> VerdictChange {
+    pub(super) fn set_verdict(
+        &mut self,
+        verdict: Option<Verdict>,
+        cause: VerdictCause,
+    ) -> VerdictChange {
         self.verdict = verdict;
         VerdictChange {
             suspect: self.suspect,
             verdict,
             crashes: self.crashes.len(),
+            cause,
         }
     }
 }
--- a/crates/route/src/evidence/mod.rs
+++ b/crates/route/src/evidence/mod.rs
@@ -11,7 +11,7 @@
 use types::{Deadline, Instant, Micros};
 
 use self::entry::{Crash, Entry, insert_crash};
-use crate::event::{BlockedSuspect, CrashReport, Suspect, Verdict};
+use crate::event::{BlockedSuspect, CrashReport, Suspect, Verdict, VerdictCause};
 
 pub(crate) use self::entry::VerdictChange;
 pub use self::trials::MAX_TRIALS;
@@ -148,7 +148,7 @@
         if entry.verdict.is_none() {
             entry.blocked_since = now;
         }
-        Some(entry.set_verdict(Some(blocked.verdict)))
+        Some(entry.set_verdict(Some(blocked.verdict), VerdictCause::OtherHost))
     }
 
     pub(crate) fn prune(&mut self, now: Instant) {
--- a/crates/route/src/evidence/trials.rs
+++ b/crates/route/src/evidence/trials.rs
@@ -3,7 +3,7 @@
 use types::{Deadline, Instant, Micros};
 
 use crate::{
-    event::{Suspect, Verdict},
+    event::{Suspect, Verdict, VerdictCause},
     evidence::{Evidence, VerdictChange, entry::Entry},
 };
 
@@ -94,6 +94,6 @@
     /// Confirms a suspect that has had all of its trials.
     pub(crate) fn confirm_exhausted(&mut self, suspect: Suspect) -> Option<VerdictChange> {
         let entry = self.get_mut(suspect)?;
-        (entry.verdict == Some(Verdict::Suspected)).then(|| entry.confirm())
+        (entry.verdict == Some(Verdict::Suspected)).then(|| entry.confirm(VerdictCause::Trials))
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -79,7 +79,7 @@
 pub use event::{
     Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashReport, CrashUpdate, Event,
     Failure, Fingerprint, Liveness, RequestOptions, ResponseReport, RoutingRequest, Suspect,
-    SuspectRecord, SuspectState, Target, TrialReply, Verdict,
+    SuspectRecord, SuspectState, Target, TrialReply, Verdict, VerdictCause,
 };
 pub use evidence::MAX_TRIALS;
 pub use peer_load::SentLoad;
