Start a new incarnation without the failures of the last one

Cause, one of them at least: a new incarnation began with the cooldown, the failure rate, the count of failed connections and the learned slowdown of the last one.

Measured: regression/new_incarnation failed before and passes.

--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -197,7 +197,8 @@
 
     /// Applies the incarnation of a report and returns whether the report is current.
     ///
-    /// A new incarnation starts with an empty cache and is not leaving by its own account.
+    /// A new incarnation starts with an empty cache and without the failures and the learned slowdown of
+    /// the last one, and it is not leaving by its own account.
     /// Incarnation numbers are not ordered, so only the age of a report tells an old incarnation
     /// from a new one.
     pub(crate) fn accept_incarnation(&mut self, incarnation: Incarnation, at: Instant) -> bool {
@@ -214,6 +215,12 @@
             self.ended_incarnation = self.incarnation;
             self.prefixes.clear();
             self.held_off_until = Deadline::at(Instant::ZERO);
+            self.cooldown_until = Deadline::at(Instant::ZERO);
+            self.unreachable = 0;
+            self.failure_rate = 0.0;
+            self.overdue = false;
+            self.slowdown = 1.0;
+            self.slowdown_stats = SlowdownStats::default();
             if self.leaving_by == Some(LeavingBy::Server) {
                 self.leaving_by = None;
             }
--- a/crates/route/tests/regression/main.rs
+++ b/crates/route/tests/regression/main.rs
@@ -5,3 +5,4 @@
 mod fixture;
 mod foreign_registration;
 mod late_suspect_record;
+mod new_incarnation;
