--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -3,7 +3,10 @@
 //! Several hosts share their evidence, as they do by datagrams.
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{Action, CrashUpdate, Event, MAX_TRIALS, RoutingRequest, Suspect, TrialReply, Verdict};
+use route::{
+    Action, CrashUpdate, Event, Fingerprint, MAX_TRIALS, RoutingRequest, Suspect, TrialReply,
+    Verdict,
+};
 use types::{Code, Micros, PromptPart, RequestId, RetryReason};
 
 use crate::fixture::{Host, LOCAL, model};
@@ -26,6 +29,15 @@
 /// Part that crashes servers.
 const CRASHING: u64 = 666;
 
+/// Number that stands for the crashing request among the parts that crash servers.
+const CRASHING_REQUEST: u64 = 999;
+
+/// Fingerprint of the crashing request.
+const CRASHING_FINGERPRINT: Fingerprint = Fingerprint::new(u128::MAX);
+
+/// Number of crashes by the crashing request after which the bound holds.
+const BOUND_REQUEST_CRASHES: usize = 3;
+
 /// Harmless part of prompts of its own.
 const HARMLESS: u64 = 50;
 
@@ -211,6 +223,15 @@
         self.feed(host, Event::Arrive(request));
     }
 
+    /// Sends the crashing request with harmless parts to a host.
+    fn send_crashing_request(&mut self, host: usize, parts: &[u64]) {
+        let mut request = self.hosts[host].request();
+        request.fingerprint = CRASHING_FINGERPRINT;
+        request.options.parts = parts.iter().map(|p| PromptPart::new(*p)).collect();
+        self.sent.push((host, request.id, vec![CRASHING_REQUEST]));
+        self.feed(host, Event::Arrive(request));
+    }
+
     /// Crashes a server because of a part, and fails all requests that run there.
     fn crash(&mut self, server: usize, part: u64) {
         self.down[server] = Some(self.step + RESTART_STEPS);
@@ -306,13 +327,18 @@
 
     /// Returns the number of requests with a part that reached servers after the bound.
     fn arrivals_after_bound(&self, part: u64) -> usize {
+        let bound_crashes = if part == CRASHING_REQUEST {
+            BOUND_REQUEST_CRASHES
+        } else {
+            BOUND_CRASHES
+        };
         let crashes: Vec<u64> = self
             .crashes
             .iter()
             .filter(|c| c.1 == part)
             .map(|c| c.0)
             .collect();
-        let Some(fifth) = crashes.get(BOUND_CRASHES - 1) else {
+        let Some(fifth) = crashes.get(bound_crashes - 1) else {
             return 0;
         };
         let bound = fifth + STABLE_WINDOW.get() / 1_000 / STEP_MS;
@@ -421,6 +447,36 @@
     }
 }
 
+/// Guards against a crashing request whose crashes are attributed to its parts, which harmless requests clear
+/// one after the other.
+#[test]
+fn a_crashing_request_is_blocked_whatever_requests_share_its_parts() {
+    let prompts: [&[u64]; 4] = [
+        &[],
+        &[SHARED],
+        &[SHARED, 110, 111],
+        &[SHARED, 110, HARMLESS],
+    ];
+    for parts in prompts {
+        for (seed, interval) in (0..20).flat_map(|seed| [(seed, 3), (seed, 11), (seed, 60)]) {
+            let case = format!("{parts:?}, seed {seed}, each {interval} steps");
+            let mut fleet = Fleet::new(3, seed, &[CRASHING_REQUEST]);
+            fleet.run(50, |_| {});
+            fleet.run(900, |fleet| {
+                if fleet.step.is_multiple_of(interval) {
+                    let host = fleet.rng.random_range(0..fleet.hosts.len());
+                    fleet.send_crashing_request(host, parts);
+                }
+            });
+
+            let later = fleet.arrivals_after_bound(CRASHING_REQUEST);
+            assert!(later <= MAX_LATER_REQUESTS, "{case}: {later} later");
+            let share = fleet.dispatched_share(fleet.step - 100);
+            assert!(share > 0.9, "{case}: {share} of the harmless requests");
+        }
+    }
+}
+
 /// Guards against evidence that counts for one model only.
 #[test]
 fn a_part_that_crashes_servers_of_several_models_is_blocked_for_all() {
