Move the types of suspects to a module of their own, and name both models

What may crash servers, and what hosts tell each other about it, is in suspect.rs now. crash.rs says which of the two models, suspect slots and evidence, does what, and the modules of each refer to it.

--- a/crates/celerytally/src/entry/crashes.rs
+++ b/crates/celerytally/src/entry/crashes.rs
@@ -145,7 +145,7 @@
     }
 
     async fn send(&self, update: CrashUpdate, hosts: &[SocketAddr]) {
-        for datagram in Datagram::crash_updates(self.exchange.host(), update) {
+        for datagram in Datagram::crash_updates(self.exchange.host(), &update) {
             if let Err(e) = self.socket.send(datagram, hosts).await {
                 tracing::warn!(error = %e, "crash update not sent to other hosts");
             }
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -202,7 +202,7 @@
 impl Datagram {
     /// Splits a crash update of a host into datagrams.
     #[must_use]
-    pub fn crash_updates(host: &HostId, update: CrashUpdate) -> Vec<Self> {
+    pub fn crash_updates(host: &HostId, update: &CrashUpdate) -> Vec<Self> {
         let datagram = |update| Self::Crashes {
             host: host.clone(),
             update,
--- a/crates/peer/tests/sockets.rs
+++ b/crates/peer/tests/sockets.rs
@@ -343,7 +343,7 @@
         ..route::CrashUpdate::default()
     };
 
-    let datagrams = peer::Datagram::crash_updates(&"h1".parse().expect("a name"), update);
+    let datagrams = peer::Datagram::crash_updates(&"h1".parse().expect("a name"), &update);
 
     let reported = datagrams.iter().flat_map(|datagram| match datagram {
         peer::Datagram::Crashes { update, .. } => update.crashes.clone(),
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -3,11 +3,12 @@
 use types::{Code, Deadline, Instant};
 
 use crate::{
-    event::{Action, RoutingRequest, SuspectState, Target},
+    event::{Action, RoutingRequest, Target},
     queue::Rank,
-    requests::{Phase, RequestEntry},
+    requests::{Phase, RequestEntry, ResponseProgress},
     retry_after::RETRY_AFTER,
     router::Router,
+    suspect::SuspectState,
 };
 
 impl Router {
@@ -69,8 +70,7 @@
             attempts: 0,
             ran: Vec::new(),
             tried: Vec::new(),
-            responds_since: None,
-            is_sustained: false,
+            response: ResponseProgress::default(),
             may_have_run: false,
             retry: None,
             as_suspect: false,
--- a/crates/route/src/blocking.rs
+++ b/crates/route/src/blocking.rs
@@ -1,11 +1,12 @@
-//! Admission of requests that contain blocked suspects.
+//! Admission of requests that contain suspects which the evidence blocks.
 
 use types::{Code, Instant};
 
 use crate::{
-    event::{BlockedSuspect, RoutingRequest, Suspect, Verdict},
+    event::RoutingRequest,
     requests::RequestEntry,
     router::Router,
+    suspect::{BlockedSuspect, Suspect, Verdict},
     trial::TrialState,
 };
 
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash.rs
@@ -1,11 +1,18 @@
-//! Crashes of backend servers and the records of suspect requests.
+//! Crashes of backend servers, and which requests are suspected because of them.
+//!
+//! There are two models. With suspect slots ([`Settings::suspect_slots`](crate::Settings)), a request that
+//! was in flight at a crash has a record (`suspect_records`) and runs alone in a slot (`suspect_slot`) until it
+//! is confirmed or cleared. Without them, evidence from all hosts counts against whole requests and parts
+//! of prompts (`crash_evidence`, `evidence`), which are blocked after several crashes (`blocking`) and tried
+//! rarely (`trial`). A crash always updates the evidence against parts.
 
 use types::{BackendId, Deadline, Incarnation, Instant, Micros};
 
 use crate::{
-    event::{Action, Fingerprint, RoutingRequest, SuspectRecord, SuspectState},
+    event::{Action, Fingerprint, RoutingRequest},
     requests::{Phase, RequestEntry},
     router::{Router, Scope},
+    suspect::{SuspectRecord, SuspectState},
 };
 
 impl Router {
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash_evidence.rs
@@ -5,12 +5,11 @@
 use types::{BackendId, Incarnation, Instant, Micros, RequestId, RetryReason};
 
 use crate::{
-    event::{
-        Action, BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, RoutingRequest, Suspect,
-    },
+    event::{Action, RoutingRequest},
     evidence::{VerdictChange, time_of},
     requests::{AttemptInProgress, Phase, RequestEntry},
     router::{Router, Scope},
+    suspect::{BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect},
 };
 
 /// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
@@ -93,7 +92,7 @@
         };
         for (_, entry) in self.requests.iter() {
             let may_crash = |attempt: &AttemptInProgress| {
-                attempt.phase.runs_on(backends, incarnation) && !attempt.is_sustained
+                attempt.phase.runs_on(backends, incarnation) && !attempt.response.is_sustained
             };
             let attempts = entry.attempts_in_progress().filter(may_crash);
             if let Some(changed_at) = attempts.map(|a| a.changed_at()).max() {
@@ -199,7 +198,7 @@
         let Some(entry) = slot.and_then(|slot| self.requests.get_mut(slot)) else {
             return;
         };
-        entry.is_sustained = true;
+        entry.response.is_sustained = true;
         let request = entry.request.clone();
         self.record_response(now, &request, out);
     }
@@ -211,7 +210,7 @@
         }
         let awaits = |entry: &RequestEntry| {
             let mut suspects = self.suspects_of(&entry.request);
-            entry.is_sustained && suspects.any(|s| self.evidence.awaits_response(s))
+            entry.response.is_sustained && suspects.any(|s| self.evidence.awaits_response(s))
         };
         let sustained = self.requests.iter().filter(|(_, entry)| awaits(entry));
         let requests: Vec<RoutingRequest> = sustained.map(|(_, e)| e.request.clone()).collect();
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -2,7 +2,12 @@
 
 use types::{Instant, Micros};
 
-use crate::{choose::Estimate, event::Action, requests::Phase, router::Router};
+use crate::{
+    choose::Estimate,
+    event::Action,
+    requests::{Phase, ResponseProgress},
+    router::Router,
+};
 
 impl Router {
     /// Sends a request to a backend server.
@@ -39,8 +44,7 @@
         entry.prefill_seconds = prefill_seconds;
         b.own_work += prefill_seconds;
         entry.dispatched = now;
-        entry.responds_since = None;
-        entry.is_sustained = false;
+        entry.response = ResponseProgress::default();
         // A trial is one dispatch; a repetition needs another one.
         entry.trial = None;
         entry.attempts += 1;
--- a/crates/route/src/dispatch_queue.rs
+++ b/crates/route/src/dispatch_queue.rs
@@ -5,11 +5,12 @@
 use crate::{
     blocking::SuspectAdmission,
     choose::Selection,
-    event::{Action, SuspectState},
+    event::Action,
     queue::Rank,
     requests::Phase,
     retry_after::RETRY_AFTER,
     router::{Router, Scope},
+    suspect::SuspectState,
 };
 
 /// Load of another data centre below which it gets requests that cannot be served here in time.
--- a/crates/route/src/evidence/mod.rs
+++ b/crates/route/src/evidence/mod.rs
@@ -1,4 +1,4 @@
-//! Evidence of what crashes backend servers.
+//! Evidence of what crashes backend servers: the model without suspect slots, see [`crate::crash`].
 //!
 //! A suspect is a part of prompts, or a whole request, that was in flight at a crash. One that was in
 //! flight at several crashes, without a response to any request that contains it since, is blocked. A
@@ -11,7 +11,7 @@
 use types::{Deadline, Instant, Micros};
 
 use self::entry::{Crash, Entry, insert_crash};
-use crate::event::{BlockedSuspect, CrashReport, Suspect, Verdict, VerdictCause};
+use crate::suspect::{BlockedSuspect, CrashReport, Suspect, Verdict, VerdictCause};
 
 pub(crate) use self::entry::VerdictChange;
 pub use self::trials::MAX_TRIALS;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -68,6 +68,7 @@
 mod settings;
 mod slots;
 mod slowdown;
+mod suspect;
 mod suspect_records;
 mod suspect_slot;
 mod takeover;
@@ -77,9 +78,8 @@
 
 pub use counts::Counts;
 pub use event::{
-    Action, BackendLoad, BackendRegistration, BlockedSuspect, CrashReport, CrashUpdate, Event,
-    Failure, Fingerprint, Liveness, RequestOptions, ResponseReport, RoutingRequest, Suspect,
-    SuspectRecord, SuspectState, Target, TrialReply, Verdict, VerdictCause,
+    Action, BackendLoad, BackendRegistration, Event, Failure, Fingerprint, Liveness,
+    RequestOptions, RoutingRequest, Target,
 };
 pub use evidence::MAX_TRIALS;
 pub use peer_load::SentLoad;
@@ -87,5 +87,9 @@
 pub use settings::{LatencyMetric, Settings};
 pub use slots::SlotTable;
 pub use slowdown::ObservedSlowdown;
+pub use suspect::{
+    BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect, SuspectRecord, SuspectState,
+    TrialReply, Verdict, VerdictCause,
+};
 pub use view::{BackendView, ModelDemand};
 pub use window::RetryLimits;
--- a/crates/route/src/overdue.rs
+++ b/crates/route/src/overdue.rs
@@ -62,6 +62,6 @@
             .as_secs_f64();
         let expected = f64::from(entry.expected) * OVERDUE_FACTOR;
         let late = silent > expected.max(MIN_OVERDUE.as_secs_f64());
-        (late && entry.responds_since.is_none()).then_some(backend)
+        (late && entry.response.since.is_none()).then_some(backend)
     }
 }
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -44,21 +44,27 @@
     }
 }
 
+/// What has arrived of the response to an attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ResponseProgress {
+    /// Time of the first byte.
+    pub since: Option<Instant>,
+    /// Whether data have arrived for a while.
+    pub is_sustained: bool,
+}
+
 /// Attempt of a request that has not ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptInProgress {
     pub phase: Phase,
     pub dispatched: Instant,
-    /// Start of the response.
-    pub responds_since: Option<Instant>,
-    /// Whether data of the response have arrived for a while.
-    pub is_sustained: bool,
+    pub response: ResponseProgress,
 }
 
 impl AttemptInProgress {
     /// Returns the time of its start or, later, of that of its response.
     pub(crate) fn changed_at(&self) -> Instant {
-        self.responds_since.unwrap_or(self.dispatched)
+        self.response.since.unwrap_or(self.dispatched)
     }
 }
 
@@ -88,10 +94,8 @@
     pub ran: Vec<u32>,
     /// Backend servers that failed the request.
     pub tried: Vec<TriedServer>,
-    /// Start of the response to the last attempt.
-    pub responds_since: Option<Instant>,
-    /// Whether data of the response to the last attempt have arrived for a while.
-    pub is_sustained: bool,
+    /// Response to the last attempt.
+    pub response: ResponseProgress,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
     pub retry: Option<RetryReason>,
@@ -126,14 +130,12 @@
         let current = AttemptInProgress {
             phase: self.phase,
             dispatched: self.dispatched,
-            responds_since: self.responds_since,
-            is_sustained: self.is_sustained,
+            response: self.response,
         };
         let stalled = self.stalled.map(|s| AttemptInProgress {
             phase: s.phase,
             dispatched: s.dispatched,
-            responds_since: s.responds_since,
-            is_sustained: s.is_sustained,
+            response: s.response,
         });
         std::iter::once(current).chain(stalled)
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,7 +12,7 @@
     counts::Counts,
     demand::Demand,
     departed::{DepartedServers, RemovedServers},
-    event::{Action, Event, Fingerprint, Suspect},
+    event::{Action, Event, Fingerprint},
     evidence::Evidence,
     names::NameIndex,
     peer_load::PeerLoad,
@@ -20,6 +20,7 @@
     remote::RemoteDc,
     requests::{Phase, RequestEntry, RequestTable},
     settings::{LatencyMetric, Settings},
+    suspect::Suspect,
     suspect_records::SuspectRecords,
     window::RetryWindow,
 };
@@ -251,7 +252,7 @@
             && let Some(entry) = self.requests.get_mut(slot)
         {
             entry.may_have_run = true;
-            entry.responds_since.get_or_insert(now);
+            entry.response.since.get_or_insert(now);
             if let Phase::Running { backend, .. } = entry.phase {
                 self.prefill_done(now, slot, backend);
             }
@@ -356,7 +357,7 @@
         let (phase, rank, model) = (entry.phase, entry.rank, entry.model);
         let as_suspect = entry.as_suspect;
         let abandoned =
-            abandon.then(|| self.abandoned_attempt(now, entry, phase, entry.is_sustained));
+            abandon.then(|| self.abandoned_attempt(now, entry, phase, entry.response.is_sustained));
         match phase {
             Phase::Queued => {
                 if self.queue.remove(rank) {
--- a/crates/route/src/slots.rs
+++ b/crates/route/src/slots.rs
@@ -2,7 +2,10 @@
 
 use types::{BackendId, Deadline, Instant, Micros};
 
-use crate::event::{Fingerprint, SuspectRecord, SuspectState};
+use crate::{
+    event::Fingerprint,
+    suspect::{SuspectRecord, SuspectState},
+};
 
 /// Table of the suspects that may run now.
 ///
--- a/crates/route/src/suspect_records.rs
+++ b/crates/route/src/suspect_records.rs
@@ -1,8 +1,11 @@
-//! Records of the requests that were in flight when a backend server crashed.
+//! Records of the requests that were in flight when a backend server crashed, used with suspect slots only.
 
 use types::{BackendId, Deadline, Incarnation, Instant};
 
-use crate::event::{Fingerprint, SuspectRecord, SuspectState};
+use crate::{
+    event::Fingerprint,
+    suspect::{SuspectRecord, SuspectState},
+};
 
 /// Suspect record with its expiry time.
 #[derive(Clone, Debug)]
--- a/crates/route/src/suspect_slot.rs
+++ b/crates/route/src/suspect_slot.rs
@@ -1,12 +1,9 @@
-//! Requests for suspect slots, in which suspect requests run one at a time.
+//! Requests for suspect slots, in which suspect requests run one at a time. [`crate::crash`] names the other model.
 
 use types::{Code, Deadline, Instant, Micros, RequestId};
 
 use crate::{
-    choose::Estimate,
-    event::{Action, SuspectState},
-    requests::Phase,
-    router::Router,
+    choose::Estimate, event::Action, requests::Phase, router::Router, suspect::SuspectState,
 };
 
 /// Interval before a suspect slot is requested again after a denial.
--- a/crates/route/src/takeover.rs
+++ b/crates/route/src/takeover.rs
@@ -8,7 +8,7 @@
 use crate::{
     choose::{Estimate, Selection},
     event::{Action, Failure},
-    requests::{Phase, RequestEntry},
+    requests::{Phase, RequestEntry, ResponseProgress},
     router::{AbandonedRequest, Router, Scope},
 };
 
@@ -27,8 +27,7 @@
     pub dispatched: Instant,
     pub baseline: f32,
     pub expected: f32,
-    pub responds_since: Option<Instant>,
-    pub is_sustained: bool,
+    pub response: ResponseProgress,
 }
 
 impl StalledAttempt {
@@ -72,8 +71,7 @@
                 dispatched: entry.dispatched,
                 baseline: entry.baseline,
                 expected: entry.expected,
-                responds_since: entry.responds_since,
-                is_sustained: entry.is_sustained,
+                response: entry.response,
             });
             entry.retry = Some(RetryReason::Silent);
         }
@@ -198,8 +196,7 @@
             entry.dispatched = stalled.dispatched;
             entry.baseline = stalled.baseline;
             entry.expected = stalled.expected;
-            entry.responds_since = stalled.responds_since;
-            entry.is_sustained = stalled.is_sustained;
+            entry.response = stalled.response;
         }
         if let Some(backend) = backend {
             self.dispatch_queued(now, Scope::Backend(backend), out);
@@ -211,7 +208,8 @@
         let stalled = self.requests.get_mut(slot)?.stalled.take()?;
         let backend = stalled.backend()?;
         let entry = self.requests.get(slot)?;
-        let abandoned = self.abandoned_attempt(now, entry, stalled.phase, stalled.is_sustained)?;
+        let abandoned =
+            self.abandoned_attempt(now, entry, stalled.phase, stalled.response.is_sustained)?;
         self.abandoned.push(AbandonedRequest {
             as_suspect: false,
             ..abandoned
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/trial.rs
@@ -1,10 +1,11 @@
-//! Trials of blocked suspects with single requests.
+//! Trials of suspects that the evidence blocks, with single requests.
 
 use types::{Deadline, Instant, Micros, RequestId};
 
 use crate::{
-    event::{Action, CrashUpdate, Suspect, TrialReply},
+    event::Action,
     router::{Router, Scope},
+    suspect::{CrashUpdate, Suspect, TrialReply},
 };
 
 /// Time from the request for a trial for which the grant is valid. A host that is delayed meanwhile must
