Show that sound parts stay blocked beside a crashing one

Cause: parts that were in flight at the same crashes are blocked together, and a blocked part is tried only with a request that contains no other blocked one.

--- a/review/kit/case_part.rs
+++ b/review/kit/case_part.rs
@@ -20,12 +20,12 @@
     worker::{Settings, unix_ms},
 };
 
-const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-chat","host":"floor.example","path_prefix":"/chat/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"priority":1,"service":"floor","max_attempts":1,"sticky":true,"resumable":false,"gap_aim_ms":300}],"services":[{"name":"floor","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity_tokens":249795,"kv_token_bytes":163840,"link_mbps":2200000.0,"moves":true,"backups":true,"stride":7,"max_allowed":12,"host_mb":150000.0,"disk_mb":450000.0,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"daka510000","weights_mb":72700.0,"load_s":2.2,"adapters":0,"adapter_mb":66.0,"warm_s":0.32,"disk_s":0.44}],"weights_mb":230000.0,"adapter_slots":5,"loads_per_s":1.4}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+pub const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r-chat","host":"floor.example","path_prefix":"/chat/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"priority":1,"service":"floor","max_attempts":1,"sticky":true,"resumable":false,"gap_aim_ms":300}],"services":[{"name":"floor","health_path":"/health","max_connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity_tokens":249795,"kv_token_bytes":163840,"link_mbps":2200000.0,"moves":true,"backups":true,"stride":7,"max_allowed":12,"host_mb":150000.0,"disk_mb":450000.0,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"daka510000","weights_mb":72700.0,"load_s":2.2,"adapters":0,"adapter_mb":66.0,"warm_s":0.32,"disk_s":0.44}],"weights_mb":230000.0,"adapter_slots":5,"loads_per_s":1.4}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
-const MODEL: &str = "daka510000";
+pub const MODEL: &str = "daka510000";
 
 /// Part that crashes workers.
-const PART: &str = "bad0c0de";
+pub const PART: &str = "bad0c0de";
 
 /// `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
@@ -43,7 +43,7 @@
 const PART_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Returns a request whose prompt has some shared parts, one more part if given, and a last one of its own.
-fn chat(id: &str, shared: usize, part: Option<&str>) -> Vec<u8> {
+pub fn chat(id: &str, shared: usize, part: Option<&str>) -> Vec<u8> {
     let mut parts: Vec<String> = (0..shared).map(|n| format!("5c1e{n:04x}:40")).collect();
     parts.extend(part.map(|p| format!("{p}:60")));
     parts.push(format!("{id}:20"));
@@ -56,7 +56,7 @@
 }
 
 /// Starts workers again some seconds after they have crashed, under new ids.
-fn supervise(mut workers: Vec<WorkerProcess>, stop: &AtomicBool) {
+pub fn supervise(mut workers: Vec<WorkerProcess>, stop: &AtomicBool) {
     let mut away: Vec<(Instant, Settings)> = Vec::new();
     let mut boots = 1;
     while !stop.load(Ordering::SeqCst) {
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -6,6 +6,7 @@
 mod case_cut;
 mod case_leaving;
 mod case_part;
+mod case_shared;
 mod json;
 mod net;
 mod proxy;
@@ -70,6 +71,7 @@
     let verdict = match case {
         "leaving" => case_leaving::run(trouble, &mut record),
         "board" => case_board::run(trouble, &mut record),
+        "shared" => case_shared::run(trouble, &mut record),
         "cut" => case_cut::run(trouble, &mut record),
         // Without the disruption no host is killed.
         "forgotten" => case_part::run(trouble, true, 2, &mut record),
