Show that a crashing request is cleared by other callers' requests

Cause: whole requests are suspects by path and body, without their caller, so that another caller's answer removes the crashes.

--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -3,6 +3,7 @@
 //! Ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case_board;
+mod case_caller;
 mod case_cut;
 mod case_leaving;
 mod case_part;
@@ -72,6 +73,7 @@
         "leaving" => case_leaving::run(trouble, &mut record),
         "board" => case_board::run(trouble, &mut record),
         "shared" => case_shared::run(trouble, &mut record),
+        "caller" => case_caller::run(trouble, &mut record),
         "cut" => case_cut::run(trouble, &mut record),
         // Without the disruption no host is killed.
         "forgotten" => case_part::run(trouble, true, 2, &mut record),
--- a/review/kit/worker.rs
+++ b/review/kit/worker.rs
@@ -43,7 +43,7 @@
     pub models: String,
     /// Whether it is a worker of an engine.
     pub engine: bool,
-    /// Part of prompts that crashes it as it begins to write an answer.
+    /// Part of prompts, or caller of a plain service, that crashes it as it begins to write an answer.
     pub crashing_part: String,
 }
 
@@ -266,6 +266,12 @@
         let id = request.header("attempt-id");
         self.record("runs", request);
         thread::sleep(Duration::from_millis(self.settings.gap_ms));
+        let crashing = &self.settings.crashing_part;
+        if !crashing.is_empty() && request.header("authorization") == format!("Bearer {crashing}") {
+            self.record("crashes", request);
+            conn.send(b"HTTP/1.1 200 OK\r\n")?;
+            std::process::abort();
+        }
         let headers = format!(
             "Attempt-Id: {id}\r\nServer-Seal: {}.{id}\r\n{leaving}",
             self.settings.id
