Forget ended processes in the stand-ins of the review

The end of a script must not signal an id that another process uses by now, and must not depend on a program for signals.

--- a/review/kit/site.rs
+++ b/review/kit/site.rs
@@ -25,21 +25,18 @@
 /// All processes that this program started, which the watchdog ends, too.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Ends every process that was started.
+/// Ends every process that was started and has not ended.
 pub fn kill_all() {
     for id in PROCESSES.lock().unwrap().drain(..) {
-        signal(id, "KILL");
+        let command = format!("kill -KILL {id}");
+        let mut shell = Command::new("bash");
+        drop(shell.args(["-c", &command]).stderr(Stdio::null()).status());
     }
 }
 
-/// Sends a signal to a process that this program started.
-fn signal(id: u32, name: &str) {
-    drop(
-        Command::new("kill")
-            .args([format!("-{name}"), id.to_string()])
-            .stderr(Stdio::null())
-            .status(),
-    );
+/// Forgets a process that has ended, as its id may be used again.
+fn forget(id: u32) {
+    PROCESSES.lock().unwrap().retain(|known| *known != id);
 }
 
 pub struct Host {
@@ -67,6 +64,7 @@
         if let Some(mut child) = self.child.take() {
             drop(child.kill());
             drop(child.wait());
+            forget(child.id());
         }
     }
 }
@@ -104,10 +102,15 @@
     pub fn kill(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
+        forget(self.child.id());
     }
 
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            forget(self.child.id());
+        }
+        has_ended
     }
 }
 
