--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -68,6 +68,11 @@
     pub(crate) async fn run(self) -> Result<OpenResponse, Failure> {
         let server = &self.server;
         let incarnation = self.shared.incarnation(&server.id);
+        let destination = Destination {
+            server: server.clone(),
+            incarnation,
+            request: self.inbound.info.id.clone(),
+        };
         let mut connection = self.connect().await?;
         let mut sent = self.send(&mut connection).await?;
         if matches!(sent, SendOutcome::NotSent) && connection.is_reused() {
@@ -81,10 +86,6 @@
             SendOutcome::NotSent => return Err(not_run_failure(RetryReason::Unreachable)),
             SendOutcome::ConnectionLost(e) => {
                 tracing::debug!(backend = %server.id, error = %e, "backend connection broke");
-                let destination = Destination {
-                    server: server.clone(),
-                    incarnation,
-                };
                 let reason = RetryReason::ConnectionLost;
                 let reason = self.shared.diagnose(&destination, reason).await;
                 return Err(may_have_run_failure(reason));
@@ -114,10 +115,7 @@
                     .then(|| PortCheck::start(&self.shared.pool, &connection, server.addr));
                 Ok(OpenResponse {
                     backend: server.id.clone(),
-                    destination: Destination {
-                        server: server.clone(),
-                        incarnation,
-                    },
+                    destination,
                     head,
                     body,
                     connection,
--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Destination {
     pub(crate) server: Server,
     pub(crate) incarnation: Option<Incarnation>,
+    /// Id of the caller's request, for the log.
+    pub(crate) request: String,
 }
 
 /// Status of a server after one of its connections has ended.
@@ -200,7 +202,7 @@
 fn record_status(destination: &Destination, status: ServerStatus) {
     let label = status.label();
     counter!(STATUS_COUNTER, "judgement" => label).increment(1);
-    log::connection_ended(&destination.server.id, destination.incarnation, label);
+    log::connection_ended(destination, label);
 }
 
 /// Returns whether only the end of the connection marks the end of the body, so that a crash looks the
--- a/crates/gate/src/proxy/log.rs
+++ b/crates/gate/src/proxy/log.rs
@@ -4,9 +4,13 @@
 //! documentation lists them.
 
 use route::{Failure, Suspect, Target, Verdict};
-use types::{AdapterId, Announcement, BackendId, Incarnation, Micros, RetryReason};
+use types::{AdapterId, Announcement, BackendId, Micros, RetryReason};
 
-use crate::{dispatcher::first_suspects, proxy::inbound::Inbound, record::millis};
+use crate::{
+    dispatcher::first_suspects,
+    proxy::{inbound::Inbound, liveness::Destination},
+    record::millis,
+};
 
 /// Returns the requested model and adapter, or empty strings.
 fn target_names(inbound: &Inbound) -> (&str, &str) {
@@ -63,13 +67,12 @@
 }
 
 /// Logs the status of a server whose connection ended within a response.
-pub(crate) fn connection_ended(
-    backend: &BackendId,
-    incarnation: Option<Incarnation>,
-    status: &str,
-) {
-    let life = incarnation.map(|i| i.to_string());
-    tracing::info!(belief = "backend", %backend, life, judgement = status, "connection ended");
+pub(crate) fn connection_ended(destination: &Destination, status: &str) {
+    let (request, backend) = (&destination.request, &destination.server.id);
+    let life = destination.incarnation.map(|i| i.to_string());
+    tracing::info!(
+        belief = "backend", request, %backend, life, judgement = status, "connection ended"
+    );
 }
 
 /// Logs the first announcement of a backend server that it leaves.
