Take half a response of a terminated server for what it is

Cause: a server that leaves and refuses connections counted as one that had stopped as planned, whatever it had said of its end. The time that it names was decoded and used nowhere.

The registry stores the earliest time at which a server may be terminated: the named time counts from the read before the notice, as nobody knows how long the notice was on its way. An end from then on, after which neither the port nor another connection is open, counts as an interruption. An address that stays silent, without another open connection, is no reason to believe in a whole response either.

--- a/crates/celerytally/src/entry/fleet_state.rs
+++ b/crates/celerytally/src/entry/fleet_state.rs
@@ -413,10 +413,15 @@
             control.set_services(table.services().to_vec());
             control.set_registrations(registered.iter().map(|r| (*r).clone()).collect());
         }
+        let now = BootTime.now();
         for registration in registered {
+            let terminates_at = registry.terminates_at(&registration.id);
             self.proxy.dispatcher().feed(Event::Registered {
                 backend: registration.id.clone(),
-                registration: backend_registration(registration),
+                registration: BackendRegistration {
+                    terminates_in: terminates_at.map(|at| at.remaining(now)),
+                    ..backend_registration(registration)
+                },
             });
         }
     }
@@ -428,6 +433,7 @@
     BackendRegistration {
         incarnation: registration.state.incarnation,
         leaving: registration.leaving,
+        terminates_in: registration.terminates_in,
         models: models.iter().map(|m| m.id.clone()).collect(),
         adapters: adapters.collect(),
     }
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -40,6 +40,11 @@
     fn is_leaving(&self, _backend: &BackendId) -> bool {
         false
     }
+
+    /// Returns whether the time that a backend server named for its termination may be over.
+    fn may_be_terminated(&self, _now: Instant, _backend: &BackendId) -> bool {
+        false
+    }
 }
 
 impl StateMachine for route::Router {
@@ -58,6 +63,10 @@
     fn is_leaving(&self, backend: &BackendId) -> bool {
         Self::is_leaving(self, backend)
     }
+
+    fn may_be_terminated(&self, now: Instant, backend: &BackendId) -> bool {
+        Self::may_be_terminated(self, now, backend)
+    }
 }
 
 /// Safety checks of the gate. Tests disable them one at a time to show that each is needed.
@@ -215,6 +224,11 @@
         lock(&self.0.router).is_leaving(backend)
     }
 
+    pub(crate) fn may_be_terminated(&self, backend: &BackendId) -> bool {
+        let now = self.0.clock.now();
+        lock(&self.0.router).may_be_terminated(now, backend)
+    }
+
     pub(crate) fn checks(&self) -> Checks {
         self.0.checks
     }
--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -401,8 +401,8 @@
         if ends_with_connection(&self.inbound.head.method, &head) {
             end = self.shared.unmarked_end(&destination, port).await;
         }
-        if end == UnmarkedEnd::Crash {
-            self.report_failure(&backend, may_have_run_failure(RetryReason::Crash));
+        if let Some(reason) = end.failure() {
+            self.report_failure(&backend, may_have_run_failure(reason));
             return None;
         }
         keep(&self.shared.pool, connection, &head);
@@ -410,7 +410,7 @@
             backend,
             head,
             body,
-            is_harmless: end == UnmarkedEnd::Alive,
+            is_harmless: end.is_harmless(),
         };
         let is_refusal = implies_not_run(whole.head.status);
         if self.is_untrue(whole.head.status) {
--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -3,6 +3,8 @@
 //! A refused connection alone does not show a crash: a server that stops as planned closes its port first,
 //! finishes its responses and ends. Any other connection to the server that is still open shows that its
 //! process is alive, as the kernel closes all connections of a process that ends.
+//!
+//! A server that leaves may be ended within its responses, too: when the time that it named is over.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -22,6 +24,10 @@
 /// Time after which all connections of a process that has ended are seen as closed.
 const CONNECTIONS_CLOSE_TIME: Duration = Duration::from_millis(10);
 
+/// Number of connection attempts without a response after which an address counts as silent. One packet may
+/// be lost on the way.
+const SILENT_ATTEMPTS: u32 = 2;
+
 /// Counter of servers whose connections ended within a response, by their status.
 const STATUS_COUNTER: &str = "celerytally_broken_response_judgements_total";
 
@@ -39,14 +45,16 @@
 pub(crate) enum ServerStatus {
     /// It accepts connections.
     Accepts,
-    /// It neither accepts nor refuses connections.
-    Unreachable,
-    /// It refuses connections and is leaving, so that it may have ended as planned.
-    Leaves,
-    /// It refuses connections but keeps others open.
+    /// It accepts no connections but keeps others open.
     StopsListening,
-    /// It refused a connection already during the response.
+    /// It is leaving, and has closed all connections.
+    Leaves,
+    /// It refused a connection already during the response, and has closed all others.
     HadStoppedListening,
+    /// It stops, has closed all connections, and the time that it named may be over.
+    Terminated,
+    /// It neither accepts nor refuses connections, and no other connection to it is open.
+    Unreachable,
     /// It refuses connections and has closed all others.
     Crashed,
 }
@@ -56,21 +64,55 @@
 pub(crate) enum UnmarkedEnd {
     /// The server has crashed; the response is incomplete.
     Crash,
-    /// The server was alive afterwards.
+    /// The server was ended within its work, or nothing shows that it has finished; the response counts as
+    /// incomplete.
+    Interruption,
+    /// The server was alive afterwards; the response is complete.
     Alive,
-    /// Nothing shows a crash, but the server may have ended.
+    /// The server stops and keeps other connections; the response is complete.
+    Finished,
+    /// The server stops and has ended; the response is complete if it ended as planned.
     Unclear,
 }
 
+impl UnmarkedEnd {
+    /// Returns the failure of the attempt if the response counts as incomplete.
+    pub(crate) fn failure(self) -> Option<RetryReason> {
+        match self {
+            Self::Crash => Some(RetryReason::Crash),
+            Self::Interruption => Some(RetryReason::Truncated),
+            Self::Alive | Self::Finished | Self::Unclear => None,
+        }
+    }
+
+    /// Returns whether the server was alive after the response, so that the request does not crash servers.
+    pub(crate) fn is_harmless(self) -> bool {
+        self == Self::Alive
+    }
+}
+
+impl From<ServerStatus> for UnmarkedEnd {
+    fn from(status: ServerStatus) -> Self {
+        match status {
+            ServerStatus::Accepts => Self::Alive,
+            ServerStatus::StopsListening => Self::Finished,
+            ServerStatus::Leaves | ServerStatus::HadStoppedListening => Self::Unclear,
+            ServerStatus::Terminated | ServerStatus::Unreachable => Self::Interruption,
+            ServerStatus::Crashed => Self::Crash,
+        }
+    }
+}
+
 impl ServerStatus {
     /// Returns the value in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
             Self::Accepts => "accepts",
-            Self::Unreachable => "unreachable",
-            Self::Leaves => "leaves",
             Self::StopsListening => "stops_listening",
+            Self::Leaves => "leaves",
             Self::HadStoppedListening => "had_stopped_listening",
+            Self::Terminated => "terminated",
+            Self::Unreachable => "unreachable",
             Self::Crashed => "crashed",
         }
     }
@@ -113,9 +155,16 @@
     }
 }
 
+/// Response of a server's port to a connection attempt.
+enum Port {
+    Accepts,
+    Refuses,
+    Silent,
+}
+
 impl<R: StateMachine, N: Peers, C: HeaderCodec> Shared<R, N, C> {
-    /// Returns the reason of a failure after the connection to a server broke: the given one, unless the
-    /// server has crashed.
+    /// Returns the reason of a failure after a response broke off within its framing: the given one, unless
+    /// the server has crashed.
     ///
     /// The head of a response does not show that its server is alive: it may crash as it writes the body.
     pub(crate) async fn diagnose(
@@ -123,7 +172,7 @@
         destination: &Destination,
         reason: RetryReason,
     ) -> RetryReason {
-        match self.check_server(destination).await {
+        match self.check_server(destination, false).await {
             ServerStatus::Crashed => RetryReason::Crash,
             _ => reason,
         }
@@ -131,7 +180,7 @@
 
     /// Returns what ended a response whose end is marked only by that of its connection.
     ///
-    /// An orderly close ends the response unless the server has crashed: what a
+    /// An orderly close ends the response unless the server was ended within it: what a
     /// stopping server has finished is complete.
     pub(crate) async fn unmarked_end(
         &self,
@@ -142,20 +191,17 @@
             Some(port) => port.was_refused().await,
             None => false,
         };
-        if had_stopped_listening {
-            record_status(destination, ServerStatus::HadStoppedListening);
-            return UnmarkedEnd::Unclear;
-        }
-        match self.check_server(destination).await {
-            ServerStatus::Crashed => UnmarkedEnd::Crash,
-            ServerStatus::Accepts => UnmarkedEnd::Alive,
-            _ => UnmarkedEnd::Unclear,
-        }
+        let status = self.check_server(destination, had_stopped_listening);
+        status.await.into()
     }
 
     /// Determines and records the status of a server, and reports a crash to the router.
-    async fn check_server(&self, destination: &Destination) -> ServerStatus {
-        let status = self.probe(destination).await;
+    async fn check_server(
+        &self,
+        destination: &Destination,
+        had_stopped_listening: bool,
+    ) -> ServerStatus {
+        let status = self.probe(destination, had_stopped_listening).await;
         record_status(destination, status);
         // If the incarnation is unknown, the router learns of the crash from the failed attempt alone.
         if status == ServerStatus::Crashed
@@ -170,24 +216,49 @@
     }
 
     /// Determines the status of a server by opening a connection to it.
-    async fn probe(&self, destination: &Destination) -> ServerStatus {
-        let server = &destination.server;
-        match self.pool.open(server.addr).await {
-            Ok(connection) => {
-                self.pool.release(connection, None);
-                return ServerStatus::Accepts;
-            }
-            Err(e) if e.is_refused() => {}
-            Err(_unreachable) => return ServerStatus::Unreachable,
-        }
-        if self.is_leaving(destination) {
-            return ServerStatus::Leaves;
+    async fn probe(&self, destination: &Destination, had_stopped_listening: bool) -> ServerStatus {
+        let port = self.probe_port(destination.server.addr).await;
+        match port {
+            // Another process listens there by now.
+            Port::Accepts if had_stopped_listening => return ServerStatus::HadStoppedListening,
+            Port::Accepts => return ServerStatus::Accepts,
+            Port::Refuses | Port::Silent => {}
         }
         sleep(CONNECTIONS_CLOSE_TIME).await;
-        if self.pool.has_open_connection(server.addr) {
-            ServerStatus::StopsListening
-        } else {
-            ServerStatus::Crashed
+        if self.pool.has_open_connection(destination.server.addr) {
+            return ServerStatus::StopsListening;
+        }
+        let id = &destination.server.id;
+        let leaves = self.is_leaving(destination);
+        if leaves && self.dispatcher.may_be_terminated(id) {
+            return ServerStatus::Terminated;
+        }
+        match port {
+            _ if leaves => ServerStatus::Leaves,
+            _ if had_stopped_listening => ServerStatus::HadStoppedListening,
+            Port::Silent => ServerStatus::Unreachable,
+            Port::Accepts | Port::Refuses => ServerStatus::Crashed,
+        }
+    }
+
+    /// Opens a connection to a server, and keeps it for requests.
+    async fn probe_port(&self, addr: SocketAddr) -> Port {
+        let mut silent = 0;
+        loop {
+            match self.pool.open(addr).await {
+                Ok(connection) => {
+                    self.pool.release(connection, None);
+                    return Port::Accepts;
+                }
+                Err(e) if e.is_refused() => return Port::Refuses,
+                Err(e) => {
+                    tracing::debug!(%addr, error = %e, "backend port check failed");
+                    silent += 1;
+                    if silent == SILENT_ATTEMPTS {
+                        return Port::Silent;
+                    }
+                }
+            }
         }
     }
 
--- a/crates/gate/src/proxy/relay/end.rs
+++ b/crates/gate/src/proxy/relay/end.rs
@@ -3,16 +3,11 @@
 use bytes::Bytes;
 use types::RetryReason;
 
-use super::{Origin, StreamRelay};
+use super::{Origin, Part, StreamRelay};
 use crate::{
     dispatcher::StateMachine,
     peers::Peers,
-    proxy::{
-        attempt::keep,
-        codec::HeaderCodec,
-        events::ends_event,
-        liveness::{UnmarkedEnd, is_framed},
-    },
+    proxy::{attempt::keep, codec::HeaderCodec, events::ends_event, liveness::is_framed},
     record::End,
 };
 
@@ -34,29 +29,30 @@
         self.response.as_ref().is_some_and(|r| is_framed(&r.head))
     }
 
-    /// Returns why the end of the current response is not that of the stream, if it is not.
+    /// Returns what follows the end of the current response: the end of the stream, or a failure.
     ///
-    /// Without a length, the response of a server that crashes between two events ends like a complete
+    /// Without a length, the response of a server that is ended between two events ends like a complete
     /// one.
-    pub(super) async fn failure_at_end(&mut self) -> Option<RetryReason> {
+    pub(super) async fn part_at_end(&mut self) -> Part {
         if self.ends_early() {
-            return Some(RetryReason::Truncated);
+            return Part::Failed(RetryReason::Truncated);
         }
         if self.is_framed() {
-            return None;
+            return Part::End;
         }
-        let response = self.response.as_mut()?;
+        let Some(response) = self.response.as_mut() else {
+            return Part::End;
+        };
         let (port, destination) = (response.port.take(), response.destination.clone());
-        let shared = &self.exchange.shared;
-        self.end = shared.unmarked_end(&destination, port).await;
-        (self.end == UnmarkedEnd::Crash).then_some(RetryReason::Crash)
+        self.end = self.exchange.shared.unmarked_end(&destination, port).await;
+        self.end.failure().map_or(Part::End, Part::Failed)
     }
 
     /// Records the end of the stream and returns the bytes after its last complete event.
     pub(super) fn finish(&mut self) -> Option<Bytes> {
         let response = self.response.take()?;
         let exchange = &mut self.exchange;
-        let is_harmless = self.end == UnmarkedEnd::Alive;
+        let is_harmless = self.end.is_harmless();
         exchange.finish(&response.backend, true, is_harmless);
         let status = response.head.status.as_u16();
         keep(&exchange.shared.pool, response.connection, &response.head);
--- a/crates/gate/src/proxy/relay/plain.rs
+++ b/crates/gate/src/proxy/relay/plain.rs
@@ -111,10 +111,7 @@
                 let check = response.port.take();
                 let end = shared.unmarked_end(&response.destination, check).await;
                 self.end = end;
-                match end {
-                    UnmarkedEnd::Crash => Part::Failed(RetryReason::Crash),
-                    UnmarkedEnd::Alive | UnmarkedEnd::Unclear => Part::End,
-                }
+                end.failure().map_or(Part::End, Part::Failed)
             }
             part => part,
         })
@@ -127,7 +124,7 @@
         };
         let exchange = &mut self.exchange;
         let status = response.head.status;
-        let is_harmless = self.end == UnmarkedEnd::Alive;
+        let is_harmless = self.end.is_harmless();
         exchange.finish(&response.backend, !status.is_server_error(), is_harmless);
         keep(&exchange.shared.pool, response.connection, &response.head);
         exchange.record.end(&End::Answered {
--- a/crates/registry/src/entries.rs
+++ b/crates/registry/src/entries.rs
@@ -69,6 +69,8 @@
     revision: StoreRevision,
     /// Time until which the entry is retained although the platform has no such entry.
     retained_until: Option<Deadline>,
+    /// Earliest time at which the server may be terminated, if it named one.
+    terminates_at: Option<Deadline>,
 }
 
 /// Registered backend servers, as known to this host.
@@ -104,6 +106,13 @@
         Some(&self.entries[at].registration)
     }
 
+    /// Returns the earliest time at which a backend server may be terminated, if it named one.
+    #[must_use]
+    pub fn terminates_at(&self, id: &BackendId) -> Option<Deadline> {
+        let at = self.position(id).ok()?;
+        self.entries[at].terminates_at
+    }
+
     fn position(&self, id: &BackendId) -> Result<usize, usize> {
         self.entries.binary_search_by(|e| e.registration.id.cmp(id))
     }
@@ -144,6 +153,7 @@
         read: ReadPoint,
         listed: Vec<RevisedRegistration>,
     ) -> Applied {
+        let unchanged_at = self.last_read_at();
         if !self.advance(now, read) {
             return Applied::Outdated;
         }
@@ -158,7 +168,7 @@
             changed |= self.remove(now, &id);
         }
         for registration in listed {
-            changed |= self.upsert(registration);
+            changed |= self.upsert(registration, unchanged_at);
         }
         changed.into()
     }
@@ -170,19 +180,25 @@
         read: ReadPoint,
         changes: Vec<EntryChange>,
     ) -> Applied {
+        let unchanged_at = self.last_read_at();
         if !self.advance(now, read) {
             return Applied::Outdated;
         }
         let mut has_effect = false;
         for change in changes {
             has_effect |= match change {
-                EntryChange::Set(registration) => self.upsert(registration),
+                EntryChange::Set(registration) => self.upsert(registration, unchanged_at),
                 EntryChange::Removed(id) => self.remove(now, &id),
             };
         }
         has_effect.into()
     }
 
+    /// Returns the time of the last read, after which all that is newer was written.
+    fn last_read_at(&self) -> Instant {
+        self.last_read.map_or(Instant::ZERO, |read| read.at)
+    }
+
     /// Starts applying a read; returns false if it is older than the last one.
     fn advance(&mut self, now: Instant, read: ReadPoint) -> bool {
         let last = match self.last_read {
@@ -233,16 +249,24 @@
         Some(removed.filter(|id| !self.is_listed(id)).collect())
     }
 
-    fn upsert(&mut self, new: RevisedRegistration) -> bool {
-        let entry = Entry {
+    /// Applies a registration that was written after a time.
+    fn upsert(&mut self, new: RevisedRegistration, written_after: Instant) -> bool {
+        let terminates_in = new.registration.terminates_in;
+        let mut entry = Entry {
             registration: new.registration,
             revision: new.revision,
             retained_until: None,
+            // How long the registration was on its way is not known, so the earliest time counts.
+            terminates_at: terminates_in.map(|time| Deadline::after(written_after, time)),
         };
         match self.position(&entry.registration.id) {
             Ok(at) if entry.revision < self.entries[at].revision => false,
             Ok(at) => {
-                let changed = self.entries[at].registration != entry.registration;
+                let known = &self.entries[at];
+                if known.registration.state.incarnation == entry.registration.state.incarnation {
+                    entry.terminates_at = earliest(known.terminates_at, entry.terminates_at);
+                }
+                let changed = known.registration != entry.registration;
                 self.entries[at] = entry;
                 changed
             }
@@ -289,3 +313,7 @@
         self.entries.len() < before
     }
 }
+
+fn earliest(a: Option<Deadline>, b: Option<Deadline>) -> Option<Deadline> {
+    a.into_iter().chain(b).min()
+}
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -55,6 +55,8 @@
     pub registered_incarnation: Option<Incarnation>,
     pub liveness: Liveness,
     pub leaving_by: Option<LeavingBy>,
+    /// Earliest time at which the process may be terminated, whatever it runs.
+    pub terminates_at: Deadline,
     /// Time until which the server gets no work after it refused a request or could not be reached.
     pub cooldown_until: Deadline,
     /// Time until which the server wants no requests from this host.
@@ -112,6 +114,7 @@
             registered_incarnation: None,
             liveness: Liveness::Live,
             leaving_by: None,
+            terminates_at: Deadline::NEVER,
             cooldown_until: Deadline::at(Instant::ZERO),
             held_off_until: Deadline::at(Instant::ZERO),
             unreachable: 0,
@@ -213,6 +216,7 @@
         }
         if self.incarnation.is_some() {
             self.ended_incarnation = self.incarnation;
+            self.terminates_at = Deadline::NEVER;
             self.prefixes.clear();
             self.held_off_until = Deadline::at(Instant::ZERO);
             self.cooldown_until = Deadline::at(Instant::ZERO);
--- a/crates/route/src/departed.rs
+++ b/crates/route/src/departed.rs
@@ -20,6 +20,7 @@
     id: BackendId,
     incarnation: Incarnation,
     leaving_by: Option<LeavingBy>,
+    terminates_at: Deadline,
     held_off_until: Deadline,
     until: Deadline,
 }
@@ -43,6 +44,7 @@
             id: id.clone(),
             incarnation,
             leaving_by: removed.leaving_by,
+            terminates_at: removed.terminates_at,
             held_off_until: removed.held_off_until,
             until: Deadline::after(now, DEPARTED_TTL),
         };
@@ -55,6 +57,12 @@
         at.is_ok_and(|at| self.0[at].leaving_by.is_some())
     }
 
+    /// Returns whether a removed server may have been terminated, by the time that it had named.
+    pub(crate) fn may_be_terminated(&self, now: Instant, id: &BackendId) -> bool {
+        let at = self.0.binary_search_by(|d| d.id.cmp(id));
+        at.is_ok_and(|at| self.0[at].terminates_at.is_past(now))
+    }
+
     /// Restores what a server announced before its entry was removed; a registration of another
     /// incarnation clears it.
     pub(crate) fn restore(&mut self, now: Instant, id: &BackendId, backend: &mut Backend) {
@@ -67,6 +75,7 @@
         }
         backend.incarnation = Some(departed.incarnation);
         backend.held_off_until = departed.held_off_until;
+        backend.terminates_at = departed.terminates_at;
         if departed.leaving_by == Some(LeavingBy::Server) {
             backend.liveness = Liveness::Leaving;
             backend.leaving_by = Some(LeavingBy::Server);
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -131,6 +131,8 @@
     pub incarnation: Incarnation,
     /// Whether it accepts no new work.
     pub leaving: bool,
+    /// Time after which the server may be terminated, whatever it runs, if it named one.
+    pub terminates_in: Option<Micros>,
     /// Models that it serves.
     pub models: Vec<ModelId>,
     /// Adapters that it served at the time of the registration.
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -292,6 +292,9 @@
         }
         self.record_replaced(now, id, before, registration.incarnation, out);
         let b = &mut self.backends[backend as usize];
+        if let Some(time) = registration.terminates_in {
+            b.terminates_at = b.terminates_at.min(Deadline::after(now, time));
+        }
         if registration.leaving {
             b.set_leaving(LeavingBy::Server);
         } else if b.leaving_by.is_none() {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns whether the time that a backend server named for its termination may be over.
+    #[must_use]
+    pub fn may_be_terminated(&self, now: Instant, id: &BackendId) -> bool {
+        let index = self.names.as_ref().and_then(|names| names.backend(id));
+        match index.and_then(|at| self.backends.get(at as usize)) {
+            Some(b) => b.terminates_at.is_past(now),
+            None => self.departed.may_be_terminated(now, id),
+        }
+    }
+
     /// Returns the view of every configured backend server, sorted by name.
     pub fn backends(&self, now: Instant) -> impl Iterator<Item = BackendView<'_>> {
         let servers = self.names.iter().flat_map(|n| &n.deployment().backends);
