Use the other responses and the closing port as signs of an interruption

Half a response without a length passed as a whole one in two more ways.

A server that leaves and named no time, or that had stopped listening, is ended within its work. Its responses with a length or chunks break off at the same moment, which shows that it had not finished, and nobody looked. A broken response is kept for a second, and one within 50 ms of an unmarked end makes that an interruption. A request that was lost without a response counts only after 50 ms, as a stopping server closes idle connections.

The port of a process that ends may close after its connections. An accepted connection must stay open for 10 ms now; if it does not, the port is asked again, so that a server that closes connections above its limit still counts as alive.

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -133,6 +133,12 @@
         self.reused
     }
 
+    /// Returns whether the connection is open, as far as its task has seen.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.state.waits_for_data()
+    }
+
     /// Records that the server refused a request on the connection.
     ///
     /// The connection stays usable for other requests. The same request must not be sent on it again,
--- a/crates/gate/src/proxy/attempt.rs
+++ b/crates/gate/src/proxy/attempt.rs
@@ -74,6 +74,7 @@
             request: self.inbound.info.id.clone(),
         };
         let mut connection = self.connect().await?;
+        let sent_at = self.shared.clock.now();
         let mut sent = self.send(&mut connection).await?;
         if matches!(sent, SendOutcome::NotSent) && connection.is_reused() {
             // The server closed the idle connection before any part of the request was sent.
@@ -86,8 +87,8 @@
             SendOutcome::NotSent => return Err(not_run_failure(RetryReason::Unreachable)),
             SendOutcome::ConnectionLost(e) => {
                 tracing::debug!(backend = %server.id, error = %e, "backend connection broke");
-                let reason = RetryReason::ConnectionLost;
-                let reason = self.shared.diagnose(&destination, reason).await;
+                let ran_for = self.shared.clock.now().since(sent_at);
+                let reason = self.shared.diagnose_lost(&destination, ran_for).await;
                 return Err(may_have_run_failure(reason));
             }
         };
--- a/crates/gate/src/proxy/liveness.rs
+++ b/crates/gate/src/proxy/liveness.rs
@@ -4,16 +4,21 @@
 //! finishes its responses and ends. Any other connection to the server that is still open shows that its
 //! process is alive, as the kernel closes all connections of a process that ends.
 //!
-//! A server that leaves may be ended within its responses, too: when the time that it named is over.
+//! A server that leaves may be ended within its responses, too: when the time that it named is over, or
+//! by a crash, which breaks off its other responses at the same moment.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use engine::{Connection, Pool, Server};
 use http::{HeaderValue, Method, StatusCode, header, response};
 use metrics::counter;
 use route::Event;
 use tokio::{task::JoinHandle, time::sleep};
-use types::{Incarnation, RetryReason};
+use types::{BackendId, Clock, Incarnation, Instant, Micros, RetryReason};
 
 use crate::{
     dispatcher::StateMachine,
@@ -24,6 +29,16 @@
 /// Time after which all connections of a process that has ended are seen as closed.
 const CONNECTIONS_CLOSE_TIME: Duration = Duration::from_millis(10);
 
+/// Time limit between the ends of connections that one event ended, as their tasks see them.
+const SAME_MOMENT: Micros = Micros::from_millis(50);
+
+/// Time for which a broken response is kept, longer than a check of its server takes.
+const BREAK_RETENTION: Micros = Micros::from_secs(1);
+
+/// Time after which a request was lost within its run. A server that stops closes idle connections, and a
+/// request that arrives on one right then is lost at once.
+const MAX_IDLE_CLOSE_TIME: Micros = Micros::from_millis(50);
+
 /// Number of connection attempts without a response after which an address counts as silent. One packet may
 /// be lost on the way.
 const SILENT_ATTEMPTS: u32 = 2;
@@ -53,6 +68,8 @@
     HadStoppedListening,
     /// It stops, has closed all connections, and the time that it named may be over.
     Terminated,
+    /// It stops, has closed all connections, and broke off another response at that moment.
+    Interrupted,
     /// It neither accepts nor refuses connections, and no other connection to it is open.
     Unreachable,
     /// It refuses connections and has closed all others.
@@ -97,7 +114,9 @@
             ServerStatus::Accepts => Self::Alive,
             ServerStatus::StopsListening => Self::Finished,
             ServerStatus::Leaves | ServerStatus::HadStoppedListening => Self::Unclear,
-            ServerStatus::Terminated | ServerStatus::Unreachable => Self::Interruption,
+            ServerStatus::Terminated | ServerStatus::Interrupted | ServerStatus::Unreachable => {
+                Self::Interruption
+            }
             ServerStatus::Crashed => Self::Crash,
         }
     }
@@ -112,6 +131,7 @@
             Self::Leaves => "leaves",
             Self::HadStoppedListening => "had_stopped_listening",
             Self::Terminated => "terminated",
+            Self::Interrupted => "interrupted",
             Self::Unreachable => "unreachable",
             Self::Crashed => "crashed",
         }
@@ -172,12 +192,29 @@
         destination: &Destination,
         reason: RetryReason,
     ) -> RetryReason {
+        self.breaks.record(self.clock.now(), destination);
         match self.check_server(destination, false).await {
             ServerStatus::Crashed => RetryReason::Crash,
             _ => reason,
         }
     }
 
+    /// Returns the reason of a failure after a connection was lost before the head of the response, some
+    /// time after the request was sent.
+    pub(crate) async fn diagnose_lost(
+        &self,
+        destination: &Destination,
+        ran_for: Micros,
+    ) -> RetryReason {
+        if ran_for > MAX_IDLE_CLOSE_TIME {
+            self.breaks.record(self.clock.now(), destination);
+        }
+        match self.check_server(destination, false).await {
+            ServerStatus::Crashed => RetryReason::Crash,
+            _ => RetryReason::ConnectionLost,
+        }
+    }
+
     /// Returns what ended a response whose end is marked only by that of its connection.
     ///
     /// An orderly close ends the response unless the server was ended within it: what a
@@ -217,6 +254,7 @@
 
     /// Determines the status of a server by opening a connection to it.
     async fn probe(&self, destination: &Destination, had_stopped_listening: bool) -> ServerStatus {
+        let since = self.clock.now();
         let port = self.probe_port(destination.server.addr).await;
         match port {
             // Another process listens there by now.
@@ -233,6 +271,10 @@
         if leaves && self.dispatcher.may_be_terminated(id) {
             return ServerStatus::Terminated;
         }
+        let stops = leaves || had_stopped_listening;
+        if stops && self.breaks.has_recent(since, destination) {
+            return ServerStatus::Interrupted;
+        }
         match port {
             _ if leaves => ServerStatus::Leaves,
             _ if had_stopped_listening => ServerStatus::HadStoppedListening,
@@ -241,14 +283,23 @@
         }
     }
 
-    /// Opens a connection to a server, and keeps it for requests.
+    /// Opens a connection to a server, and keeps it for requests if it stays open.
+    ///
+    /// The kernel may accept a connection for a process that is about to end, and closes it then.
     async fn probe_port(&self, addr: SocketAddr) -> Port {
         let mut silent = 0;
+        let mut closed = false;
         loop {
             match self.pool.open(addr).await {
+                // The server accepts connections and closes those above its limit.
+                Ok(_connection) if closed => return Port::Accepts,
                 Ok(connection) => {
-                    self.pool.release(connection, None);
-                    return Port::Accepts;
+                    sleep(CONNECTIONS_CLOSE_TIME).await;
+                    if connection.is_open() {
+                        self.pool.release(connection, None);
+                        return Port::Accepts;
+                    }
+                    closed = true;
                 }
                 Err(e) if e.is_refused() => return Port::Refuses,
                 Err(e) => {
@@ -269,6 +320,46 @@
     }
 }
 
+/// Last time at which a server broke off a response within its framing.
+#[derive(Debug)]
+struct Break {
+    backend: BackendId,
+    incarnation: Option<Incarnation>,
+    at: Instant,
+}
+
+/// Servers that broke off a response lately, sorted by id.
+#[derive(Debug, Default)]
+pub(crate) struct RecentBreaks(Mutex<Vec<Break>>);
+
+impl RecentBreaks {
+    fn record(&self, now: Instant, destination: &Destination) {
+        let mut breaks = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = &destination.server.id;
+        breaks.retain(|b| now.since(b.at) <= BREAK_RETENTION && b.backend != *id);
+        let at = breaks.partition_point(|b| b.backend < *id);
+        breaks.insert(
+            at,
+            Break {
+                backend: id.clone(),
+                incarnation: destination.incarnation,
+                at: now,
+            },
+        );
+    }
+
+    /// Returns whether a server has broken off a response at about the given time or since.
+    fn has_recent(&self, time: Instant, destination: &Destination) -> bool {
+        let breaks = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = &destination.server.id;
+        let found = breaks.binary_search_by(|b| b.backend.cmp(id));
+        found.is_ok_and(|at| {
+            let last = &breaks[at];
+            last.incarnation == destination.incarnation && time.since(last.at) <= SAME_MOMENT
+        })
+    }
+}
+
 /// Counts and logs the status of a server whose connection ended.
 fn record_status(destination: &Destination, status: ServerStatus) {
     let label = status.label();
--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -52,6 +52,7 @@
         exchange::{CompleteResponse, Exchange, ReadResponse, not_run},
         headers::end_to_end,
         inbound::Inbound,
+        liveness::RecentBreaks,
         refused_head::{head_len, max_head_len},
         relay::{FirstPart, PlainRelay, StreamError, StreamRelay},
     },
@@ -96,6 +97,8 @@
     incarnations: RwLock<Vec<(BackendId, Incarnation)>>,
     /// Backend servers that announced that they leave, sorted by id.
     leaving: Mutex<Vec<(BackendId, Option<Incarnation>)>>,
+    /// Backend servers that broke off responses.
+    breaks: RecentBreaks,
     phase: AtomicU8,
     /// End of the grace period, once the host was told to stop.
     stops_at: OnceLock<TokioInstant>,
@@ -194,6 +197,7 @@
             outdated: AtomicBool::default(),
             incarnations: RwLock::default(),
             leaving: Mutex::default(),
+            breaks: RecentBreaks::default(),
             phase: AtomicU8::new(SERVING),
             stops_at: OnceLock::new(),
             open_requests: Arc::default(),
