Do not guess at an unclear end of a request that may be repeated

A server that leaves and has ended may have finished its last response or not; nothing shows which. The response passed as complete for each kind of request.

A request that may run again is sent to another server, and its caller gets the first response if no other one answers. A stream that may be resumed is continued at another server if that one has a further event.

--- a/crates/gate/src/proxy/exchange.rs
+++ b/crates/gate/src/proxy/exchange.rs
@@ -79,7 +79,8 @@
     may_have_run: Option<Code>,
     /// Position in the stream that is forwarded.
     pub(crate) position: Position,
-    /// Server error response, returned to the caller if no other attempt succeeds.
+    /// Server error, or a response of which it is unclear whether it is complete. The caller gets it if no
+    /// other attempt succeeds.
     fallback: Option<CompleteResponse>,
 }
 
@@ -334,7 +335,7 @@
         Refusal::from_router(Code::Draining, attempt, None)
     }
 
-    /// Takes the server error response to return instead of a refusal, if any.
+    /// Takes the response to return instead of a refusal, if any.
     ///
     /// A response that promises "not run" is not returned after an attempt that may have run.
     pub(crate) fn take_fallback(&mut self) -> Option<CompleteResponse> {
@@ -428,6 +429,12 @@
             self.report_failure(&backend, failure);
             return None;
         }
+        if end == UnmarkedEnd::Unclear && self.may_run_again() {
+            let backend = whole.backend.clone();
+            self.fallback = Some(whole);
+            self.report_failure(&backend, may_have_run_failure(RetryReason::Truncated));
+            return None;
+        }
         Some(ReadResponse::Complete(whole))
     }
 
@@ -438,8 +445,11 @@
 
     /// Returns whether a response is a server error after which another attempt is possible.
     fn is_retryable(&self, status: StatusCode) -> bool {
-        status.is_server_error()
-            && self.inbound.policy.retry_policy == RetryPolicy::Idempotent
+        status.is_server_error() && self.may_run_again()
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.inbound.policy.retry_policy == RetryPolicy::Idempotent
             && self.record.attempts < self.inbound.policy.max_attempts
     }
 
--- a/crates/gate/src/proxy/relay/end.rs
+++ b/crates/gate/src/proxy/relay/end.rs
@@ -7,7 +7,12 @@
 use crate::{
     dispatcher::StateMachine,
     peers::Peers,
-    proxy::{attempt::keep, codec::HeaderCodec, events::ends_event, liveness::is_framed},
+    proxy::{
+        attempt::keep,
+        codec::HeaderCodec,
+        events::ends_event,
+        liveness::{UnmarkedEnd, is_framed},
+    },
     record::End,
 };
 
@@ -29,23 +34,31 @@
         self.response.as_ref().is_some_and(|r| is_framed(&r.head))
     }
 
-    /// Returns what follows the end of the current response: the end of the stream, or a failure.
+    /// Returns what follows the end of the current response: the end of the stream, a failure, or nothing
+    /// yet if another server continues it.
     ///
     /// Without a length, the response of a server that is ended between two events ends like a complete
     /// one.
-    pub(super) async fn part_at_end(&mut self) -> Part {
+    pub(super) async fn part_at_end(&mut self) -> Option<Part> {
         if self.ends_early() {
-            return Part::Failed(RetryReason::Truncated);
+            return Some(Part::Failed(RetryReason::Truncated));
         }
         if self.is_framed() {
-            return Part::End;
+            return Some(Part::End);
         }
         let Some(response) = self.response.as_mut() else {
-            return Part::End;
+            return Some(Part::End);
         };
         let (port, destination) = (response.port.take(), response.destination.clone());
         self.end = self.exchange.shared.unmarked_end(&destination, port).await;
-        self.end.failure().map_or(Part::End, Part::Failed)
+        if let Some(reason) = self.end.failure() {
+            return Some(Part::Failed(reason));
+        }
+        let is_unclear = self.end == UnmarkedEnd::Unclear;
+        if is_unclear && self.can_resume() && self.try_continuation().await {
+            return None;
+        }
+        Some(Part::End)
     }
 
     /// Records the end of the stream and returns the bytes after its last complete event.
--- a/crates/gate/src/proxy/relay/mod.rs
+++ b/crates/gate/src/proxy/relay/mod.rs
@@ -222,7 +222,7 @@
             };
             let part = match part {
                 Part::Data(data) => self.accept_data(data),
-                Part::End => Some(self.part_at_end().await),
+                Part::End => self.part_at_end().await,
                 part => Some(part),
             };
             if let Some(part) = part {
--- a/crates/gate/src/proxy/relay/takeover.rs
+++ b/crates/gate/src/proxy/relay/takeover.rs
@@ -13,6 +13,7 @@
     dispatcher::StateMachine,
     peers::Peers,
     proxy::{
+        Shared,
         attempt::{Attempt, OpenResponse, may_have_run_failure},
         codec::HeaderCodec,
         events::EventSplitter,
@@ -34,6 +35,18 @@
     data: Vec<Bytes>,
 }
 
+/// Outcome of the wait for the first event of a response.
+enum FirstEvent {
+    /// It has arrived with these data.
+    Arrived(Vec<Bytes>),
+    /// The time is over; these data have arrived.
+    Pending(Vec<Bytes>),
+    /// The response has ended.
+    Ended,
+    /// The response has broken off.
+    Broken,
+}
+
 /// Outcome of the wait for a stalled server and for another one.
 enum Race<F> {
     /// The stalled server went on.
@@ -101,6 +114,50 @@
             .map(|refusal| Part::Refused(failure.reason, refusal))
     }
 
+    /// Tries to continue a stream of which it is unclear whether its end is complete. Returns whether another
+    /// server sends further events.
+    pub(super) async fn try_continuation(&mut self) -> bool {
+        let Some(ended) = self.response.as_ref().map(|r| r.backend.clone()) else {
+            return false;
+        };
+        let Some(attempt) = self.exchange.start_takeover() else {
+            return false;
+        };
+        let other = attempt.server.id.clone();
+        match self.open_until_event(attempt).await {
+            Ok(Some(continuation)) => {
+                let failure = self.failure(RetryReason::Truncated);
+                self.exchange.taken_over(&ended, Some(failure));
+                self.switch_to(continuation.response);
+                self.received.extend(continuation.data);
+                true
+            }
+            Ok(None) => {
+                self.exchange.takeover_failed(&other, None);
+                false
+            }
+            Err(failure) => {
+                self.exchange.takeover_failed(&other, Some(failure));
+                false
+            }
+        }
+    }
+
+    /// Opens a response that continues the stream, and waits for its first event until the deadline. Returns
+    /// `None` if it ends without one.
+    async fn open_until_event(
+        &self,
+        attempt: Attempt<R, N, C>,
+    ) -> Result<Option<Continuation>, Failure> {
+        let mut response = open_same_kind(attempt, &self.kind).await?;
+        let until = self.exchange.inbound.deadline_at;
+        match read_first_event(&mut response, &self.exchange.position, until).await? {
+            FirstEvent::Arrived(data) => Ok(Some(Continuation { response, data })),
+            FirstEvent::Pending(_) | FirstEvent::Ended => Ok(None),
+            FirstEvent::Broken => Err(broken_off(&self.exchange.shared, &response).await),
+        }
+    }
+
     /// Replaces the response; a partial event of the earlier one is discarded.
     fn switch_to(&mut self, next: OpenResponse) {
         self.exchange.handle.first_byte();
@@ -151,11 +208,50 @@
     position: Position,
 ) -> Result<Continuation, Failure> {
     let shared = Arc::clone(&attempt.shared);
-    let mut response = attempt.run().await?;
-    if StreamKind::of(&response.head) != kind {
+    let mut response = open_same_kind(attempt, &kind).await?;
+    let until = TokioInstant::now() + MAX_OVERLAP;
+    match read_first_event(&mut response, &position, until).await? {
+        FirstEvent::Arrived(data) | FirstEvent::Pending(data) => {
+            Ok(Continuation { response, data })
+        }
+        // The server before has not ended the stream, so an event is missing.
+        FirstEvent::Ended | FirstEvent::Broken => Err(broken_off(&shared, &response).await),
+    }
+}
+
+/// Returns the failure of a response that broke off.
+async fn broken_off<R: StateMachine, N: Peers, C: HeaderCodec>(
+    shared: &Shared<R, N, C>,
+    response: &OpenResponse,
+) -> Failure {
+    let reason = RetryReason::Truncated;
+    may_have_run_failure(shared.diagnose(&response.destination, reason).await)
+}
+
+/// Opens a response of the same kind as the stream.
+///
+/// # Errors
+/// The failure of the attempt, also if the response is another one.
+async fn open_same_kind<R: StateMachine, N: Peers, C: HeaderCodec>(
+    attempt: Attempt<R, N, C>,
+    kind: &StreamKind,
+) -> Result<OpenResponse, Failure> {
+    let response = attempt.run().await?;
+    if StreamKind::of(&response.head) != *kind {
         return Err(may_have_run_failure(RetryReason::ServerError));
     }
-    let until = TokioInstant::now() + MAX_OVERLAP;
+    Ok(response)
+}
+
+/// Reads the first event of a response that continues a stream.
+///
+/// # Errors
+/// When the event is too large or does not follow the position.
+async fn read_first_event(
+    response: &mut OpenResponse,
+    position: &Position,
+    until: TokioInstant,
+) -> Result<FirstEvent, Failure> {
     let mut events = EventSplitter::default();
     let mut data = Vec::new();
     while let Ok(part) = timeout_at(until, read_part(&mut response.body)).await {
@@ -171,17 +267,13 @@
                     return Err(may_have_run_failure(RetryReason::Mismatch));
                 }
                 if !complete.ids.is_empty() {
-                    break;
+                    return Ok(FirstEvent::Arrived(data));
                 }
             }
             Part::Refused(reason, _) => return Err(may_have_run_failure(reason)),
-            // The server before has not ended the stream, so an event is missing.
-            Part::Failed(_) | Part::End => {
-                let reason = RetryReason::Truncated;
-                let reason = shared.diagnose(&response.destination, reason).await;
-                return Err(may_have_run_failure(reason));
-            }
+            Part::Failed(_) => return Ok(FirstEvent::Broken),
+            Part::End => return Ok(FirstEvent::Ended),
         }
     }
-    Ok(Continuation { response, data })
+    Ok(FirstEvent::Pending(data))
 }
