Check the end of an error that is kept beside another attempt

A safe request whose server was silent got a second attempt. That server answered 500 without a length and crashed within the body, and the first attempt failed as well: the caller got half of the error as a complete response.

It is judged like the end of each other response now.

--- a/crates/gate/src/proxy/hedge.rs
+++ b/crates/gate/src/proxy/hedge.rs
@@ -19,7 +19,7 @@
         codec::HeaderCodec,
         exchange::CompleteResponse,
         implies_not_run,
-        liveness::Destination,
+        liveness::{Destination, ends_with_connection},
     },
 };
 
@@ -79,6 +79,12 @@
     if is_refusal {
         return Err(not_run_failure(RetryReason::Refused));
     }
+    if ends_with_connection(&inbound.head.method, &head) {
+        let end = shared.unmarked_end(&response.destination, response.port);
+        if let Some(reason) = end.await.failure() {
+            return Err(may_have_run_failure(reason));
+        }
+    }
     Ok(Responded::Error(CompleteResponse {
         backend,
         head,
