Pace the reports of crashes, so that they leave room on slow links

From 15.0 to 18.3 s all requests for facts of hosts with links of 10 Mbit/s fail, and none of the others: a packet that leaves such a host waits for longer than half a second. 35 servers had crashed at 13.9 s.

Cause: each host tells each of the 69 others what it had in flight at each crash, in one datagram a report, four times. Whatever else leaves the host waits behind them: resets, requests, questions to peers and to the store.

Reports wait in an outbox now, several share a datagram, and a host sends at most 250 kB of them a second, a fifth of the slowest link. Of more than twelve hosts each gets a report twice in place of four times. A report that waits is told with its age, so that crashes are still attributed by their times; that of a single crash leaves within 5 ms, as before.

The bytes of datagrams are counted by kind and direction, which no metric showed.

--- a/crates/celerytally/src/entry/crashes.rs
+++ b/crates/celerytally/src/entry/crashes.rs
@@ -1,56 +1,37 @@
 //! Dissemination of crash updates to the other hosts, by datagrams.
 //!
-//! Reports of crashes and responses go to all hosts at once and are sent again for a while, because
-//! datagrams are lost. The suspects that this host blocks go to a few random hosts in each period, so
-//! that hosts that started later, were paused or were disconnected learn of them.
+//! Reports of crashes and responses go to all hosts and are sent again for a while, because
+//! datagrams are lost ([`CrashOutbox`]). The suspects that this host blocks go to a few random hosts in each
+//! period, so that hosts that started later, were paused or were disconnected learn of them.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use peer::{Datagram, DatagramSocket, MemberState};
+use peer::{CrashOutbox, Datagram, DatagramSocket, MemberState};
 use rand::seq::IndexedRandom;
-use route::{CrashReport, CrashUpdate, ResponseReport};
+use route::CrashUpdate;
 use tokio::{
     sync::mpsc::Receiver,
     time::{MissedTickBehavior, interval, sleep},
 };
-use types::{Deadline, Instant, Micros};
+use types::Instant;
 
 use crate::entry::{fleet_state::FleetState, peers::Exchange};
 
 /// Number of crash updates that may wait to be sent.
 pub(super) const CRASH_UPDATE_CAPACITY: usize = 256;
 
-/// Time for which updates are collected before they are sent, as several requests fail in one crash.
-const BATCH_TIME: Duration = Duration::from_millis(5);
-
 /// Interval at which recent reports are sent again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Time for which a report is sent again.
-const REPEAT_TIME: Micros = Micros::from_millis(2_500);
-
 /// Number of hosts to which the blocked suspects are sent in each interval.
 const GOSSIP_FANOUT: usize = 3;
 
-/// Maximum number of recent reports of each kind that are sent again.
-const MAX_RECENT_REPORTS: usize = 64;
-
-/// Report with the time at which it was first sent.
-#[derive(Debug)]
-struct SentReport<T> {
-    report: T,
-    at: Instant,
-}
-
 /// Sender of crash updates to the other hosts.
 pub(super) struct CrashBroadcaster {
     socket: Arc<DatagramSocket>,
     exchange: Exchange,
     fleet: Arc<FleetState>,
-    /// Recent crash reports, oldest first.
-    crashes: Vec<SentReport<CrashReport>>,
-    /// Recent response reports, oldest first.
-    responses: Vec<SentReport<ResponseReport>>,
+    outbox: CrashOutbox,
 }
 
 impl CrashBroadcaster {
@@ -63,8 +44,7 @@
             socket,
             exchange,
             fleet,
-            crashes: Vec::new(),
-            responses: Vec::new(),
+            outbox: CrashOutbox::default(),
         }
     }
 
@@ -73,55 +53,32 @@
         let mut repeats = interval(REPEAT_INTERVAL);
         repeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let next_send_at = self.outbox.next_send_at();
+            let wait = next_send_at.map(|at| Duration::from(at.remaining(self.now())));
             tokio::select! {
+                biased;
                 received = updates.recv() => match received {
-                    Some(first) => self.send_batch(first, &mut updates).await,
+                    Some(update) => self.outbox.push(self.now(), update),
                     None => return,
                 },
+                () = sleep(wait.unwrap_or_default()), if wait.is_some() => self.send_next().await,
                 _ = repeats.tick() => {
-                    self.repeat_recent_reports().await;
+                    self.outbox.repeat(self.now(), self.other_hosts().len());
                     self.gossip_blocked_suspects().await;
                 }
             }
         }
     }
 
-    /// Sends an update, merged with those that arrive within [`BATCH_TIME`], to all hosts.
-    async fn send_batch(&mut self, first: CrashUpdate, updates: &mut Receiver<CrashUpdate>) {
-        sleep(BATCH_TIME).await;
-        let mut batch = first;
-        while let Ok(more) = updates.try_recv() {
-            batch.crashes.extend(more.crashes);
-            batch.responses.extend(more.responses);
-            batch.blocked.extend(more.blocked);
-        }
-        let now = self.now();
-        add_recent(&mut self.crashes, &batch.crashes, now);
-        add_recent(&mut self.responses, &batch.responses, now);
-        self.send(batch, &self.other_hosts()).await;
-    }
-
-    /// Sends the recent reports to all hosts again.
-    async fn repeat_recent_reports(&mut self) {
-        let now = self.now();
-        self.crashes.retain(|sent| is_recent(sent.at, now));
-        self.responses.retain(|sent| is_recent(sent.at, now));
-        let crashes = self.crashes.iter().map(|sent| CrashReport {
-            age: now.since(sent.at),
-            ..sent.report.clone()
-        });
-        let responses = self.responses.iter().map(|sent| ResponseReport {
-            age: now.since(sent.at),
-            ..sent.report
-        });
-        let update = CrashUpdate {
-            crashes: crashes.collect(),
-            responses: responses.collect(),
-            blocked: Vec::new(),
+    /// Sends the next update that waits.
+    async fn send_next(&mut self) {
+        let Some((update, recipients)) = self.outbox.pop(self.now()) else {
+            return;
         };
-        if !update.is_empty() {
-            self.send(update, &self.other_hosts()).await;
-        }
+        let hosts = recipients.of(&self.other_hosts());
+        let (datagrams, bytes) = self.send(update, &hosts).await;
+        let now = self.now();
+        self.outbox.record_sent(now, datagrams, bytes);
     }
 
     /// Sends the suspects that this host blocks to some random hosts.
@@ -144,12 +101,19 @@
         self.send(update, &hosts).await;
     }
 
-    async fn send(&self, update: CrashUpdate, hosts: &[SocketAddr]) {
+    /// Sends an update to hosts. Returns the number of datagrams, and of their bytes.
+    async fn send(&self, update: CrashUpdate, hosts: &[SocketAddr]) -> (usize, usize) {
+        let (mut count, mut bytes) = (0, 0);
         for datagram in Datagram::crash_updates(self.exchange.host(), &update) {
-            if let Err(e) = self.socket.send(datagram, hosts).await {
-                tracing::warn!(error = %e, "crash update not sent to other hosts");
+            match self.socket.send(datagram, hosts).await {
+                Ok(sent) => {
+                    count += hosts.len();
+                    bytes += sent;
+                }
+                Err(e) => tracing::warn!(error = %e, "crash update not sent to other hosts"),
             }
         }
+        (count, bytes)
     }
 
     /// Returns the datagram addresses of all other hosts that have not left.
@@ -168,17 +132,3 @@
         self.fleet.proxy().now()
     }
 }
-
-fn is_recent(at: Instant, now: Instant) -> bool {
-    !Deadline::after(at, REPEAT_TIME).is_past(now)
-}
-
-/// Adds reports that are to be sent again, and drops the oldest above [`MAX_RECENT_REPORTS`].
-fn add_recent<T: Clone>(recent: &mut Vec<SentReport<T>>, reports: &[T], at: Instant) {
-    recent.extend(reports.iter().map(|report| SentReport {
-        report: report.clone(),
-        at,
-    }));
-    let excess = recent.len().saturating_sub(MAX_RECENT_REPORTS);
-    recent.drain(..excess);
-}
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -22,9 +22,18 @@
 const MAX_LEAVING: usize = 100;
 /// Suspects, responses and blocked suspects take up to 20, 28 and 32 bytes.
 const MAX_SUSPECTS: usize = 48;
-const MAX_RESPONSES: usize = 36;
+pub(crate) const MAX_RESPONSES: usize = 36;
 const MAX_BLOCKED: usize = 32;
 
+/// Bytes of a report of a crash without its suspects and the name of the server.
+const CRASH_REPORT_BYTES: usize = 32;
+
+/// Bytes of a suspect in a report.
+const SUSPECT_BYTES: usize = 20;
+
+/// Bytes of reports of crashes in one datagram; the rest is for the name of the host.
+const MAX_CRASHES_BYTES: usize = 1_250;
+
 /// Load that a host has sent to one backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Load {
@@ -187,14 +196,44 @@
         })
 }
 
+/// Returns the number of bytes of a report of a crash.
+pub(crate) fn crash_report_bytes(report: &CrashReport) -> usize {
+    let suspects = SUSPECT_BYTES.saturating_mul(report.suspects.len());
+    CRASH_REPORT_BYTES + report.backend.as_str().len() + suspects
+}
+
+/// Distributes reports of crashes over datagrams, in their order.
+fn pack_reports(reports: impl Iterator<Item = CrashReport>) -> Vec<Vec<CrashReport>> {
+    let mut datagrams: Vec<Vec<CrashReport>> = Vec::new();
+    let mut bytes = 0;
+    for report in reports {
+        let more = crash_report_bytes(&report);
+        match datagrams.last_mut() {
+            Some(last) if bytes + more <= MAX_CRASHES_BYTES => {
+                bytes += more;
+                last.push(report);
+            }
+            _ => {
+                bytes = more;
+                datagrams.push(vec![report]);
+            }
+        }
+    }
+    datagrams
+}
+
 /// Truncates a crash update to what fits in a datagram.
 ///
 /// [`Datagram::crash_updates`] has split it before, so that only one of its lists has entries.
 fn truncate_update(update: &mut CrashUpdate) {
-    update.crashes.truncate(1);
     for report in &mut update.crashes {
         report.suspects.truncate(MAX_SUSPECTS);
     }
+    let mut bytes = 0;
+    update.crashes.retain(|report| {
+        bytes += crash_report_bytes(report);
+        bytes <= MAX_CRASHES_BYTES
+    });
     update.responses.truncate(MAX_RESPONSES);
     update.blocked.truncate(MAX_BLOCKED);
 }
@@ -208,10 +247,12 @@
             update,
         };
         let reports = update.crashes.iter().flat_map(split_report);
-        let crashes = reports.map(|report| CrashUpdate {
-            crashes: vec![report],
-            ..CrashUpdate::default()
-        });
+        let crashes = pack_reports(reports)
+            .into_iter()
+            .map(|crashes| CrashUpdate {
+                crashes,
+                ..CrashUpdate::default()
+            });
         let responses = update.responses.chunks(MAX_RESPONSES).map(|r| CrashUpdate {
             responses: r.to_vec(),
             ..CrashUpdate::default()
@@ -227,6 +268,18 @@
             .collect()
     }
 
+    /// Returns the value in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Host(..) => "host",
+            Self::DataCentre(..) => "data_centre",
+            Self::Fleet(..) => "fleet",
+            Self::Demand { .. } => "demand",
+            Self::Crashes { .. } => "crashes",
+            Self::Leaving { .. } => "leaving",
+        }
+    }
+
     /// Truncates the lists to what fits in a datagram, keeping the largest entries.
     fn shorten(&mut self) {
         match self {
@@ -252,6 +305,15 @@
     crate::short_hash(&[name.as_bytes()])
 }
 
+/// Counter of the bytes of datagrams, without the headers of UDP and IP.
+const DATAGRAM_BYTES: &str = "celerytally_datagram_bytes_total";
+
+fn count_bytes(direction: &'static str, datagram: &Datagram, bytes: usize) {
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    let kind = datagram.label();
+    metrics::counter!(DATAGRAM_BYTES, "direction" => direction, "kind" => kind).increment(bytes);
+}
+
 /// UDP socket for [`Datagram`]s.
 #[derive(Debug)]
 pub struct DatagramSocket {
@@ -268,19 +330,21 @@
         Ok(Self { socket })
     }
 
-    /// Sends a datagram to peers, shortened to the maximum size.
+    /// Sends a datagram to peers, shortened to the maximum size. Returns the number of bytes sent.
     ///
     /// # Errors
     /// Fails when the datagram cannot be encoded; send errors of single peers are logged.
-    pub async fn send(&self, mut datagram: Datagram, peers: &[SocketAddr]) -> io::Result<()> {
+    pub async fn send(&self, mut datagram: Datagram, peers: &[SocketAddr]) -> io::Result<usize> {
         datagram.shorten();
         let bytes = bincode::serialize(&datagram).map_err(io::Error::other)?;
+        let sent = bytes.len().saturating_mul(peers.len());
+        count_bytes("sent", &datagram, sent);
         for peer in peers {
             if let Err(e) = self.socket.send_to(&bytes, peer).await {
                 tracing::debug!(%peer, error = %e, "datagram not sent");
             }
         }
-        Ok(())
+        Ok(sent)
     }
 
     /// Receives the next datagram.
@@ -290,6 +354,8 @@
     pub async fn receive(&self) -> io::Result<Datagram> {
         let mut buf = [0; MAX_DATAGRAM + 1];
         let (len, _) = self.socket.recv_from(&mut buf).await?;
-        bincode::deserialize(&buf[..len]).map_err(io::Error::other)
+        let datagram = bincode::deserialize(&buf[..len]).map_err(io::Error::other)?;
+        count_bytes("received", &datagram, len);
+        Ok(datagram)
     }
 }
