--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -3,12 +3,12 @@
 use types::{Code, Deadline, Instant};
 
 use crate::{
+    crash::suspect::SuspectState,
     event::{Action, RoutingRequest, Target},
     queue::Rank,
     requests::{Phase, RequestEntry, ResponseProgress},
     retry_after::RETRY_AFTER,
     router::Router,
-    suspect::SuspectState,
 };
 
 impl Router {
--- a/crates/route/src/blocking.rs
+++ b/crates/route/src/crash/blocking.rs
@@ -3,11 +3,11 @@
 use types::{Code, Instant};
 
 use crate::{
+    crash::suspect::{BlockedSuspect, Suspect, Verdict},
+    crash::trial::TrialState,
     event::RoutingRequest,
     requests::RequestEntry,
     router::Router,
-    suspect::{BlockedSuspect, Suspect, Verdict},
-    trial::TrialState,
 };
 
 /// Maximum number of parts of one prompt that are considered.
--- a/crates/route/src/evidence/attribution.rs
+++ b/crates/route/src/crash/evidence/attribution.rs
@@ -3,11 +3,11 @@
 use types::{Instant, Micros};
 
 use crate::{
-    evidence::{
+    crash::evidence::{
         Evidence, VerdictChange,
         entry::{Crash, Entry, MAX_PART_CRASHES, MAX_REQUEST_CRASHES},
     },
-    suspect::{Verdict, VerdictCause},
+    crash::suspect::{Verdict, VerdictCause},
 };
 
 /// Time within which several crashes count as one against a part, because they may have a common cause
--- a/crates/route/src/evidence/entry.rs
+++ b/crates/route/src/crash/evidence/entry.rs
@@ -2,7 +2,7 @@
 
 use types::{BackendId, Deadline, Incarnation, Instant};
 
-use crate::suspect::{CrashReport, Suspect, Verdict, VerdictCause};
+use crate::crash::suspect::{CrashReport, Suspect, Verdict, VerdictCause};
 
 /// Number of crashes after which a part of prompts is blocked.
 pub(super) const MAX_PART_CRASHES: usize = 3;
--- a/crates/route/src/evidence/mod.rs
+++ b/crates/route/src/crash/evidence/mod.rs
@@ -11,7 +11,7 @@
 use types::{Deadline, Instant, Micros};
 
 use self::entry::{Crash, Entry, insert_crash};
-use crate::suspect::{BlockedSuspect, CrashReport, Suspect, Verdict, VerdictCause};
+use crate::crash::suspect::{BlockedSuspect, CrashReport, Suspect, Verdict, VerdictCause};
 
 pub(crate) use self::entry::VerdictChange;
 pub use self::trials::MAX_TRIALS;
--- a/crates/route/src/evidence/trials.rs
+++ b/crates/route/src/crash/evidence/trials.rs
@@ -3,8 +3,8 @@
 use types::{Deadline, Instant, Micros};
 
 use crate::{
-    evidence::{Evidence, VerdictChange, entry::Entry},
-    suspect::{Suspect, Verdict, VerdictCause},
+    crash::evidence::{Evidence, VerdictChange, entry::Entry},
+    crash::suspect::{Suspect, Verdict, VerdictCause},
 };
 
 /// Number of trials of a blocked suspect over all hosts.
--- a/crates/route/src/crash.rs
+++ b/crates/route/src/crash/mod.rs
@@ -3,16 +3,24 @@
 //! There are two models. With suspect slots ([`Settings::suspect_slots`](crate::Settings)), a request that
 //! was in flight at a crash has a record (`suspect_records`) and runs alone in a slot (`suspect_slot`) until it
 //! is confirmed or cleared. Without them, evidence from all hosts counts against whole requests and parts
-//! of prompts (`crash_evidence`, `evidence`), which are blocked after several crashes (`blocking`) and tried
+//! of prompts (`report`, `evidence`), which are blocked after several crashes (`blocking`) and tried
 //! rarely (`trial`). A crash always updates the evidence against parts.
 
+pub(crate) mod blocking;
+pub(crate) mod evidence;
+mod report;
+pub(crate) mod suspect;
+pub(crate) mod suspect_records;
+mod suspect_slot;
+pub(crate) mod trial;
+
 use types::{BackendId, Deadline, Incarnation, Instant, Micros};
 
 use crate::{
+    crash::suspect::{SuspectRecord, SuspectState},
     event::{Action, Fingerprint, RoutingRequest},
     requests::{Phase, RequestEntry},
     router::{Router, Scope},
-    suspect::{SuspectRecord, SuspectState},
 };
 
 impl Router {
--- a/crates/route/src/crash_evidence.rs
+++ b/crates/route/src/crash/report.rs
@@ -5,11 +5,11 @@
 use types::{BackendId, Incarnation, Instant, Micros, RequestId, RetryReason};
 
 use crate::{
+    crash::evidence::{VerdictChange, time_of},
+    crash::suspect::{BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect},
     event::{Action, RoutingRequest},
-    evidence::{VerdictChange, time_of},
     requests::{AttemptInProgress, Phase, RequestEntry},
     router::{Router, Scope},
-    suspect::{BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect},
 };
 
 /// Time after which an abandoned request does not count as in flight any more, as servers cancel it.
--- a/crates/route/src/suspect_records.rs
+++ b/crates/route/src/crash/suspect_records.rs
@@ -3,8 +3,8 @@
 use types::{BackendId, Deadline, Incarnation, Instant};
 
 use crate::{
+    crash::suspect::{SuspectRecord, SuspectState},
     event::Fingerprint,
-    suspect::{SuspectRecord, SuspectState},
 };
 
 /// Suspect record with its expiry time.
--- a/crates/route/src/suspect_slot.rs
+++ b/crates/route/src/crash/suspect_slot.rs
@@ -3,7 +3,7 @@
 use types::{Code, Deadline, Instant, Micros, RequestId};
 
 use crate::{
-    choose::Estimate, event::Action, requests::Phase, router::Router, suspect::SuspectState,
+    choose::Estimate, crash::suspect::SuspectState, event::Action, requests::Phase, router::Router,
 };
 
 /// Interval before a suspect slot is requested again after a denial.
--- a/crates/route/src/trial.rs
+++ b/crates/route/src/crash/trial.rs
@@ -3,9 +3,9 @@
 use types::{Deadline, Instant, Micros, RequestId};
 
 use crate::{
+    crash::suspect::{CrashUpdate, Suspect, TrialReply},
     event::Action,
     router::{Router, Scope},
-    suspect::{CrashUpdate, Suspect, TrialReply},
 };
 
 /// Time from the request for a trial for which the grant is valid. A host that is delayed meanwhile must
--- a/crates/route/src/dispatch_queue.rs
+++ b/crates/route/src/dispatch_queue.rs
@@ -3,14 +3,14 @@
 use types::{Code, Deadline, Instant};
 
 use crate::{
-    blocking::SuspectAdmission,
     choose::Selection,
+    crash::blocking::SuspectAdmission,
+    crash::suspect::SuspectState,
     event::Action,
     queue::Rank,
     requests::Phase,
     retry_after::RETRY_AFTER,
     router::{Router, Scope},
-    suspect::SuspectState,
 };
 
 /// Load of another data centre below which it gets requests that cannot be served here in time.
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -10,11 +10,11 @@
 };
 
 use crate::{
-    peer_load::SentLoad,
-    slowdown::ObservedSlowdown,
-    suspect::{
+    crash::suspect::{
         CrashReport, CrashUpdate, Suspect, SuspectRecord, TrialReply, Verdict, VerdictCause,
     },
+    peer_load::SentLoad,
+    slowdown::ObservedSlowdown,
 };
 
 /// Hash of the service, model and body of a request, equal for every resend.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,18 +38,15 @@
 mod admit;
 mod apply;
 mod backend;
-mod blocking;
 mod budget;
 mod choose;
 mod counts;
 mod crash;
-mod crash_evidence;
 mod demand;
 mod departed;
 mod dispatch;
 mod dispatch_queue;
 mod event;
-mod evidence;
 mod fail;
 mod first_token;
 mod names;
@@ -68,28 +65,24 @@
 mod settings;
 mod slots;
 mod slowdown;
-mod suspect;
-mod suspect_records;
-mod suspect_slot;
 mod takeover;
-mod trial;
 mod view;
 mod window;
 
 pub use counts::Counts;
+pub use crash::evidence::MAX_TRIALS;
+pub use crash::suspect::{
+    BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect, SuspectRecord, SuspectState,
+    TrialReply, Verdict, VerdictCause,
+};
 pub use event::{
     Action, BackendLoad, BackendRegistration, Event, Failure, Fingerprint, Liveness,
     RequestOptions, RoutingRequest, Target,
 };
-pub use evidence::MAX_TRIALS;
 pub use peer_load::SentLoad;
 pub use router::Router;
 pub use settings::{LatencyMetric, Settings};
 pub use slots::SlotTable;
 pub use slowdown::ObservedSlowdown;
-pub use suspect::{
-    BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect, SuspectRecord, SuspectState,
-    TrialReply, Verdict, VerdictCause,
-};
 pub use view::{BackendView, ModelDemand};
 pub use window::RetryLimits;
--- a/crates/route/src/requests.rs
+++ b/crates/route/src/requests.rs
@@ -2,7 +2,9 @@
 
 use types::{Code, Deadline, Incarnation, Instant, RequestId, RetryReason};
 
-use crate::{event::RoutingRequest, queue::Rank, takeover::StalledAttempt, trial::TrialState};
+use crate::{
+    crash::trial::TrialState, event::RoutingRequest, queue::Rank, takeover::StalledAttempt,
+};
 
 /// Stage of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/route/src/slots.rs
+++ b/crates/route/src/slots.rs
@@ -3,8 +3,8 @@
 use types::{BackendId, Deadline, Instant, Micros};
 
 use crate::{
+    crash::suspect::{SuspectRecord, SuspectState},
     event::Fingerprint,
-    suspect::{SuspectRecord, SuspectState},
 };
 
 /// Table of the suspects that may run now.
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     counts::Counts,
+    crash::suspect::SuspectRecord,
     event::{BackendLoad, Liveness},
     router::Router,
-    suspect::SuspectRecord,
 };
 
 /// State of a backend server as known to the router.
