Record a kept response that is no error as answered

A response whose end was unclear is kept while another server is asked, and was counted as kept_error when its caller got it. Lints of the new tests.

--- a/crates/gate/src/proxy/mod.rs
+++ b/crates/gate/src/proxy/mod.rs
@@ -429,7 +429,7 @@
     }
 }
 
-/// Returns the error response that was kept from an earlier attempt, or the refusal if there is none.
+/// Returns the response that was kept from an earlier attempt, or the refusal if there is none.
 fn kept_reply<R: StateMachine, N: Peers, C: HeaderCodec, B>(
     mut exchange: Exchange<R, N, C>,
     refusal: Refusal,
@@ -437,10 +437,18 @@
     let Some(kept) = exchange.take_fallback() else {
         return Err(Box::new((exchange.record, refusal)));
     };
-    exchange.record.end(&End::KeptError {
-        backend: kept.backend.clone(),
-        status: kept.head.status.as_u16(),
-        code: refusal.code,
+    let (backend, status) = (kept.backend.clone(), kept.head.status);
+    exchange.record.end(&if status.is_server_error() {
+        End::KeptError {
+            backend,
+            status: status.as_u16(),
+            code: refusal.code,
+        }
+    } else {
+        End::Answered {
+            backend: Some(backend),
+            status: status.as_u16(),
+        }
     });
     Ok(complete_reply(kept))
 }
--- a/crates/peer/tests/outbox.rs
+++ b/crates/peer/tests/outbox.rs
@@ -47,7 +47,7 @@
         let bytes = datagrams
             .iter()
             .map(|d| bincode::serialized_size(d).expect("a size"));
-        let bytes = bytes.sum::<u64>() as usize * recipients;
+        let bytes = usize::try_from(bytes.sum::<u64>()).expect("a size") * recipients;
         outbox.record_sent(now, datagrams.len() * recipients, bytes);
         total += bytes;
         sent.push((update, to));
