Send copies of a request one at a time after a crash at which it was in flight

What callers saw: one request crashed servers again and again.

Cause: a whole request is blocked at its second crash only. Between the first and the second crash any number of its copies passed: those in flight at the first crash were sent again, and those that waited for the only server with their model were sent together when it was back. All of them were at one server when it ended, and each counts as a crash.

Why it works: after one unanswered crash a copy is sent as a trial only, of which two hosts grant one in two seconds and three in all. The second crash blocks the request as before, a response clears it. The host that had the only copy in flight resends it at once, so that harmless requests do not wait for other hosts. Grants carry the time of the last response, so a request that was answered starts with new trials; a harmless part ran out of them before.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -266,7 +266,8 @@
                     self.send_event(peer, Event::CrashUpdate(update.clone()));
                 }
             }
-            Action::RequestTrial { id, suspect } => {
+            Action::RequestTrial { id, trial } => {
+                let suspect = trial.suspect;
                 let reply = TrialReply::Granted;
                 self.send_event(host, Event::TrialReply { id, suspect, reply });
             }
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -10,7 +10,7 @@
 use control::FleetHandle;
 use peer::{Facts, Handle, KnownFacts, MemberState, PeerUpdate, Readiness};
 use platform::ObjectClient;
-use route::{CrashUpdate, Event, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Event, Fingerprint, SuspectRecord, TrialReply, TrialRequest};
 use tokio::{
     sync::mpsc::{Receiver, Sender},
     time::sleep,
@@ -110,8 +110,8 @@
         }
     }
 
-    async fn request_trial(&self, suspect: Suspect) -> TrialReply {
-        self.exchange.request_trial(suspect).await
+    async fn request_trial(&self, trial: TrialRequest) -> TrialReply {
+        self.exchange.request_trial(trial).await
     }
 
     async fn request_suspect_slot(&self, _fingerprint: Fingerprint, _backend: BackendId) -> bool {
--- a/crates/celerytally/src/integration.rs
+++ b/crates/celerytally/src/integration.rs
@@ -8,7 +8,7 @@
 use engine::{Client, Server};
 use orders::SendOutcome;
 use peer::{Handle, MemberState};
-use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, SuspectRecord, TrialReply, TrialRequest};
 use store::HttpPlatform;
 use tokio::sync::mpsc;
 use types::{
@@ -127,8 +127,8 @@
         self.exchange.push_crash_update(&update);
     }
 
-    async fn request_trial(&self, suspect: Suspect) -> TrialReply {
-        self.exchange.request_trial(suspect).await
+    async fn request_trial(&self, trial: TrialRequest) -> TrialReply {
+        self.exchange.request_trial(trial).await
     }
 
     async fn request_suspect_slot(&self, fingerprint: Fingerprint, backend: BackendId) -> bool {
--- a/crates/gate/src/dispatcher.rs
+++ b/crates/gate/src/dispatcher.rs
@@ -390,10 +390,11 @@
             Action::ShareSuspects(records) => self.share_suspects_then(records, Vec::new()),
             Action::ShareCrashes(update) => self.0.peers.share_crashes(update),
             Action::LogCrash { report, omitted } => log_crash(&report, omitted),
-            Action::RequestTrial { id, suspect } => {
+            Action::RequestTrial { id, trial } => {
                 let this = self.clone();
                 tokio::spawn(async move {
-                    let reply = this.0.peers.request_trial(suspect).await;
+                    let suspect = trial.suspect;
+                    let reply = this.0.peers.request_trial(trial).await;
                     tracing::info!(belief = "suspect", %suspect, ?reply, "trial requested");
                     this.feed(Event::TrialReply { id, suspect, reply });
                 });
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, SuspectRecord, TrialReply, TrialRequest};
 use types::{AdapterId, Announcement, BackendId, DataCentreId, HostId, Incarnation, ModelId};
 
 /// Operations on other entry hosts.
@@ -23,8 +23,8 @@
     /// Shares what this host learned of crashes with all peers, without waiting.
     fn share_crashes(&self, _update: CrashUpdate) {}
 
-    /// Requests a trial of a blocked suspect. No answer means no permission.
-    fn request_trial(&self, _suspect: Suspect) -> impl Future<Output = TrialReply> + Send {
+    /// Requests a trial of a suspect. No answer means no permission.
+    fn request_trial(&self, _trial: TrialRequest) -> impl Future<Output = TrialReply> + Send {
         std::future::ready(TrialReply::Granted)
     }
 
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -159,7 +159,7 @@
             Request::Residents(stamps) => Reply::Residents(self.residents.newer_than(stamps)),
             Request::Hosts(from) => Reply::Hosts(self.hosts.delta(*from, now)),
             Request::Slot(suspect, backend) => Reply::Bool(self.grant(now, *suspect, backend)),
-            Request::Trial(suspect) => Reply::Trial(self.grant_trial(now, *suspect)),
+            Request::Trial(trial) => Reply::Trial(self.grant_trial(now, *trial)),
             Request::Suspects(_)
             | Request::CrashUpdate(_)
             | Request::Demand(..)
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -9,7 +9,7 @@
 use config::{ActiveConfig, Secret};
 use futures::future::join_all;
 use rand::Rng;
-use route::{BackendLoad, CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{BackendLoad, CrashUpdate, Fingerprint, SuspectRecord, TrialReply, TrialRequest};
 use store::Platform;
 use tokio::{
     net::TcpListener,
@@ -380,17 +380,17 @@
         }
     }
 
-    /// Requests a trial of a blocked suspect. No answer counts as a denial.
-    pub async fn request_trial(&self, suspect: Suspect) -> TrialReply {
+    /// Requests a trial of a suspect. No answer counts as a denial.
+    pub async fn request_trial(&self, trial: TrialRequest) -> TrialReply {
         let now = self.node.clock.now();
-        let granters = self.node.lock().trial_granters(now, suspect);
+        let granters = self.node.lock().trial_granters(now, trial.suspect);
         let mut reply = TrialReply::Denied;
         // In sequence, so that of two hosts that ask at once one obtains the trial.
         for granter in granters {
             reply = if granter.host.as_ref() == Some(&self.host) {
-                self.node.lock().grant_trial(now, suspect)
+                self.node.lock().grant_trial(now, trial)
             } else {
-                let req = Request::Trial(suspect);
+                let req = Request::Trial(trial);
                 let replied = self.node.clients.request(granter.addr, req, SLOT_TIMEOUT);
                 match replied.await {
                     Ok(Reply::Trial(reply)) => reply,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use config::Delta;
-use route::{CrashUpdate, Fingerprint, Suspect, SuspectRecord, TrialReply};
+use route::{CrashUpdate, Fingerprint, SuspectRecord, TrialReply, TrialRequest};
 use serde::{Deserialize, Serialize};
 use transfer::{ContentId, Offer, PartId};
 use types::{
@@ -192,7 +192,7 @@
     /// Pushes what the sender learned of crashes.
     CrashUpdate(CrashUpdate),
     /// Requests a trial of a blocked suspect.
-    Trial(Suspect),
+    Trial(TrialRequest),
 }
 
 /// Reply to a request.
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -4,7 +4,7 @@
 
 use config::{Manifest, Snapshot};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use route::{Fingerprint, Suspect, TrialReply};
+use route::{Fingerprint, Suspect, TrialReply, TrialRequest};
 use store::{HostRole, HostState};
 use types::{BackendId, ConfigVersion, DataCentreId, Deadline, HostId, Instant, Micros};
 
@@ -386,12 +386,12 @@
     }
 
     /// Grants a trial of a suspect, unless this host may not know those that it granted before.
-    pub(crate) fn grant_trial(&mut self, now: Instant, suspect: Suspect) -> TrialReply {
+    pub(crate) fn grant_trial(&mut self, now: Instant, trial: TrialRequest) -> TrialReply {
         let hold = Micros::new(self.params.period.get() * SLOT_HOLD_PERIODS);
         if now.since(self.started) < hold {
             return TrialReply::Denied;
         }
-        self.trial_grants.grant(now, suspect)
+        self.trial_grants.grant(now, trial)
     }
 
     /// Returns the members as of now.
--- a/crates/route/src/crash/blocking.rs
+++ b/crates/route/src/crash/blocking.rs
@@ -75,7 +75,7 @@
     /// Decides whether a queued request may be sent.
     pub(crate) fn suspect_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
         let Some((blocked, verdict)) = self.blocked_suspect(&entry.request) else {
-            return SuspectAdmission::Admitted;
+            return self.probation_admission(now, entry);
         };
         let refused = SuspectAdmission::Refused(refusal_code(blocked, verdict));
         if !self.has_single_blocked_suspect(&entry.request) {
@@ -95,6 +95,43 @@
         }
     }
 
+    /// Decides whether a queued request may be sent that may be the cause of a crash, but is not blocked.
+    fn probation_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
+        let request = Suspect::Request(entry.request.fingerprint);
+        if self.cfg.suspect_slots
+            || !self.evidence.needs_trial(request)
+            || self.is_resent_at_once(now, entry)
+        {
+            return SuspectAdmission::Admitted;
+        }
+        match entry.trial {
+            Some(TrialState::Granted { suspect, until })
+                if suspect == request && !until.is_past(now) =>
+            {
+                SuspectAdmission::Admitted
+            }
+            Some(TrialState::Requested { suspect, .. }) if suspect == request => {
+                SuspectAdmission::AwaitsTrial
+            }
+            _ if self.evidence.is_probation_trial_due(now, request) => {
+                SuspectAdmission::NeedsTrial(request)
+            }
+            _ => SuspectAdmission::AwaitsTrial,
+        }
+    }
+
+    /// Returns whether this host sends a request again right after a crash, and has no copy of it.
+    fn is_resent_at_once(&self, now: Instant, entry: &RequestEntry) -> bool {
+        let request = Suspect::Request(entry.request.fingerprint);
+        let is_copy = |other: &RequestEntry| {
+            other.request.fingerprint == entry.request.fingerprint
+                && other.request.id != entry.request.id
+        };
+        entry.attempts > 0
+            && self.evidence.crashed_lately(now, request)
+            && !self.requests.iter().any(|(_, other)| is_copy(other))
+    }
+
     /// Returns whether exactly one suspect of a request is blocked, so that a trial with it shows whether
     /// this suspect crashes servers.
     fn has_single_blocked_suspect(&self, request: &RoutingRequest) -> bool {
--- a/crates/route/src/crash/evidence/entry.rs
+++ b/crates/route/src/crash/evidence/entry.rs
@@ -103,6 +103,13 @@
         self.is_part() && self.verdict == Some(Verdict::Suspected)
     }
 
+    /// Returns whether this is a request that was in flight at a crash, without a response since, and is not
+    /// blocked.
+    pub(super) fn is_request_on_probation(&self) -> bool {
+        let is_unanswered = |crash: &Crash| !self.is_answered(crash.at);
+        !self.is_part() && self.verdict.is_none() && self.crashes.iter().any(is_unanswered)
+    }
+
     /// Returns whether the suspect is blocked and may be cleared without a response.
     ///
     /// A confirmed part stays blocked. A request is confirmed without a trial and may be cleared.
--- a/crates/route/src/crash/evidence/trials.rs
+++ b/crates/route/src/crash/evidence/trials.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     crash::evidence::{Evidence, VerdictChange, entry::Entry},
-    crash::suspect::{Suspect, Verdict, VerdictCause},
+    crash::suspect::{Suspect, TrialRequest, Verdict, VerdictCause},
 };
 
 /// Number of trials of a blocked suspect over all hosts.
@@ -27,6 +27,10 @@
 /// Time after which this host requests a trial of the same suspect again.
 const TRIAL_REQUEST_INTERVAL: Micros = Micros::from_millis(250);
 
+/// Time from a crash for which a host sends a request that was in flight there again without a trial. A trial
+/// takes a round trip to other hosts, and most requests are harmless.
+const IMMEDIATE_RESEND_TIME: Micros = Micros::from_secs(1);
+
 impl Evidence {
     /// Extends the retention of a blocked suspect because a request with it arrived.
     ///
@@ -77,6 +81,36 @@
         })
     }
 
+    /// Returns whether a request may be sent only as a trial although it is not blocked, as it was in flight at
+    /// a crash and nothing was answered since.
+    ///
+    /// Its copies may all crash servers until a second crash confirms it, so they are sent one at a time.
+    pub(crate) fn needs_trial(&self, request: Suspect) -> bool {
+        self.get(request)
+            .is_some_and(Entry::is_request_on_probation)
+    }
+
+    /// Returns whether a trial of a request that is not blocked may be requested now.
+    pub(crate) fn is_probation_trial_due(&self, now: Instant, request: Suspect) -> bool {
+        self.get(request)
+            .is_some_and(|entry| entry.next_trial_request.is_past(now))
+    }
+
+    /// Returns whether a suspect was in flight at a crash a short time ago.
+    pub(crate) fn crashed_lately(&self, now: Instant, suspect: Suspect) -> bool {
+        self.get(suspect)
+            .is_some_and(|entry| now.since(entry.last_crash) < IMMEDIATE_RESEND_TIME)
+    }
+
+    /// Returns the request for a trial of a suspect.
+    pub(crate) fn trial_request(&self, now: Instant, suspect: Suspect) -> TrialRequest {
+        let answered_at = self.get(suspect).and_then(|entry| entry.answered_at);
+        TrialRequest {
+            suspect,
+            answered: answered_at.map(|at| now.since(at)),
+        }
+    }
+
     /// Records that this host requested a trial of a suspect.
     pub(crate) fn record_trial_request(&mut self, now: Instant, suspect: Suspect) {
         if let Some(entry) = self.get_mut(suspect) {
@@ -94,6 +128,8 @@
     /// Confirms a suspect that has had all of its trials.
     pub(crate) fn confirm_exhausted(&mut self, suspect: Suspect) -> Option<VerdictChange> {
         let entry = self.get_mut(suspect)?;
-        (entry.verdict == Some(Verdict::Suspected)).then(|| entry.confirm(VerdictCause::Trials))
+        let is_undecided =
+            entry.verdict == Some(Verdict::Suspected) || entry.is_request_on_probation();
+        is_undecided.then(|| entry.confirm(VerdictCause::Trials))
     }
 }
--- a/crates/route/src/crash/suspect.rs
+++ b/crates/route/src/crash/suspect.rs
@@ -115,7 +115,16 @@
     }
 }
 
-/// Reply to a request for a trial of a blocked suspect.
+/// Request for the permission to send one request with a suspect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct TrialRequest {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// Time since the last response to a request with it. Trials granted before do not count any more.
+    pub answered: Option<Micros>,
+}
+
+/// Reply to a request for a trial of a suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum TrialReply {
     /// One request with the suspect may be sent.
--- a/crates/route/src/crash/trial.rs
+++ b/crates/route/src/crash/trial.rs
@@ -36,7 +36,8 @@
         entry.trial = Some(TrialState::Requested { suspect, at: now });
         let id = entry.request.id;
         self.evidence.record_trial_request(now, suspect);
-        out.push(Action::RequestTrial { id, suspect });
+        let trial = self.evidence.trial_request(now, suspect);
+        out.push(Action::RequestTrial { id, trial });
     }
 
     pub(crate) fn trial_reply(
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     crash::suspect::{
-        CrashReport, CrashUpdate, Suspect, SuspectRecord, TrialReply, Verdict, VerdictCause,
+        CrashReport, CrashUpdate, Suspect, SuspectRecord, TrialReply, TrialRequest, Verdict,
+        VerdictCause,
     },
     peer_load::SentLoad,
     slowdown::ObservedSlowdown,
@@ -374,13 +375,13 @@
     ShareSuspects(Vec<SuspectRecord>),
     /// Share what this host learned of crashes with all peers.
     ShareCrashes(CrashUpdate),
-    /// Ask the peers whether a request may be sent as a trial of a blocked suspect; the reply is
+    /// Ask the peers whether a request may be sent as a trial of a suspect; the reply is
     /// [`Event::TrialReply`].
     RequestTrial {
         /// The request.
         id: RequestId,
-        /// The suspect.
-        suspect: Suspect,
+        /// The trial.
+        trial: TrialRequest,
     },
     /// Log that a backend server crashed while this host had requests in flight there.
     LogCrash {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -73,7 +73,7 @@
 pub use crash::evidence::MAX_TRIALS;
 pub use crash::suspect::{
     BlockedSuspect, CrashReport, CrashUpdate, ResponseReport, Suspect, SuspectRecord, SuspectState,
-    TrialReply, Verdict, VerdictCause,
+    TrialReply, TrialRequest, Verdict, VerdictCause,
 };
 pub use event::{
     Action, BackendLoad, BackendRegistration, Event, Failure, Fingerprint, Liveness,
--- a/crates/route/tests/behaviour/crashing_requests.rs
+++ b/crates/route/tests/behaviour/crashing_requests.rs
@@ -1,10 +1,14 @@
 //! Requests that crash each server which begins to run them, and the ways in which a crash may be missed.
 
 use config::Deployment;
-use route::{Action, CrashUpdate, Event, Failure, Fingerprint};
+use rand::RngExt;
+use route::{Action, CrashUpdate, Event, Failure, Fingerprint, TrialReply, TrialRequest};
 use types::{Code, Micros, PromptPart, RequestId, RetryReason};
 
-use crate::fixture::{Host, LOCAL, deployment};
+use crate::{
+    fixture::{Host, LOCAL, deployment},
+    fleet::{CRASHING_REQUEST, Fleet, MAX_LATER_REQUESTS, SHARED},
+};
 
 /// Request that crashes servers. Its fingerprint sorts behind all others.
 const CRASHING: Fingerprint = Fingerprint::new(u128::MAX);
@@ -34,13 +38,22 @@
     host
 }
 
-/// Sends the crashing request. Returns it with its server, or `None` if it is refused.
+/// Sends the crashing request, for which other hosts grant each trial. Returns it with its server, or `None` if
+/// it is refused.
 fn send_crashing(host: &mut Host) -> Option<(RequestId, String)> {
     let id = host.send(|r| {
         r.fingerprint = CRASHING;
         r.idempotent = false;
         r.options.parts = vec![PromptPart::new(SHARED_PART)];
     });
+    let trial = host.out.iter().find_map(|action| match action {
+        Action::RequestTrial { trial, .. } => Some(*trial),
+        _ => None,
+    });
+    if let Some(TrialRequest { suspect, .. }) = trial {
+        let reply = TrialReply::Granted;
+        host.step(Event::TrialReply { id, suspect, reply });
+    }
     host.dispatched().pop().map(|(_, server)| (id, server))
 }
 
@@ -239,3 +252,63 @@
 
     assert!(refuses_crashing(&mut host));
 }
+
+/// Steps from the crash of the only server with a model to its restart, more than the time after which the
+/// bound on further requests holds.
+const LONG_RESTART_STEPS: u64 = 220;
+
+/// Guards against copies of a crashing request that are sent without limit before its second crash: those in
+/// flight at the first crash, and those that wait for the only server with their model and are sent at once
+/// when it is back.
+#[test]
+fn few_copies_of_a_crashing_request_are_sent_though_many_are_in_flight_and_waiting() {
+    for (seed, interval) in (0..20).flat_map(|seed| [(seed, 1), (seed, 3), (seed, 11)]) {
+        let case = format!("seed {seed}, each {interval} steps");
+        let models = [&["m1"][..], &["m2"], &["m2"]];
+        let mut fleet = Fleet::with_models(3, seed, &[CRASHING_REQUEST], models);
+        fleet.restart_steps = LONG_RESTART_STEPS;
+        fleet.run(50, |_| {});
+        fleet.run(900, |fleet| {
+            if fleet.step.is_multiple_of(interval) {
+                let host = fleet.rng.random_range(0..fleet.hosts.len());
+                fleet.send_crashing_request(host, &[SHARED]);
+            }
+        });
+
+        let later = fleet.arrivals_after_bound(CRASHING_REQUEST);
+        assert!(later <= MAX_LATER_REQUESTS, "{case}: {later} later");
+        let share = fleet.dispatched_share(fleet.step - 100);
+        assert!(share > 0.9, "{case}: {share} of the harmless requests");
+    }
+}
+
+/// Guards against harmless requests that wait for other hosts after the crash of their server.
+#[test]
+fn a_request_in_flight_at_one_crash_is_sent_again_at_once() {
+    let mut host = host();
+    let id = host.send(|_| {});
+    let (_, server) = host.dispatched().pop().expect("a server");
+
+    host.crash(&server, 1);
+    host.fail(id, RetryReason::Crash, true);
+
+    assert_eq!(host.dispatched().len(), 1, "{:?}", host.out);
+}
+
+/// Guards against a repetition of a harmless request that is refused, or waits, after its trial was answered.
+#[test]
+fn a_response_to_a_trial_lets_all_copies_of_a_request_pass() {
+    let mut host = host();
+    let id = host.send(|r| r.fingerprint = CRASHING);
+    let (_, server) = host.dispatched().pop().expect("a server");
+    host.crash(&server, 1);
+    host.step(Event::Cancel(id));
+    let (trial, _) = send_crashing(&mut host).expect("a trial");
+    let waiting = host.send(|r| r.fingerprint = CRASHING);
+    assert!(host.dispatched().is_empty());
+
+    host.finish(trial);
+
+    let dispatched: Vec<RequestId> = host.dispatched().iter().map(|d| d.0).collect();
+    assert_eq!(dispatched, [waiting]);
+}
--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod first_token;
 mod fixture;
+mod fleet;
 mod memory;
 mod properties;
 mod queueing;
