Probe servers that seem to have crashed while the platform lists them

Cause: a connection that ends while new ones are refused counts as a crash, and the incarnation was marked as ended for good. Registrations and reports of the same process were ignored, and nothing tried it again.

Evidence: route/behaviour/probes failed (no request is sent after all servers seemed to crash).

Why it works: as long as the platform lists the same process, the server gets one request a second after the crash, and another one each second while these fail. A refused connection has not run, so the request goes elsewhere. Any response brings the server back. What it holds is kept meanwhile, as the process may run on. A new incarnation ends the probes.

--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -2,7 +2,9 @@
 
 use types::{Deadline, Incarnation, Instant, Micros};
 
-use crate::{event::Liveness, prefix::PrefixCache, slowdown::SlowdownStats};
+use crate::{
+    crash::probe::ProbeState, event::Liveness, prefix::PrefixCache, slowdown::SlowdownStats,
+};
 
 /// Number of past values of the own in-flight count, kept to correct delayed reports.
 const HISTORY_LEN: usize = 32;
@@ -51,6 +53,8 @@
     pub incarnation: Option<Incarnation>,
     /// Last incarnation that is known to have ended; reports of it are outdated.
     pub ended_incarnation: Option<Incarnation>,
+    /// Probes after the server seemed to crash.
+    pub probe: ProbeState,
     /// Incarnation of the last registration.
     pub registered_incarnation: Option<Incarnation>,
     pub liveness: Liveness,
@@ -111,6 +115,7 @@
             speed: 1.0,
             incarnation: None,
             ended_incarnation: None,
+            probe: ProbeState::None,
             registered_incarnation: None,
             liveness: Liveness::Live,
             leaving_by: None,
@@ -145,6 +150,7 @@
         self.liveness == Liveness::Live
             && self.cooldown_until.is_past(now)
             && self.held_off_until.is_past(now)
+            && !self.awaits_probe_response()
     }
 
     /// Returns the estimated number of requests in flight from all hosts.
@@ -216,6 +222,7 @@
         }
         if self.incarnation.is_some() {
             self.ended_incarnation = self.incarnation;
+            self.probe = ProbeState::None;
             self.terminates_at = Deadline::NEVER;
             self.prefixes.clear();
             self.held_off_until = Deadline::at(Instant::ZERO);
--- a/crates/route/src/crash/mod.rs
+++ b/crates/route/src/crash/mod.rs
@@ -5,9 +5,12 @@
 //! is confirmed or cleared. Without them, evidence from all hosts counts against whole requests and parts
 //! of prompts (`report`, `evidence`), which are blocked after several crashes (`blocking`) and tried
 //! rarely (`trial`). A crash always updates the evidence against parts.
+//!
+//! The server itself is out of use until it has restarted, or responds to a probe (`probe`).
 
 pub(crate) mod blocking;
 pub(crate) mod evidence;
+pub(crate) mod probe;
 mod report;
 pub(crate) mod suspect;
 pub(crate) mod suspect_records;
@@ -60,14 +63,14 @@
         out: &mut Vec<Action>,
     ) {
         if let Some(index) = self.names.as_ref().and_then(|n| n.backend(backend)) {
-            self.end_incarnation(index, incarnation);
+            self.end_incarnation(now, index, incarnation);
         }
         self.record_suspects(now, backend, incarnation, out);
         self.dispatch_queued(now, Scope::All, out);
     }
 
     /// Marks a backend server as dead, unless it has restarted since.
-    fn end_incarnation(&mut self, backend: u32, incarnation: Incarnation) {
+    fn end_incarnation(&mut self, now: Instant, backend: u32, incarnation: Incarnation) {
         let b = &mut self.backends[backend as usize];
         let has_restarted =
             b.ended_incarnation == Some(incarnation) && b.incarnation != Some(incarnation);
@@ -77,8 +80,13 @@
         b.incarnation = Some(incarnation);
         b.ended_incarnation = Some(incarnation);
         b.prefixes.clear();
+        b.await_probe(now);
+        // A process that the platform still lists may run on, with what it holds.
+        let may_run_on = b.registered_incarnation == Some(incarnation);
         self.set_dead(backend);
-        self.set_residents(backend, Vec::new(), Vec::new());
+        if !may_run_on {
+            self.set_residents(backend, Vec::new(), Vec::new());
+        }
     }
 
     /// Returns the indexes under which requests run at a backend server. There are several if its entry was
--- a/crates/route/src/fail.rs
+++ b/crates/route/src/fail.rs
@@ -71,7 +71,7 @@
         );
         b.record_attempt(failed, now);
         if !failed {
-            b.last_response = now;
+            b.record_response(now);
         }
         match reason {
             RetryReason::Unreachable => {
@@ -84,6 +84,9 @@
             RetryReason::NotResident => self.forget_resident(backend, slot),
             _ => {}
         }
+        if failed {
+            self.record_failed_probe(now, backend);
+        }
     }
 
     /// Removes the missing model or adapter from the state of a backend server until its next
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -220,6 +220,7 @@
         self.rejected_placements.retain(|w| !w.2.is_past(now));
         self.expire_peer_loads(now);
         self.update_overdue(now);
+        self.start_probes(now);
         self.expire_slot_requests(now, out);
         self.dispatch_queued(now, Scope::All, out);
     }
@@ -262,7 +263,7 @@
     /// Removes the prompt of a request from the pending prefill time of its backend server.
     fn prefill_done(&mut self, now: Instant, slot: u32, backend: u32) {
         if let Some(b) = self.backends.get_mut(backend as usize) {
-            b.last_response = now;
+            b.record_response(now);
         }
         if self.cfg.latency_metric == LatencyMetric::FirstToken {
             self.learn_first_token(now, slot, backend);
@@ -314,7 +315,7 @@
                 self.learn(now, &entry, backend, tokens);
             }
             if let Some(b) = self.backends.get_mut(backend as usize) {
-                b.last_response = now;
+                b.record_response(now);
                 b.record_attempt(false, now);
             }
             self.clear_suspect(&entry, backend, out);
--- a/crates/route/tests/behaviour/main.rs
+++ b/crates/route/tests/behaviour/main.rs
@@ -8,6 +8,7 @@
 mod fixture;
 mod fleet;
 mod memory;
+mod probes;
 mod properties;
 mod queueing;
 mod retries;
