Order adapters only on workers that carry out no order for a model

Cause: a worker refuses all orders while it loads or unloads a model, which takes 2.6 to 5.8 s there.

Why it works: such a worker counts as occupied, so that another holder of the model gets the order.

--- a/crates/orders/src/sequenced.rs
+++ b/crates/orders/src/sequenced.rs
@@ -154,15 +154,15 @@
     /// Returns whether a model order may be sent now.
     #[must_use]
     pub fn may_order_model(&self) -> bool {
-        self.may_order_adapter() && self.accepted.is_none() && !self.state.busy
+        self.may_order_adapter()
     }
 
     /// Returns whether an adapter order may be sent now.
+    ///
+    /// A worker refuses all orders while it loads or unloads a model, which takes seconds.
     #[must_use]
     pub fn may_order_adapter(&self) -> bool {
-        let unloads = |o: &OrderSpec| o.op == OrderOp::UnloadAdapter;
-        let unloading = self.accepted.as_ref().is_some_and(unloads);
-        self.has_report && self.pending.is_none() && !unloading
+        self.has_report && self.pending.is_none() && self.accepted.is_none() && !self.state.busy
     }
 
     /// Registers the first attempt to send an order and returns the order count that it expects.
