Replace the copies of a worker that does not respond before its entry expires

What callers saw: when the only worker with a model crashed, its callers waited two seconds longer than the load takes.

Cause: the controller counted a worker's copies until the platform removed its entry, after three missed heartbeats, though hosts had seen the crash within milliseconds.

Why it works: crashes that any host reports make the controller ask the worker for a report at once. A worker that does not answer is unresponsive: its copies do not count, and it gets no orders. Without a reported crash two reports must fail. One report brings it back, so a crash that only some hosts see, because of their network, changes nothing.

--- a/crates/celerytally/src/entry/beacons.rs
+++ b/crates/celerytally/src/entry/beacons.rs
@@ -20,7 +20,7 @@
 
 use crate::entry::{
     fleet_state::{FleetState, NameHashes},
-    peers::Exchange,
+    peers::{Exchange, record_crashes},
     targets::Targets,
 };
 
@@ -413,6 +413,7 @@
             Datagram::Crashes { host, update } => {
                 tracing::trace!(%host, "crash update received");
                 let dispatcher = self.fleet.proxy().dispatcher();
+                record_crashes(&self.control, &update);
                 dispatcher.feed(Event::CrashUpdate(update));
             }
         }
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -105,6 +105,7 @@
     }
 
     fn share_crashes(&self, update: CrashUpdate) {
+        record_crashes(&self.control, &update);
         if let Err(e) = self.crashes.try_send(update) {
             tracing::warn!(error = %e, "crash update not queued");
         }
@@ -163,6 +164,13 @@
     }
 }
 
+/// Tells the controller of this host which workers may have crashed.
+pub(super) fn record_crashes(control: &FleetHandle, update: &CrashUpdate) {
+    for crash in &update.crashes {
+        control.record_crash(crash.backend.clone(), crash.incarnation);
+    }
+}
+
 /// Forwards suspects that peers share to the router.
 pub(crate) async fn forward_suspects(mut updates: Receiver<PeerUpdate>, fleet: Arc<FleetState>) {
     while let Some(update) = updates.recv().await {
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -187,6 +187,14 @@
         }));
     }
 
+    /// Records that callers' requests show that a worker may have crashed.
+    pub fn record_crash(&self, worker: BackendId, incarnation: Incarnation) {
+        self.enqueue(Input::Event(FleetEvent::Crashed {
+            worker,
+            incarnation,
+        }));
+    }
+
     /// Watches the epoch of the lease, which is `None` while this host has no authority.
     #[must_use]
     pub fn watch_epoch(&self) -> watch::Receiver<Option<Epoch>> {
--- a/crates/control/src/fleet/machine/adapters.rs
+++ b/crates/control/src/fleet/machine/adapters.rs
@@ -33,7 +33,7 @@
     /// Returns whether an order was sent, has an unknown effect and will be sent again.
     fn is_being_sent(&self, now: Instant, task: &OrderSpec) -> bool {
         let mut pending = self.workers.iter().filter(|w| w.ledger.is_pending(task));
-        pending.any(|w| !self.is_leaving(w) && !self.is_held_off(now, w))
+        pending.any(|w| self.is_usable(w) && !self.is_held_off(now, w))
     }
 
     fn place_adapter(
--- a/crates/control/src/fleet/machine/mod.rs
+++ b/crates/control/src/fleet/machine/mod.rs
@@ -21,6 +21,13 @@
 /// Interval between reports of any other worker.
 const IDLE_REPORT_INTERVAL: Micros = Micros::from_secs(4);
 
+/// Interval between reports of a worker that does not respond, after which it is known to be back.
+const UNRESPONSIVE_REPORT_INTERVAL: Micros = Micros::from_secs(1);
+
+/// Number of requests for a report in a row without a response after which a worker counts as unresponsive. One
+/// response may be lost.
+const MAX_FAILED_REPORTS: u8 = 2;
+
 /// Interval between placement rounds.
 const ROUND_INTERVAL: Micros = Micros::from_millis(250);
 
@@ -100,6 +107,13 @@
         /// What it announced.
         notice: ServerNotice,
     },
+    /// Callers' requests show that an incarnation of a worker may have crashed.
+    Crashed {
+        /// Worker.
+        worker: BackendId,
+        /// Incarnation that may have ended.
+        incarnation: Incarnation,
+    },
     /// Time passed.
     Tick,
 }
@@ -121,6 +135,10 @@
     ledger: SequencedWorker,
     report_requested: bool,
     next_report: Instant,
+    /// Number of requests for a report in a row without a response.
+    failed_reports: u8,
+    /// Whether callers' requests show a crash that no report has refuted.
+    may_have_crashed: bool,
     /// Time of the last request or use of each adapter, sorted by id.
     adapter_uses: Vec<(AdapterId, Instant)>,
     /// Model whose load was ordered last, and when.
@@ -128,6 +146,23 @@
 }
 
 impl ManagedWorker {
+    /// Returns whether the worker does not respond, so that its copies serve nobody.
+    ///
+    /// The platform lists a worker that has crashed until its entry expires.
+    fn is_unresponsive(&self) -> bool {
+        let max = if self.may_have_crashed {
+            1
+        } else {
+            MAX_FAILED_REPORTS
+        };
+        self.failed_reports >= max
+    }
+
+    fn record_response(&mut self) {
+        self.failed_reports = 0;
+        self.may_have_crashed = false;
+    }
+
     fn server(&self) -> Server {
         Server {
             id: self.registration.id.clone(),
@@ -209,7 +244,7 @@
             FleetEvent::Registrations(registrations) => self.update_registrations(registrations),
             FleetEvent::AuthorityGained(epoch, from) => self.gain_authority(now, epoch, from),
             FleetEvent::AuthorityLost => self.lose_authority(actions),
-            FleetEvent::Report(worker, state) => self.handle_report(&worker, state),
+            FleetEvent::Report(worker, state) => self.handle_report(now, &worker, state),
             FleetEvent::OrderResult {
                 worker,
                 expect,
@@ -227,6 +262,10 @@
                     self.notices.record(now, &worker, incarnation, notice);
                 }
             }
+            FleetEvent::Crashed {
+                worker,
+                incarnation,
+            } => self.check_crashed(now, &worker, incarnation),
             FleetEvent::Tick => {}
         }
     }
@@ -238,6 +277,22 @@
         registration.leaving || self.notices.is_leaving(&registration.id, state)
     }
 
+    /// Returns whether callers can use what a worker holds and loads.
+    fn is_usable(&self, worker: &ManagedWorker) -> bool {
+        !self.is_leaving(worker) && !worker.is_unresponsive()
+    }
+
+    /// Fetches a report of a worker that may have crashed at once.
+    fn check_crashed(&mut self, now: Instant, worker: &BackendId, incarnation: Incarnation) {
+        if let Some(at) = self.position(worker)
+            && self.workers[at].ledger.state().incarnation == incarnation
+            && !self.workers[at].is_unresponsive()
+        {
+            self.workers[at].may_have_crashed = true;
+            self.workers[at].next_report = now;
+        }
+    }
+
     /// Returns whether a worker wants no orders and calls now.
     fn is_held_off(&self, now: Instant, worker: &ManagedWorker) -> bool {
         let state = worker.ledger.state();
@@ -261,6 +316,7 @@
                 .apply_registration(worker.registration.state.clone());
             worker.report_requested = false;
             worker.next_report = now;
+            worker.record_response();
         }
         // The former holder may have used up the rate limit of the whole window until its end.
         self.store_loads.clear();
@@ -307,12 +363,18 @@
                     ledger: SequencedWorker::default(),
                     report_requested: false,
                     next_report: Instant::ZERO,
+                    failed_reports: 0,
+                    may_have_crashed: false,
                     adapter_uses: Vec::new(),
                     last_load: None,
                 },
             };
-            let (last, new) = (&worker.registration.state, &registration.state);
-            if new.incarnation < last.incarnation {
+            let last = worker.registration.state.incarnation;
+            let new = registration.state.incarnation;
+            if new != last {
+                worker.record_response();
+            }
+            if new < last {
                 // Registrations follow the order of the platform, so the last one was not the
                 // worker's own.
                 worker.ledger = SequencedWorker::default();
@@ -325,14 +387,24 @@
             .sort_by(|a, b| a.registration.id.cmp(&b.registration.id));
     }
 
-    fn handle_report(&mut self, worker: &BackendId, state: Option<WorkerState>) {
+    fn handle_report(&mut self, now: Instant, worker: &BackendId, state: Option<WorkerState>) {
         let Some(at) = self.position(worker) else {
             return;
         };
-        self.workers[at].report_requested = false;
+        let worker = &mut self.workers[at];
+        worker.report_requested = false;
         if let Some(state) = state {
-            self.workers[at].ledger.apply_report(state);
+            worker.record_response();
+            worker.ledger.apply_report(state);
+            return;
         }
+        worker.failed_reports = worker.failed_reports.saturating_add(1);
+        let interval = if worker.is_unresponsive() {
+            UNRESPONSIVE_REPORT_INTERVAL
+        } else {
+            OPEN_ORDER_REPORT_INTERVAL
+        };
+        worker.next_report = now + interval;
     }
 
     fn handle_order_result(
@@ -346,7 +418,9 @@
         let Some(at) = self.position(worker) else {
             return;
         };
-        self.workers[at].next_report = now + OPEN_ORDER_REPORT_INTERVAL;
+        if !self.workers[at].is_unresponsive() {
+            self.workers[at].next_report = now + OPEN_ORDER_REPORT_INTERVAL;
+        }
         let Some(task) = self.workers[at].ledger.finish_send(expect, outcome) else {
             return;
         };
@@ -439,7 +513,7 @@
                 .is_some_and(|t| t.op == OrderOp::Unload && t.model == *model);
             held.is_some_and(|h| adapter.is_none_or(|a| h.adapters.binary_search(a).is_ok()))
                 && !unloading
-                && !self.is_leaving(w)
+                && self.is_usable(w)
         };
         let workers = self.workers.iter().enumerate();
         workers
@@ -474,7 +548,9 @@
                 continue;
             }
             // No order of a leaving worker is sent again, so none needs to be settled soon.
-            let open = worker.ledger.awaits_report() && !self.notices.is_leaving(id, state);
+            let open = worker.ledger.awaits_report()
+                && !self.notices.is_leaving(id, state)
+                && !worker.is_unresponsive();
             if open {
                 worker.next_report = worker.next_report.min(now + OPEN_ORDER_REPORT_INTERVAL);
             }
@@ -507,7 +583,7 @@
         };
         for at in 0..self.workers.len() {
             let worker = &self.workers[at];
-            if self.is_leaving(worker) || self.is_held_off(now, worker) {
+            if !self.is_usable(worker) || self.is_held_off(now, worker) {
                 continue;
             }
             if let Some((task, expect)) = self.workers[at].ledger.take_resend(now) {
--- a/crates/control/src/fleet/machine/models.rs
+++ b/crates/control/src/fleet/machine/models.rs
@@ -124,7 +124,7 @@
                 let held = held_models(w);
                 FleetWorker {
                     id: &w.registration.id,
-                    schedulable: !self.is_leaving(w),
+                    schedulable: self.is_usable(w),
                     accepts_orders: w.ledger.may_order_model() && !self.is_held_off(now, w),
                     used_memory: w.ledger.reserved(size),
                     state: w.ledger.state(),
--- /dev/null
+++ b/crates/control/tests/crashed_workers.rs
@@ -0,0 +1,91 @@
+//! Workers that have crashed while the platform still lists them.
+
+#[path = "support/holder.rs"]
+mod holder;
+
+use control::FleetEvent;
+use holder::{Holder, id, model, state};
+use types::Incarnation;
+
+/// Time within which the controller must react to a crash that callers' requests show, in milliseconds.
+const REACTION_MS: u64 = 600;
+
+fn crash(holder: &mut Holder, worker: &str, incarnation: u64) {
+    holder.step(FleetEvent::Crashed {
+        worker: id(worker),
+        incarnation: Incarnation::new(incarnation),
+    });
+}
+
+/// Guards against callers who wait for a model whose only worker has crashed until its entry expires.
+#[test]
+fn the_copies_of_a_crashed_worker_are_replaced_before_its_entry_expires() {
+    let mut holder = Holder::new();
+    holder.silent.push(id("w1"));
+
+    crash(&mut holder, "w1", 1);
+    holder.request("m1");
+    holder.advance(REACTION_MS);
+
+    let replaced = (id("w2"), model("m1"));
+    assert!(holder.loads.contains(&replaced), "{:?}", holder.loads);
+    assert_eq!(holder.loads_at("w1"), 0);
+}
+
+/// Guards against loads that follow a crash which only some hosts see, as their network resets connections.
+#[test]
+fn the_copies_of_a_worker_that_reports_are_not_replaced() {
+    let mut holder = Holder::new();
+
+    crash(&mut holder, "w1", 1);
+    holder.request("m1");
+    holder.advance(REACTION_MS);
+
+    assert!(holder.loads.is_empty(), "{:?}", holder.loads);
+    assert_eq!(holder.replies, [vec![id("w1")]]);
+}
+
+/// Guards against a worker that stays unused after a network was cut between it and the controller.
+#[test]
+fn a_worker_that_reports_again_is_used_again() {
+    let mut holder = Holder::new();
+    holder.silent.push(id("w1"));
+    crash(&mut holder, "w1", 1);
+    holder.advance(3_000);
+
+    holder.silent.clear();
+    holder.advance(1_500);
+    holder.forget();
+    holder.request("m1");
+
+    assert_eq!(holder.replies, [vec![id("w1")]]);
+}
+
+/// Guards against a late notice of a crash that concerns the next process of a worker.
+#[test]
+fn a_crash_of_an_earlier_incarnation_has_no_effect() {
+    let mut holder = Holder::new();
+    holder.register(&[("w1", state(2, &["m1"])), ("w2", state(1, &["m2"]))]);
+    holder.advance(500);
+    holder.forget();
+
+    crash(&mut holder, "w1", 1);
+    holder.advance(100);
+
+    assert!(holder.calls.is_empty(), "{:?}", holder.calls);
+}
+
+/// Guards against a worker that falls silent without a crash and keeps the only copy of a model.
+#[test]
+fn the_copies_of_a_silent_worker_are_replaced() {
+    let mut holder = Holder::new();
+    holder.silent.push(id("w1"));
+
+    holder.request("m2");
+    holder.advance(5_000);
+    holder.request("m1");
+    holder.advance(REACTION_MS);
+
+    let replaced = (id("w2"), model("m1"));
+    assert!(holder.loads.contains(&replaced), "{:?}", holder.loads);
+}
