Take over the placement lease soon when its holder and other candidates end

Cause: power is lost at two hosts at 3.5 s, and whether one holds the lease is chance.

Once a holder has not been heard of for as long as a lease lasts, their reads are current. A host takes over the lease of its own earlier process at once, as the new process listens on its addresses; it gets a new epoch.

--- a/crates/celerytally/src/entry/mod.rs
+++ b/crates/celerytally/src/entry/mod.rs
@@ -202,6 +202,7 @@
     tokio::spawn(watch::clock(fleet()));
     tokio::spawn(peers::watch_members(exchange(), control(), fleet(), slack));
     tokio::spawn(peers::publish_own_state(exchange(), control(), fleet()));
+    tokio::spawn(peers::watch_holder(exchange(), control()));
     tokio::spawn(source::run(
         location,
         settings.first_start,
--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -20,7 +20,7 @@
     AdapterId, Announcement, BackendId, BootTime, DataCentreId, Epoch, HostId, Incarnation, ModelId,
 };
 
-use crate::entry::{RETRY_BUDGET_SHARE, fleet_state::FleetState};
+use crate::entry::{LEASE_DURATION, RETRY_BUDGET_SHARE, fleet_state::FleetState};
 
 /// Token of the peer exchange; the network between hosts is closed and the settings hold no secret.
 const CLOSED_NETWORK_TOKEN: &str = "closed-network";
@@ -28,6 +28,9 @@
 /// Duty by which the candidates for the placement lease are ranked; it is hashed.
 const PLACEMENT_DUTY: &str = "placement";
 
+/// Interval between checks whether the holder of the lease is heard of.
+const HOLDER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Handle of the exchange with the other entry hosts.
 pub(crate) type Exchange = Handle<ObjectClient, BootTime, PeerRequestHandler>;
 
@@ -216,6 +219,22 @@
     }
 }
 
+/// Watches whether the holder of the lease is heard of, and tells the controller if not for as long as a lease lasts.
+pub(crate) async fn watch_holder(exchange: Exchange, control: FleetHandle) {
+    let mut was_silent = false;
+    loop {
+        sleep(HOLDER_CHECK_INTERVAL).await;
+        let holder = control.holder().filter(|h| h != exchange.host());
+        let silence = holder.and_then(|holder| exchange.silence(&holder));
+        let is_silent = silence.is_some_and(|time| time >= LEASE_DURATION);
+        if is_silent != was_silent {
+            tracing::info!(belief = "holder", is_silent, "lease holder heard of");
+            control.set_holder_silent(is_silent);
+            was_silent = is_silent;
+        }
+    }
+}
+
 /// Publishes to peers the lease that this host holds and whether it serves callers.
 pub(crate) async fn publish_own_state(
     exchange: Exchange,
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -461,6 +461,7 @@
         process: AttemptId::random(rng),
         duration: settings.lease_duration,
         poll_interval: lease_poll_interval(settings, &[]),
+        predecessors_ended: false,
         checks: Checks::default(),
     })
 }
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -21,8 +21,11 @@
 
 use crate::{
     calls::lease_call,
-    fleet::machine::{
-        Fleet, FleetAction, FleetEvent, PlacementRequest, PlacementRequestId, WorkerOrder,
+    fleet::{
+        candidates::lease_poll_interval,
+        machine::{
+            Fleet, FleetAction, FleetEvent, PlacementRequest, PlacementRequestId, WorkerOrder,
+        },
     },
 };
 
@@ -36,15 +39,6 @@
 /// Time added to the takeover delay for the transit of the last order of the former holder.
 const TAKEOVER_MARGIN: Micros = Micros::from_millis(500);
 
-/// Interval between reads of the lease by active candidates.
-const CANDIDATE_POLL_INTERVAL: Micros = Micros::from_millis(700);
-
-/// Interval between reads of the lease by the other hosts.
-const STANDBY_POLL_INTERVAL: Micros = Micros::from_secs(4);
-
-/// Number of hosts that poll the lease often; the others are standbys.
-const ACTIVE_CANDIDATES: usize = 2;
-
 /// Time for which a stopping process tries to hand over its lease.
 const HANDOVER_TIMEOUT: Micros = Micros::from_secs(2);
 
@@ -95,6 +89,7 @@
     Event(FleetEvent),
     Place(PlacementRequest, oneshot::Sender<Vec<BackendId>>),
     Members(Vec<HostId>),
+    HolderSilent(bool),
 }
 
 /// Handle of a running fleet controller.
@@ -138,6 +133,11 @@
         self.enqueue(Input::Members(hosts));
     }
 
+    /// Sets whether other hosts have heard nothing of the holder of the lease for a while.
+    pub fn set_holder_silent(&self, is_silent: bool) {
+        self.enqueue(Input::HolderSilent(is_silent));
+    }
+
     /// Places a model or adapter and returns the workers that hold it.
     ///
     /// Returns no workers if this host does not hold the lease or the placement does not succeed in
@@ -244,12 +244,17 @@
     input: mpsc::Receiver<Input>,
     pending_requests: Vec<(PlacementRequestId, oneshot::Sender<Vec<BackendId>>)>,
     next_request: PlacementRequestId,
+    /// Live hosts by their preference as holder of the lease.
+    members: Vec<HostId>,
     holder: watch::Sender<Option<HostId>>,
     epoch: watch::Sender<Option<Epoch>>,
     /// Receives what workers announce in the responses to calls.
     announcements: mpsc::Sender<Announcement>,
     /// Whether the outcome of a lease write is unknown, so that the next read must be current.
     write_unconfirmed: bool,
+    /// Whether the holder may have ended. Reads are current then, as others may lag by seconds, in which the
+    /// holder seems to renew its lease.
+    holder_silent: bool,
     /// Last known holder of the lease and its epoch.
     last_holder: Option<(HostId, Epoch)>,
 }
@@ -270,7 +275,9 @@
             host: settings.host.clone(),
             process: settings.attempt,
             duration: settings.lease_duration,
-            poll_interval: CANDIDATE_POLL_INTERVAL,
+            poll_interval: lease_poll_interval(&settings.host, None, &[]),
+            // The process listens on the addresses of its host, so no earlier one is left.
+            predecessors_ended: true,
             checks: Checks::default(),
         });
         let controller = Self {
@@ -283,10 +290,12 @@
             input,
             pending_requests: Vec::new(),
             next_request: 0,
+            members: Vec::new(),
             holder,
             epoch,
             announcements,
             write_unconfirmed: false,
+            holder_silent: false,
             last_holder: None,
         };
         let handle = FleetHandle {
@@ -353,20 +362,25 @@
                 self.step(FleetEvent::PlacementRequested(id, request));
             }
             Input::Members(hosts) => {
-                let rank = hosts.iter().position(|h| *h == self.settings.host);
-                let active = rank.is_none_or(|rank| rank < ACTIVE_CANDIDATES);
-                self.lease.set_poll_interval(if active {
-                    CANDIDATE_POLL_INTERVAL
-                } else {
-                    STANDBY_POLL_INTERVAL
-                });
+                self.members = hosts;
+                self.update_poll_interval();
             }
+            Input::HolderSilent(is_silent) => self.holder_silent = is_silent,
         }
     }
 
+    fn update_poll_interval(&mut self) {
+        let holder = self.lease.holder().map(|(host, _)| host);
+        let interval = lease_poll_interval(&self.settings.host, holder, &self.members);
+        self.lease.set_poll_interval(interval);
+    }
+
     fn handle_call_result(&mut self, call: Result<CallResult, tokio::task::JoinError>) {
         match call {
-            Ok(CallResult::Lease(event)) => self.step_lease(event),
+            Ok(CallResult::Lease(event)) => {
+                self.step_lease(event);
+                self.update_poll_interval();
+            }
             Ok(CallResult::Report {
                 worker,
                 state,
@@ -428,7 +442,8 @@
                     self.step(FleetEvent::AuthorityLost);
                 }
                 call => {
-                    let (platform, stale) = (self.platform.clone(), !self.write_unconfirmed);
+                    let platform = self.platform.clone();
+                    let stale = !self.write_unconfirmed && !self.holder_silent;
                     self.calls.spawn(async move {
                         CallResult::Lease(lease_call(&platform, LEASE_NAME, call, stale).await)
                     });
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -65,6 +65,6 @@
 pub use event::{BackendClient, Event, ModelDemand, Peers, Planner, Settings, Status};
 pub use fleet::{
     Fleet, FleetAction, FleetController, FleetEvent, FleetHandle, FleetSettings, PlacementRequest,
-    PlacementRequestId, WorkerAnswer, WorkerClient, WorkerOrder,
+    PlacementRequestId, WorkerAnswer, WorkerClient, WorkerOrder, lease_poll_interval,
 };
 pub use kinds::{BackendRecordObject, LeaseObject, SlotObject};
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -14,6 +14,7 @@
 //!     process: AttemptId::new(1),
 //!     duration: Micros::from_secs(10),
 //!     poll_interval: Micros::from_secs(2),
+//!     predecessors_ended: false,
 //!     checks: Checks::default(),
 //! });
 //! let now = Instant::from_micros(1_000_000);
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -49,6 +49,8 @@
     pub duration: Micros,
     /// Time between two reads of a candidate.
     pub poll_interval: Micros,
+    /// Whether earlier processes of the host have ended for sure, so that a lease of theirs needs no wait.
+    pub predecessors_ended: bool,
     /// Safeguards that are enabled.
     pub checks: Checks,
 }
@@ -347,7 +349,8 @@
         (retry || now >= term.valid_from + interval).then_some((term.epoch, true))
     }
 
-    /// Returns whether the lease is free, or has not been renewed for its whole duration.
+    /// Returns whether the lease is free, was held by an ended process of this host, or has not been renewed
+    /// for its whole duration.
     ///
     /// The time without a change is measured between reads, because a candidate that reads rarely
     /// does not notice renewals after its last read.
@@ -362,6 +365,7 @@
         };
         record.holder.is_none()
             || self.is_own(record)
+            || (self.params.predecessors_ended && record.holder.as_ref() == Some(&self.params.host))
             || !self.params.checks.wait_full_duration
             || waited >= record.duration
     }
--- a/crates/lease/tests/polling.rs
+++ b/crates/lease/tests/polling.rs
@@ -12,6 +12,7 @@
         process: AttemptId::new(2),
         duration: DURATION,
         poll_interval: POLL_INTERVAL,
+        predecessors_ended: false,
         checks: Checks::default(),
     })
 }
--- a/crates/orders/tests/explore/host.rs
+++ b/crates/orders/tests/explore/host.rs
@@ -65,6 +65,7 @@
             process: AttemptId::new(attempt),
             duration: LEASE_DURATION,
             poll_interval: Micros::from_secs(1),
+            predecessors_ended: false,
             checks: scenario.lease,
         }),
         id,
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -449,6 +449,13 @@
         reply == Ok(Reply::Bool(true))
     }
 
+    /// Returns the time since the last heartbeat of a host that this host knows of.
+    #[must_use]
+    pub fn silence(&self, host: &HostId) -> Option<Micros> {
+        let now = self.node.clock.now();
+        self.node.lock().silence(now, host)
+    }
+
     /// Asks the lease holder to place a model or adapter. Returns the servers that hold it then.
     pub async fn place(
         &self,
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -385,6 +385,12 @@
         }
     }
 
+    /// Returns the time since the last heartbeat of a host that this host knows of.
+    pub(crate) fn silence(&self, host: &HostId, now: Instant) -> Option<Micros> {
+        let at = self.entries.binary_search_by(|e| e.row.id.cmp(host)).ok()?;
+        Some(now.since(self.entries[at].last_heartbeat))
+    }
+
     /// Returns all hosts, sorted by name.
     pub(crate) fn list(&self, now: Instant) -> Vec<Member> {
         let member = |e: &Entry| Member {
--- a/crates/peer/src/state.rs
+++ b/crates/peer/src/state.rs
@@ -394,6 +394,11 @@
         self.trial_grants.grant(now, trial)
     }
 
+    /// Returns the time since the last heartbeat of a host that this host knows of.
+    pub(crate) fn silence(&self, now: Instant, host: &HostId) -> Option<Micros> {
+        self.members.silence(host, now)
+    }
+
     /// Returns the members as of now.
     pub(crate) fn members(&self, now: Instant) -> Vec<Member> {
         self.members.list(now)
