Identify resends of a request by its caller, too

Cause: the fingerprint of a request covered its path and body only, so all reads of a page were one suspect.

Evidence: promises/crashes::a_read_that_crashes_servers_blocks_its_caller_only failed before: three servers ended, and the sound caller was refused.

The two functions that hash a request's parts are one now.

--- a/crates/gate/src/proxy/inbound.rs
+++ b/crates/gate/src/proxy/inbound.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use config::{RetryPolicy, Route, RouteTable};
-use http::{header, request::Parts};
+use http::{HeaderValue, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
@@ -12,7 +12,7 @@
 use tokio::time::{Instant as TokioInstant, timeout};
 use types::{Code, Deadline, Instant, Micros, RequestId, ServiceName};
 
-use crate::{proxy::codec::RequestInfo, refusal::Refusal};
+use crate::{proxy::codec::RequestInfo, refusal::Refusal, request::fingerprint as hash_request};
 
 /// Range of the time after which callers of an unknown path return while the route table is outdated.
 ///
@@ -137,16 +137,16 @@
     }
 }
 
+/// Returns the hash that identifies resends of a request.
+///
+/// It covers the caller's credentials: a server may crash on the page of one caller and serve that of another one,
+/// whose responses prove nothing for the first.
 fn fingerprint(head: &Parts, body: &[u8]) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
-    hasher.update(&(path.len() as u64).to_le_bytes());
-    hasher.update(path.as_bytes());
-    hasher.update(body);
-    let hash = hasher.finalize();
-    let mut bits = [0; 16];
-    bits.copy_from_slice(&hash.as_bytes()[..16]);
-    Fingerprint::new(u128::from_le_bytes(bits))
+    let host = host_name(head).unwrap_or_default();
+    let credentials = head.headers.get(header::AUTHORIZATION);
+    let credentials = credentials.map_or(&[][..], HeaderValue::as_bytes);
+    hash_request(&[path.as_bytes(), host.as_bytes(), credentials, body])
 }
 
 fn micros(time: Duration) -> Micros {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -286,7 +286,8 @@
     hasher.finalize()
 }
 
-fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+/// Returns the fingerprint of a request from the parts that identify its resends.
+pub(crate) fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
     let mut head = [0; 16];
     head.copy_from_slice(&digest(parts).as_bytes()[..16]);
     Fingerprint::new(u128::from_le_bytes(head))
