Try blocked parts together if no request with fewer of them comes

Cause: with all workers away between the crashes no response told the parts apart, so the two parts that sound requests share were blocked with the crashing one, with equal counts, and confirmed at the fifth crash. A blocked part was tried only with a request in which no other one is blocked, and there was none.

Why it works: a request with several blocked parts is a trial, too, if no request with fewer of them came lately. Sound requests have fewer than crashing ones, so they are tried first, and one response clears all their parts; the crashing part is left alone then. Parts with the same crashes are not confirmed by their number.

--- a/crates/route/src/crash/blocking.rs
+++ b/crates/route/src/crash/blocking.rs
@@ -46,13 +46,17 @@
     /// Returns the blocked suspect of a request with the strictest verdict.
     #[must_use]
     pub fn blocked_suspect(&self, request: &RoutingRequest) -> Option<(Suspect, Verdict)> {
+        strictest(&self.blocked_suspects_of(request))
+    }
+
+    fn blocked_suspects_of(&self, request: &RoutingRequest) -> Vec<(Suspect, Verdict)> {
         if self.evidence.is_empty() || !self.cfg.suspects {
-            return None;
+            return Vec::new();
         }
         let blocked = self
             .suspects_of(request)
             .filter_map(|s| Some((s, self.evidence.verdict(s)?)));
-        blocked.max_by_key(|(_, verdict)| *verdict)
+        blocked.collect()
     }
 
     /// Returns the code with which an arriving request is refused because of a blocked suspect.
@@ -61,12 +65,13 @@
         now: Instant,
         request: &RoutingRequest,
     ) -> Option<Code> {
-        let (suspect, verdict) = self.blocked_suspect(request)?;
-        let allows_trial = self.has_single_blocked_suspect(request);
+        let blocked = self.blocked_suspects_of(request);
+        let (suspect, verdict) = strictest(&blocked)?;
+        let suspects: Vec<Suspect> = blocked.iter().map(|(s, _)| *s).collect();
         let ttl = self.cfg.confirmed_ttl;
-        self.evidence
-            .record_request(now, ttl, suspect, allows_trial);
-        if allows_trial && self.evidence.is_trial_due(now, suspect) {
+        self.evidence.record_request(now, ttl, &suspects);
+        let tried = self.evidence.tried_suspect(now, &suspects);
+        if tried.is_some_and(|tried| self.evidence.is_trial_due(now, tried)) {
             return None;
         }
         Some(refusal_code(suspect, verdict))
@@ -74,23 +79,25 @@
 
     /// Decides whether a queued request may be sent.
     pub(crate) fn suspect_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
-        let Some((blocked, verdict)) = self.blocked_suspect(&entry.request) else {
+        let blocked = self.blocked_suspects_of(&entry.request);
+        let Some((strictest, verdict)) = strictest(&blocked) else {
             return self.probation_admission(now, entry);
         };
-        let refused = SuspectAdmission::Refused(refusal_code(blocked, verdict));
-        if !self.has_single_blocked_suspect(&entry.request) {
+        let refused = SuspectAdmission::Refused(refusal_code(strictest, verdict));
+        let suspects: Vec<Suspect> = blocked.iter().map(|(s, _)| *s).collect();
+        let Some(tried) = self.evidence.tried_suspect(now, &suspects) else {
             return refused;
-        }
+        };
         match entry.trial {
             Some(TrialState::Granted { suspect, until })
-                if suspect == blocked && !until.is_past(now) =>
+                if suspect == tried && !until.is_past(now) =>
             {
                 SuspectAdmission::Admitted
             }
-            Some(TrialState::Requested { suspect, .. }) if suspect == blocked => {
+            Some(TrialState::Requested { suspect, .. }) if suspect == tried => {
                 SuspectAdmission::AwaitsTrial
             }
-            _ if self.evidence.is_trial_due(now, blocked) => SuspectAdmission::NeedsTrial(blocked),
+            _ if self.evidence.is_trial_due(now, tried) => SuspectAdmission::NeedsTrial(tried),
             _ => refused,
         }
     }
@@ -131,13 +138,11 @@
             && self.evidence.crashed_lately(now, request)
             && !self.requests.iter().any(|(_, other)| is_copy(other))
     }
+}
 
-    /// Returns whether exactly one suspect of a request is blocked, so that a trial with it shows whether
-    /// this suspect crashes servers.
-    fn has_single_blocked_suspect(&self, request: &RoutingRequest) -> bool {
-        let is_blocked = |s: &Suspect| self.evidence.verdict(*s).is_some();
-        self.suspects_of(request).filter(is_blocked).count() == 1
-    }
+/// Returns the blocked suspect with the strictest verdict.
+fn strictest(blocked: &[(Suspect, Verdict)]) -> Option<(Suspect, Verdict)> {
+    blocked.iter().copied().max_by_key(|(_, verdict)| *verdict)
 }
 
 fn refusal_code(suspect: Suspect, verdict: Verdict) -> Code {
--- a/crates/route/src/crash/evidence/attribution.rs
+++ b/crates/route/src/crash/evidence/attribution.rs
@@ -78,9 +78,11 @@
             let Some(most) = counted.iter().map(|(count, _)| *count).max() else {
                 break;
             };
+            // Parts that were in flight at the same crashes cannot be told apart without trials.
+            let is_only_one = counted.iter().filter(|(count, _)| *count == most).count() == 1;
             for (_, at) in counted.iter().filter(|(count, _)| *count == most) {
                 attribution.blocked.push(*at);
-                if most >= CONFIRMING_CRASHES {
+                if most >= CONFIRMING_CRASHES && is_only_one {
                     attribution.confirmed.push(*at);
                 }
                 let crashes = self.entries[*at].crashes.iter().cloned();
--- a/crates/route/src/crash/evidence/entry.rs
+++ b/crates/route/src/crash/evidence/entry.rs
@@ -2,7 +2,10 @@
 
 use types::{BackendId, Deadline, Incarnation, Instant};
 
-use crate::crash::suspect::{CrashReport, Suspect, Verdict, VerdictCause};
+use crate::crash::{
+    evidence::trials::PRECEDENCE_TIME,
+    suspect::{CrashReport, Suspect, Verdict, VerdictCause},
+};
 
 /// Number of crashes after which a part of prompts is blocked.
 pub(super) const MAX_PART_CRASHES: usize = 3;
@@ -67,8 +70,10 @@
     pub(super) verdict: Option<Verdict>,
     /// Time since which the suspect is blocked.
     pub(super) blocked_since: Instant,
-    /// Time of the last request with which a trial was possible, as no other of its parts is blocked.
+    /// Time of the last request with which a trial was possible.
     pub(super) last_candidate: Option<Instant>,
+    /// Smallest number of blocked suspects in a recent request with this one, and the time of that request.
+    smallest_company: Option<(usize, Instant)>,
     /// Number of trials that were granted to this host.
     pub(super) trials: u8,
     /// Time from which this host may request a trial again.
@@ -88,6 +93,7 @@
             verdict: None,
             blocked_since: now,
             last_candidate: None,
+            smallest_company: None,
             trials: 0,
             next_trial_request: Deadline::at(now),
             until,
@@ -120,6 +126,19 @@
         }
     }
 
+    /// Records a request with the suspect and its number of blocked suspects.
+    pub(super) fn record_company(&mut self, now: Instant, suspects: usize) {
+        if !self.has_smaller_company(now, suspects) {
+            self.smallest_company = Some((suspects, now));
+        }
+    }
+
+    /// Returns whether a recent request with the suspect had fewer blocked suspects.
+    pub(super) fn has_smaller_company(&self, now: Instant, suspects: usize) -> bool {
+        self.smallest_company
+            .is_some_and(|(smallest, at)| smallest < suspects && now.since(at) < PRECEDENCE_TIME)
+    }
+
     /// Returns the number of crashes after which the suspect is blocked.
     pub(super) fn max_crashes(&self) -> usize {
         match self.suspect {
--- a/crates/route/src/crash/evidence/trials.rs
+++ b/crates/route/src/crash/evidence/trials.rs
@@ -18,8 +18,8 @@
 const TRIAL_DELAY: Micros = Micros::from_secs(1);
 
 /// Time from the last request that allows a trial of a suspect for which its trials precede those of
-/// others.
-const PRECEDENCE_TIME: Micros = Micros::from_secs(3);
+/// others, and requests with fewer blocked suspects precede those with more.
+pub(super) const PRECEDENCE_TIME: Micros = Micros::from_secs(3);
 
 /// Maximum time from the blocking of a suspect for which its trials wait for those of others.
 const MAX_PRECEDENCE_WAIT: Micros = Micros::from_secs(4);
@@ -32,24 +32,35 @@
 const IMMEDIATE_RESEND_TIME: Micros = Micros::from_secs(1);
 
 impl Evidence {
-    /// Extends the retention of a blocked suspect because a request with it arrived.
-    ///
-    /// `allows_trial` is whether the request could serve as a trial of the suspect.
-    pub(crate) fn record_request(
-        &mut self,
-        now: Instant,
-        ttl: Micros,
-        suspect: Suspect,
-        allows_trial: bool,
-    ) {
-        if let Some(entry) = self.get_mut(suspect) {
-            entry.until = Deadline::after(now, ttl);
-            if allows_trial {
-                entry.last_candidate = Some(now);
+    /// Extends the retention of the blocked suspects of a request that arrived.
+    pub(crate) fn record_request(&mut self, now: Instant, ttl: Micros, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if let Some(entry) = self.get_mut(*suspect) {
+                entry.until = Deadline::after(now, ttl);
+                entry.record_company(now, suspects.len());
+            }
+        }
+        if self.tried_suspect(now, suspects).is_some() {
+            for suspect in suspects {
+                if let Some(entry) = self.get_mut(*suspect) {
+                    entry.last_candidate = Some(now);
+                }
             }
         }
     }
 
+    /// Returns the suspect of which a request with these blocked suspects may be a trial, the one with the most
+    /// crashes. `None` if requests with fewer of them come, whose trials tell more: a response to such a
+    /// request clears its suspects, and those that are left can be tried alone.
+    pub(crate) fn tried_suspect(&self, now: Instant, suspects: &[Suspect]) -> Option<Suspect> {
+        let entries: Vec<&Entry> = suspects.iter().filter_map(|s| self.get(*s)).collect();
+        let may_be_tried = entries
+            .iter()
+            .all(|e| e.allows_trials() && !e.has_smaller_company(now, suspects.len()));
+        let tried = entries.iter().max_by_key(|e| (e.crashes.len(), e.suspect));
+        tried.filter(|_| may_be_tried).map(|e| e.suspect)
+    }
+
     /// Returns whether a trial of a blocked suspect may be requested now.
     pub(crate) fn is_trial_due(&self, now: Instant, suspect: Suspect) -> bool {
         let Some(entry) = self.get(suspect) else {
--- a/crates/route/tests/behaviour/crashing_parts.rs
+++ b/crates/route/tests/behaviour/crashing_parts.rs
@@ -76,6 +76,27 @@
     }
 }
 
+/// Guards against sound requests that are all refused because two of their parts are blocked, so that none of them
+/// serves as a trial, while crashes follow each other so closely that no response tells the parts apart.
+#[test]
+fn parts_that_come_with_a_crashing_one_only_are_tried_together() {
+    const SECOND_SHARED: u64 = 2;
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(3, seed, &[CRASHING]);
+        fleet.shared = vec![SHARED, SECOND_SHARED];
+        fleet.restart_steps = 3 * RESTART_STEPS;
+        fleet.run(50, |_| {});
+        fleet.run(1_500, |fleet| {
+            let host = fleet.rng.random_range(0..fleet.hosts.len());
+            fleet.send(host, &[SHARED, CRASHING, SECOND_SHARED], |_| {});
+        });
+        assert_only_blocked(&fleet, &[CRASHING], &format!("seed {seed}"));
+        for host in 0..3 {
+            assert_eq!(fleet.verdict_at(host, SECOND_SHARED), None, "seed {seed}");
+        }
+    }
+}
+
 /// Guards against a second crashing part that hides behind the first one.
 #[test]
 fn two_crashing_parts_are_both_blocked() {
--- a/crates/route/tests/behaviour/fleet.rs
+++ b/crates/route/tests/behaviour/fleet.rs
@@ -72,6 +72,8 @@
     incarnations: Vec<u64>,
     /// Steps from the crash of a server to its restart.
     pub restart_steps: u64,
+    /// Parts of all harmless requests.
+    pub shared: Vec<u64>,
     /// Models of each server.
     models: [&'static [&'static str]; LOCAL.len()],
     /// Step of the restart of each server that is down.
@@ -144,6 +146,7 @@
             step: 0,
             incarnations: vec![1; LOCAL.len()],
             restart_steps: RESTART_STEPS,
+            shared: vec![SHARED],
             models,
             down: vec![None; LOCAL.len()],
             runs: Vec::new(),
@@ -370,7 +373,8 @@
             self.advance();
             let host = self.rng.random_range(0..self.hosts.len());
             let topic = 100 + self.rng.random_range(0..30);
-            self.send(host, &[SHARED, topic], |_| {});
+            let parts: Vec<u64> = self.shared.iter().copied().chain([topic]).collect();
+            self.send(host, &parts, |_| {});
             each_step(self);
         }
     }
