Check a worker once a second, however many hosts report its crash

Each host reports a crash that it sees, and repeats the report; each of them made the controller ask the worker for its state. At 195 hosts a crash would cost hundreds of calls, which are paid. Found by reading the series; control/crashed_workers::a_crash_that_many_hosts_report_leads_to_few_calls failed before (195 calls).

--- a/crates/control/src/fleet/machine/mod.rs
+++ b/crates/control/src/fleet/machine/mod.rs
@@ -24,6 +24,9 @@
 /// Interval between reports of a worker that does not respond, after which it is known to be back.
 const UNRESPONSIVE_REPORT_INTERVAL: Micros = Micros::from_secs(1);
 
+/// Minimum time between two checks whether a worker has crashed. Many hosts report the same crash.
+const CRASH_CHECK_INTERVAL: Micros = Micros::from_secs(1);
+
 /// Number of requests for a report in a row without a response after which a worker counts as unresponsive. One
 /// response may be lost.
 const MAX_FAILED_REPORTS: u8 = 2;
@@ -139,6 +142,8 @@
     failed_reports: u8,
     /// Whether callers' requests show a crash that no report has refuted.
     may_have_crashed: bool,
+    /// Time until which further reports of a crash are ignored.
+    next_crash_check: Deadline,
     /// Time of the last request or use of each adapter, sorted by id.
     adapter_uses: Vec<(AdapterId, Instant)>,
     /// Model whose load was ordered last, and when.
@@ -286,10 +291,13 @@
     fn check_crashed(&mut self, now: Instant, worker: &BackendId, incarnation: Incarnation) {
         if let Some(at) = self.position(worker)
             && self.workers[at].ledger.state().incarnation == incarnation
+            && self.workers[at].next_crash_check.is_past(now)
             && !self.workers[at].is_unresponsive()
         {
-            self.workers[at].may_have_crashed = true;
-            self.workers[at].next_report = now;
+            let worker = &mut self.workers[at];
+            worker.may_have_crashed = true;
+            worker.next_report = now;
+            worker.next_crash_check = Deadline::after(now, CRASH_CHECK_INTERVAL);
         }
     }
 
@@ -365,6 +373,7 @@
                     next_report: Instant::ZERO,
                     failed_reports: 0,
                     may_have_crashed: false,
+                    next_crash_check: Deadline::at(Instant::ZERO),
                     adapter_uses: Vec::new(),
                     last_load: None,
                 },
@@ -373,6 +382,7 @@
             let new = registration.state.incarnation;
             if new != last {
                 worker.record_response();
+                worker.next_crash_check = Deadline::at(Instant::ZERO);
             }
             if new < last {
                 // Registrations follow the order of the platform, so the last one was not the
--- a/crates/control/tests/crashed_workers.rs
+++ b/crates/control/tests/crashed_workers.rs
@@ -131,3 +131,17 @@
 
     assert!(holder.replies.is_empty(), "{:?}", holder.replies);
 }
+
+/// Guards against as many calls to a worker as hosts report its crash.
+#[test]
+fn a_crash_that_many_hosts_report_leads_to_few_calls() {
+    const HOSTS: usize = 195;
+    let mut holder = Holder::new();
+
+    for _ in 0..HOSTS {
+        crash(&mut holder, "w1", 1);
+    }
+
+    let calls = holder.calls.iter().filter(|w| **w == id("w1")).count();
+    assert_eq!(calls, 1);
+}
