--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -228,7 +228,11 @@
         let silence = holder.and_then(|holder| exchange.silence(&holder));
         let is_silent = silence.is_some_and(|time| time >= LEASE_DURATION);
         if is_silent != was_silent {
-            tracing::info!(belief = "holder", is_silent, "lease holder heard of");
+            tracing::info!(
+                belief = "holder",
+                is_silent,
+                "silence of the lease holder changed"
+            );
             control.set_holder_silent(is_silent);
             was_silent = is_silent;
         }
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -163,7 +163,7 @@
     models: Vec<ModelState<'a>>,
     /// Whether a worker may get an order in this round, by index of the worker.
     available: Vec<bool>,
-    /// Whether the memory that a worker frees is left for a model of this round, by index of the worker.
+    /// Whether a model of this round will use the memory that a worker frees, by index of the worker.
     claimed: Vec<bool>,
     store_load_budget: u32,
     changes: Vec<FleetChange>,
--- a/crates/route/src/crash/blocking.rs
+++ b/crates/route/src/crash/blocking.rs
@@ -81,7 +81,7 @@
     pub(crate) fn suspect_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
         let blocked = self.blocked_suspects_of(&entry.request);
         let Some((strictest, verdict)) = strictest(&blocked) else {
-            return self.probation_admission(now, entry);
+            return self.copy_admission(now, entry);
         };
         let refused = SuspectAdmission::Refused(refusal_code(strictest, verdict));
         let suspects: Vec<Suspect> = blocked.iter().map(|(s, _)| *s).collect();
@@ -103,7 +103,7 @@
     }
 
     /// Decides whether a queued request may be sent that may be the cause of a crash, but is not blocked.
-    fn probation_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
+    fn copy_admission(&self, now: Instant, entry: &RequestEntry) -> SuspectAdmission {
         let request = Suspect::Request(entry.request.fingerprint);
         if self.cfg.suspect_slots
             || !self.evidence.needs_trial(request)
@@ -120,7 +120,7 @@
             Some(TrialState::Requested { suspect, .. }) if suspect == request => {
                 SuspectAdmission::AwaitsTrial
             }
-            _ if self.evidence.is_probation_trial_due(now, request) => {
+            _ if self.evidence.is_copy_trial_due(now, request) => {
                 SuspectAdmission::NeedsTrial(request)
             }
             _ => SuspectAdmission::AwaitsTrial,
--- a/crates/route/src/crash/evidence/entry.rs
+++ b/crates/route/src/crash/evidence/entry.rs
@@ -72,8 +72,8 @@
     pub(super) blocked_since: Instant,
     /// Time of the last request with which a trial was possible.
     pub(super) last_candidate: Option<Instant>,
-    /// Smallest number of blocked suspects in a recent request with this one, and the time of that request.
-    smallest_company: Option<(usize, Instant)>,
+    /// Smallest number of blocked suspects of a recent request that contains this one, and the time of that request.
+    fewest_blocked: Option<(usize, Instant)>,
     /// Number of trials that were granted to this host.
     pub(super) trials: u8,
     /// Time from which this host may request a trial again.
@@ -93,7 +93,7 @@
             verdict: None,
             blocked_since: now,
             last_candidate: None,
-            smallest_company: None,
+            fewest_blocked: None,
             trials: 0,
             next_trial_request: Deadline::at(now),
             until,
@@ -111,7 +111,7 @@
 
     /// Returns whether this is a request that was in flight at a crash, without a response since, and is not
     /// blocked.
-    pub(super) fn is_request_on_probation(&self) -> bool {
+    pub(super) fn needs_trial(&self) -> bool {
         let is_unanswered = |crash: &Crash| !self.is_answered(crash.at);
         !self.is_part() && self.verdict.is_none() && self.crashes.iter().any(is_unanswered)
     }
@@ -126,16 +126,16 @@
         }
     }
 
-    /// Records a request with the suspect and its number of blocked suspects.
-    pub(super) fn record_company(&mut self, now: Instant, suspects: usize) {
-        if !self.has_smaller_company(now, suspects) {
-            self.smallest_company = Some((suspects, now));
+    /// Records the number of blocked suspects of a request that contains this one.
+    pub(super) fn record_blocked_count(&mut self, now: Instant, suspects: usize) {
+        if !self.had_fewer_blocked(now, suspects) {
+            self.fewest_blocked = Some((suspects, now));
         }
     }
 
     /// Returns whether a recent request with the suspect had fewer blocked suspects.
-    pub(super) fn has_smaller_company(&self, now: Instant, suspects: usize) -> bool {
-        self.smallest_company
+    pub(super) fn had_fewer_blocked(&self, now: Instant, suspects: usize) -> bool {
+        self.fewest_blocked
             .is_some_and(|(smallest, at)| smallest < suspects && now.since(at) < PRECEDENCE_TIME)
     }
 
--- a/crates/route/src/crash/evidence/trials.rs
+++ b/crates/route/src/crash/evidence/trials.rs
@@ -37,7 +37,7 @@
         for suspect in suspects {
             if let Some(entry) = self.get_mut(*suspect) {
                 entry.until = Deadline::after(now, ttl);
-                entry.record_company(now, suspects.len());
+                entry.record_blocked_count(now, suspects.len());
             }
         }
         if self.tried_suspect(now, suspects).is_some() {
@@ -56,7 +56,7 @@
         let entries: Vec<&Entry> = suspects.iter().filter_map(|s| self.get(*s)).collect();
         let may_be_tried = entries
             .iter()
-            .all(|e| e.allows_trials() && !e.has_smaller_company(now, suspects.len()));
+            .all(|e| e.allows_trials() && !e.had_fewer_blocked(now, suspects.len()));
         let tried = entries.iter().max_by_key(|e| (e.crashes.len(), e.suspect));
         tried.filter(|_| may_be_tried).map(|e| e.suspect)
     }
@@ -97,12 +97,11 @@
     ///
     /// Its copies may all crash servers until a second crash confirms it, so they are sent one at a time.
     pub(crate) fn needs_trial(&self, request: Suspect) -> bool {
-        self.get(request)
-            .is_some_and(Entry::is_request_on_probation)
+        self.get(request).is_some_and(Entry::needs_trial)
     }
 
-    /// Returns whether a trial of a request that is not blocked may be requested now.
-    pub(crate) fn is_probation_trial_due(&self, now: Instant, request: Suspect) -> bool {
+    /// Returns whether a trial of a request that is not blocked, but needs one, may be requested now.
+    pub(crate) fn is_copy_trial_due(&self, now: Instant, request: Suspect) -> bool {
         self.get(request)
             .is_some_and(|entry| entry.next_trial_request.is_past(now))
     }
@@ -139,8 +138,7 @@
     /// Confirms a suspect that has had all of its trials.
     pub(crate) fn confirm_exhausted(&mut self, suspect: Suspect) -> Option<VerdictChange> {
         let entry = self.get_mut(suspect)?;
-        let is_undecided =
-            entry.verdict == Some(Verdict::Suspected) || entry.is_request_on_probation();
+        let is_undecided = entry.verdict == Some(Verdict::Suspected) || entry.needs_trial();
         is_undecided.then(|| entry.confirm(VerdictCause::Trials))
     }
 }
