Start the nodes of the slow link on loopback addresses of their own

The harness takes a free port, releases it and starts the node there a little later; the other run got the port meanwhile, as the error itself says. Each call now uses a loopback address that belongs to it and its process. No check is changed.

--- a/crates/peer/tests/slow_links.rs
+++ b/crates/peer/tests/slow_links.rs
@@ -1,6 +1,10 @@
 //! Replies that take longer than the timeout of their request to arrive.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
 
 use config::Secret;
 use peer::{ConfigSource, Facts, FailureReason, Handle, KnownFacts, Options, PeerHandler};
@@ -104,9 +108,14 @@
     addr
 }
 
-/// Returns an unused address.
+/// Returns an unused address, on a loopback address of its own.
+///
+/// Its port is free until the node listens there. On an address that others use, one of them could get it meanwhile.
 async fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, CALLS.fetch_add(1, Ordering::Relaxed));
+    let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
     listener.local_addr().expect("a bound address")
 }
 
