--- a/crates/celerytally/src/entry/peers.rs
+++ b/crates/celerytally/src/entry/peers.rs
@@ -167,8 +167,11 @@
     }
 }
 
-/// Tells the controller of this host which workers may have crashed.
+/// Tells the controller of this host which workers may have crashed, if it places models.
 pub(super) fn record_crashes(control: &FleetHandle, update: &CrashUpdate) {
+    if !control.has_authority() {
+        return;
+    }
     for crash in &update.crashes {
         control.record_crash(crash.backend.clone(), crash.incarnation);
     }
--- a/crates/control/src/fleet/driver.rs
+++ b/crates/control/src/fleet/driver.rs
@@ -1,6 +1,9 @@
 //! Event loop of the fleet controller.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use config::RoutedService;
 use engine::Server;
@@ -15,8 +18,8 @@
 };
 use tokio_util::sync::CancellationToken;
 use types::{
-    AdapterId, Announcement, AttemptId, BackendId, BootTime, Clock, Epoch, HostId, Incarnation,
-    Instant, Micros, ModelId, NoticeSource, Registration, ServerNotice, WorkerState,
+    AdapterId, Announcement, AttemptId, BackendId, BootTime, Clock, Deadline, Epoch, HostId,
+    Incarnation, Instant, Micros, ModelId, NoticeSource, Registration, ServerNotice, WorkerState,
 };
 
 use crate::{
@@ -33,6 +36,9 @@
 
 const INPUT_QUEUE_CAPACITY: usize = 512;
 
+/// Time for which further reports of a crash are dropped.
+const CRASH_REPORT_TTL: Micros = Micros::from_secs(1);
+
 /// Timeout of order and report calls, which a worker answers immediately.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -98,6 +104,17 @@
     input: mpsc::Sender<Input>,
     holder: watch::Receiver<Option<HostId>>,
     epoch: watch::Receiver<Option<Epoch>>,
+    /// Crashes that were passed on to the controller a short time ago.
+    crash_reports: Arc<Mutex<Vec<CrashReported>>>,
+}
+
+/// Crash of a worker that was passed on to the controller.
+#[derive(Debug)]
+struct CrashReported {
+    worker: BackendId,
+    incarnation: Incarnation,
+    /// Time until which further reports of it are dropped.
+    until: Deadline,
 }
 
 impl FleetHandle {
@@ -187,14 +204,45 @@
         }));
     }
 
+    /// Returns whether this host may send orders.
+    #[must_use]
+    pub fn has_authority(&self) -> bool {
+        self.epoch.borrow().is_some()
+    }
+
     /// Records that callers' requests show that a worker may have crashed.
+    ///
+    /// Each host reports a crash, and repeats its report. Only the first one is passed on, as the queue of the
+    /// controller has no room for all of them beside what hosts want to be placed.
     pub fn record_crash(&self, worker: BackendId, incarnation: Incarnation) {
+        if !self.is_first_report(&worker, incarnation) {
+            return;
+        }
         self.enqueue(Input::Event(FleetEvent::Crashed {
             worker,
             incarnation,
         }));
     }
 
+    fn is_first_report(&self, worker: &BackendId, incarnation: Incarnation) -> bool {
+        let now = BootTime.now();
+        let reports = &self.crash_reports;
+        let mut reports = reports.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.retain(|r| !r.until.is_past(now));
+        if reports
+            .iter()
+            .any(|r| r.worker == *worker && r.incarnation == incarnation)
+        {
+            return false;
+        }
+        reports.push(CrashReported {
+            worker: worker.clone(),
+            incarnation,
+            until: Deadline::after(now, CRASH_REPORT_TTL),
+        });
+        true
+    }
+
     /// Watches the epoch of the lease, which is `None` while this host has no authority.
     #[must_use]
     pub fn watch_epoch(&self) -> watch::Receiver<Option<Epoch>> {
@@ -302,6 +350,7 @@
             input: tx,
             holder: holder_rx,
             epoch: epoch_rx,
+            crash_reports: Arc::default(),
         };
         (controller, handle)
     }
