Count a worker as unresponsive only if hosts report its crash

A controller whose own network is cut gets no report from the workers beyond the cut. Two failed reports made their copies count as lost, so it would load what it could not reach on the workers that it could, in place of what these held, while other hosts went on to use the copies.

--- a/crates/control/src/fleet/machine/mod.rs
+++ b/crates/control/src/fleet/machine/mod.rs
@@ -27,10 +27,6 @@
 /// Minimum time between two checks whether a worker has crashed. Many hosts report the same crash.
 const CRASH_CHECK_INTERVAL: Micros = Micros::from_secs(1);
 
-/// Number of requests for a report in a row without a response after which a worker counts as unresponsive. One
-/// response may be lost.
-const MAX_FAILED_REPORTS: u8 = 2;
-
 /// Interval between placement rounds.
 const ROUND_INTERVAL: Micros = Micros::from_millis(250);
 
@@ -138,8 +134,8 @@
     ledger: SequencedWorker,
     report_requested: bool,
     next_report: Instant,
-    /// Number of requests for a report in a row without a response.
-    failed_reports: u8,
+    /// Whether the last request for a report got no response.
+    report_failed: bool,
     /// Whether callers' requests show a crash that no report has refuted.
     may_have_crashed: bool,
     /// Time until which further reports of a crash are ignored.
@@ -153,18 +149,14 @@
 impl ManagedWorker {
     /// Returns whether the worker does not respond, so that its copies serve nobody.
     ///
-    /// The platform lists a worker that has crashed until its entry expires.
+    /// The platform lists a worker that has crashed until its entry expires. A report that fails is not enough: the
+    /// network of this host may be cut, and other hosts use the copies.
     fn is_unresponsive(&self) -> bool {
-        let max = if self.may_have_crashed {
-            1
-        } else {
-            MAX_FAILED_REPORTS
-        };
-        self.failed_reports >= max
+        self.may_have_crashed && self.report_failed
     }
 
     fn record_response(&mut self) {
-        self.failed_reports = 0;
+        self.report_failed = false;
         self.may_have_crashed = false;
     }
 
@@ -296,6 +288,7 @@
         {
             let worker = &mut self.workers[at];
             worker.may_have_crashed = true;
+            worker.report_failed = false;
             worker.next_report = now;
             worker.next_crash_check = Deadline::after(now, CRASH_CHECK_INTERVAL);
         }
@@ -371,7 +364,7 @@
                     ledger: SequencedWorker::default(),
                     report_requested: false,
                     next_report: Instant::ZERO,
-                    failed_reports: 0,
+                    report_failed: false,
                     may_have_crashed: false,
                     next_crash_check: Deadline::at(Instant::ZERO),
                     adapter_uses: Vec::new(),
@@ -408,13 +401,10 @@
             worker.ledger.apply_report(state);
             return;
         }
-        worker.failed_reports = worker.failed_reports.saturating_add(1);
-        let interval = if worker.is_unresponsive() {
-            UNRESPONSIVE_REPORT_INTERVAL
-        } else {
-            OPEN_ORDER_REPORT_INTERVAL
-        };
-        worker.next_report = now + interval;
+        worker.report_failed = true;
+        if worker.is_unresponsive() {
+            worker.next_report = now + UNRESPONSIVE_REPORT_INTERVAL;
+        }
     }
 
     fn handle_order_result(
