Revert the placement that weighs load times and evictions under way

Cause: copies for which memory is being freed take from the loads that the weight store allows now, and evictions stop when these are used up, so that 156 workers follow the demand too slowly.

--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -5,17 +5,13 @@
 //! considerably higher value.
 
 use config::EngineSpec;
-use types::{BackendId, Bytes, Micros, ModelId, WorkerState};
+use types::{BackendId, Bytes, ModelId, WorkerState};
 
 /// Load per copy, as a share of a worker's time, above which another copy is worth an eviction.
 const MAX_LOAD_PER_COPY: f64 = 0.08;
 
-/// Time in which the work that another copy takes over must make up for the time of its load, for which the
-/// worker carries out no other order.
-const PAYBACK_TIME: Micros = Micros::from_secs(15);
-
-/// Share of these limits from which another copy is added if a worker has free memory.
-const FREE_MEMORY_FACTOR: f64 = 0.25;
+/// Load per copy above which another copy is added if a worker has free memory.
+const MAX_LOAD_PER_COPY_WITH_FREE_MEMORY: f64 = 0.02;
 
 /// Minimum ratio of the value of a new copy to that of the copy evicted for it.
 const MIN_GAIN_RATIO: f64 = 2.0;
@@ -46,9 +42,7 @@
     pub accepts_orders: bool,
     /// Models that the worker serves or loads, without those that it unloads.
     pub models: Vec<&'a ModelId>,
-    /// Model that the worker unloads.
-    pub unloading: Option<&'a ModelId>,
-    /// Memory in use, including that of pending orders and of the model that it unloads.
+    /// Memory in use, including that of pending orders.
     pub used_memory: Bytes,
     /// Reported state: resident models, and models with a local copy of the weights.
     pub state: &'a WorkerState,
@@ -110,10 +104,6 @@
 struct ModelState<'a> {
     model: &'a ModelId,
     bytes: Bytes,
-    /// Duration of a load from the weight store.
-    store_load: Micros,
-    /// Duration of a load from a local copy.
-    local_load: Micros,
     offered_load: f64,
     waiting: bool,
     recently_requested: bool,
@@ -145,16 +135,6 @@
     fn load_per_copy(&self) -> f64 {
         self.offered_load / self.copies.max(1) as f64
     }
-
-    /// Returns the load per copy above which another copy on a worker is worth an eviction.
-    fn max_load_per_copy(&self, worker: &FleetWorker<'_>) -> f64 {
-        let load = if worker.state.has_cached_copy(self.model) {
-            self.local_load
-        } else {
-            self.store_load
-        };
-        MAX_LOAD_PER_COPY.max(load.as_secs_f64() / PAYBACK_TIME.as_secs_f64())
-    }
 }
 
 struct FleetRound<'a> {
@@ -163,8 +143,6 @@
     models: Vec<ModelState<'a>>,
     /// Whether a worker may get an order in this round, by index of the worker.
     available: Vec<bool>,
-    /// Whether a model of this round will use the memory that a worker frees, by index of the worker.
-    claimed: Vec<bool>,
     store_load_budget: u32,
     changes: Vec<FleetChange>,
 }
@@ -196,8 +174,6 @@
             ModelState {
                 model: &spec.id,
                 bytes: spec.bytes,
-                store_load: spec.load,
-                local_load: spec.load_from_disk,
                 offered_load: demand.map_or(0.0, |d| d.offered_load),
                 waiting: demand.is_some_and(|d| d.waiting),
                 recently_requested: demand.is_some_and(|d| d.recently_requested),
@@ -211,7 +187,6 @@
                 .iter()
                 .map(|w| w.schedulable && w.accepts_orders)
                 .collect(),
-            claimed: vec![false; input.workers.len()],
             store_load_budget: input.store_load_budget,
             changes: Vec::new(),
             input,
@@ -223,17 +198,17 @@
         let model = &self.models[m];
         let missing = model.copies == 0;
         let urgent = missing && (model.waiting || model.offered_load > 0.0);
-        if let Some(worker) = self.worker_with_free_memory(m, urgent) {
+        if (missing || model.load_per_copy() > MAX_LOAD_PER_COPY_WITH_FREE_MEMORY)
+            && let Some(worker) = self.worker_with_free_memory(m, urgent)
+        {
             return self.order_load(worker, m);
         }
-        if urgent || !missing {
-            while self.claim_freed_memory(m, urgent) {}
+        if urgent || model.load_per_copy() > MAX_LOAD_PER_COPY {
             self.evict_for(m);
         }
     }
 
-    /// Returns the worker with free memory for a model that has the lowest utilization, if another copy is worth
-    /// its load.
+    /// Returns the worker with free memory for a model that has the lowest utilization.
     ///
     /// A load from the weight store counts as a utilization of 1.
     fn worker_with_free_memory(&self, m: usize, urgent: bool) -> Option<usize> {
@@ -247,8 +222,6 @@
             self.available[*at]
                 && !w.models.contains(&model.model)
                 && fits(w)
-                && (model.copies == 0
-                    || model.load_per_copy() > FREE_MEMORY_FACTOR * model.max_load_per_copy(w))
                 && self.store_allows_load(w, model.model, urgent)
         });
         eligible
@@ -261,39 +234,6 @@
             .map(|(at, _)| at)
     }
 
-    /// Counts the copy for which a worker frees memory, if it is worth an eviction. Returns whether there is one.
-    ///
-    /// An unload takes until the requests for its model have ended. Otherwise each round until then would evict
-    /// one more copy, and there would be more evictions than the weight store allows loads.
-    fn claim_freed_memory(&mut self, m: usize, urgent: bool) -> bool {
-        let limit = self.memory_for_models();
-        let model = &self.models[m];
-        let will_fit = |w: &FleetWorker<'_>| {
-            w.unloading.is_some_and(|unloading| {
-                let found = self.models.binary_search_by(|s| s.model.cmp(unloading));
-                let freed = found.map_or(0, |at| self.models[at].bytes.get());
-                let used = w.used_memory.get().saturating_sub(freed);
-                used.saturating_add(model.bytes.get()) <= limit
-            })
-        };
-        let mut workers = self.input.workers.iter().enumerate();
-        let found = workers.position(|(at, w)| {
-            !self.claimed[at]
-                && w.schedulable
-                && !w.models.contains(&model.model)
-                && (model.copies == 0 || model.load_per_copy() > model.max_load_per_copy(w))
-                && self.store_allows_load(w, model.model, urgent)
-                && will_fit(w)
-        });
-        if let Some(at) = found {
-            let from_store = !self.input.workers[at].state.has_cached_copy(model.model);
-            self.store_load_budget -= u32::from(from_store).min(self.store_load_budget);
-            self.claimed[at] = true;
-            self.models[m].copies += 1;
-        }
-        found.is_some()
-    }
-
     /// Returns whether the load needs no weight store or is within its budget.
     fn store_allows_load(&self, worker: &FleetWorker<'_>, model: &ModelId, urgent: bool) -> bool {
         let reserved = if urgent { 0 } else { RESERVED_STORE_LOADS };
@@ -332,9 +272,7 @@
         let mut best: Option<(f64, usize, usize)> = None;
         for (at, w) in self.input.workers.iter().enumerate() {
             let model = &self.models[m];
-            let eligible = self.available[at]
-                && !w.models.contains(&model.model)
-                && (model.copies == 0 || model.load_per_copy() > model.max_load_per_copy(w));
+            let eligible = self.available[at] && !w.models.contains(&model.model);
             if !eligible || !self.store_allows_load(w, model.model, model.copies == 0) {
                 continue;
             }
