Review: a sound request that was at work at two crashes is refused for good

Cause: two copies of a request at two servers that crash for another reason count as two crashes against it; the verdict needs no trial, allows none, and each refusal extends it by ten minutes. Case: review/7, two of eight servers crash at once while each answers a read of the same status.

--- a/review/kit-2/lab.rs
+++ b/review/kit-2/lab.rs
@@ -51,8 +51,14 @@
     }
 }
 
-/// Ends the program because the case could not run.
+/// Processes that this program has started and that have not ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the program, and the processes that it started, because the case could not run.
 pub fn cannot_run(why: &str) -> ! {
+    for pid in lock(&STARTED).iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+    }
     eprintln!("the case could not run: {why}");
     std::process::exit(2);
 }
@@ -376,6 +382,8 @@
     pub at: Instant,
     /// Whether the whole answer was written.
     pub answered: bool,
+    /// Whether the answer said that the server leaves.
+    pub said_leaving: bool,
 }
 
 /// Plain backend server that works on each request for a time.
@@ -391,7 +399,7 @@
     down: AtomicBool,
     registered: AtomicBool,
     pub leaving: AtomicBool,
-    beats: AtomicU64,
+    pub beats: AtomicU64,
     record: Record,
 }
 
@@ -485,6 +493,7 @@
                     path: path.clone(),
                     at: Instant::now(),
                     answered: false,
+                    said_leaving: false,
                 });
                 runs.len() - 1
             };
@@ -504,7 +513,8 @@
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
-            lock(&self.runs)[at].answered = true;
+            let run = &mut lock(&self.runs)[at];
+            (run.answered, run.said_leaving) = (true, !leaving.is_empty());
             if !leaving.is_empty() {
                 return;
             }
@@ -513,13 +523,13 @@
 
     /// Ends the server without notice.
     pub fn crash(&self) {
-        self.down.store(true, Ordering::SeqCst);
-        // The listener closes within two milliseconds.
-        thread::sleep(3 * MS);
-        for stream in lock(&self.streams).drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        self.record.line(&format!("server {} ends", self.id));
+        crash_all(&[self]);
+    }
+
+    /// Writes the entry again.
+    pub fn register(&self, store: &Store) {
+        self.beats.fetch_add(1, Ordering::SeqCst);
+        store.write("servers", &self.id, Some(self.entry()));
     }
 
     /// Starts to leave without saying so before: the entry is removed, and the server goes on.
@@ -536,6 +546,23 @@
     }
 }
 
+/// Ends servers at the same moment without notice.
+pub fn crash_all(workers: &[&Worker]) {
+    for worker in workers {
+        worker.down.store(true, Ordering::SeqCst);
+    }
+    // The listeners close within two milliseconds.
+    thread::sleep(3 * MS);
+    for worker in workers {
+        for stream in lock(&worker.streams).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+    for worker in workers {
+        worker.record.line(&format!("server {} ends", worker.id));
+    }
+}
+
 const FRONT: u16 = 8_149;
 const READY: u16 = 8_141;
 const CONTROL: u16 = 8_144;
@@ -587,28 +614,38 @@
 pub struct Hosts {
     pub hosts: Vec<Host>,
     dir: PathBuf,
+    /// Keep other runs of a case from the same addresses.
+    _reserved: Vec<TcpListener>,
 }
 
 impl Hosts {
     /// Starts the hosts, each at an address of its own with the same ports.
     pub fn start(zones: &[&str], store: &Store, record: &Record) -> Self {
         let program = std::env::var("CELERYTALLY").unwrap_or_else(|_| "target/release/celerytally".to_owned());
-        let seed = std::process::id() as u64 ^ unix_ms();
-        let dir = std::env::temp_dir().join(format!("lab-{}-{seed}", std::process::id()));
+        let dir = std::env::temp_dir().join(format!("lab-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&dir).unwrap_or_else(|e| cannot_run(&format!("{e}")));
-        let ips = (0..200).map(|n| {
-            let net = (seed.wrapping_mul(31).wrapping_add(n * 7)) % 60_000;
-            move |host: usize| Ipv4Addr::new(127, 1 + (net / 250) as u8, (net % 250) as u8, 1 + host as u8)
-        });
-        let ports = [FRONT, READY, CONTROL, LAST_INTERNAL];
-        let is_free = |ip: Ipv4Addr| {
-            ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
-                && UdpSocket::bind((ip, FIRST_INTERNAL)).is_ok()
+        let address = |net: u64, host: usize| Ipv4Addr::new(127, 1 + (net / 250) as u8, (net % 250) as u8, 1 + host as u8);
+        let reserve = |net: u64| -> Option<Vec<TcpListener>> {
+            let is_free = |ip: Ipv4Addr| {
+                let ports = [FRONT, READY, CONTROL, LAST_INTERNAL];
+                ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+                    && UdpSocket::bind((ip, FIRST_INTERNAL)).is_ok()
+            };
+            // The port is not used by a host.
+            let reserved = (0..zones.len()).map(|host| TcpListener::bind((address(net, host), LAST_INTERNAL + 1)).ok());
+            let reserved: Vec<TcpListener> = reserved.collect::<Option<_>>()?;
+            (0..zones.len()).all(|host| is_free(address(net, host))).then_some(reserved)
         };
-        let free = ips.into_iter().find(|ip| (0..zones.len()).all(|host| is_free(ip(host))));
-        let ip = free.unwrap_or_else(|| cannot_run("no free addresses"));
+        let first = u64::from(std::process::id()) * 101 % 50_000;
+        let found = (first..first + 10_000).find_map(|net| Some((net, reserve(net)?)));
+        let (net, reserved) = found.unwrap_or_else(|| cannot_run("no free addresses"));
+        let ip = |host: usize| address(net, host);
         let seeds: Vec<String> = (0..zones.len().min(3)).map(|h| format!(r#""{}:{CONTROL}""#, ip(h))).collect();
-        let mut all = Self { hosts: Vec::new(), dir };
+        let mut all = Self {
+            hosts: Vec::new(),
+            dir,
+            _reserved: reserved,
+        };
         for (at, zone) in zones.iter().enumerate() {
             let name = format!("front-{zone}-{at}");
             let text = settings(&name, zone, ip(at), &seeds.join(","), store.addr);
@@ -625,6 +662,7 @@
                 .stderr(log)
                 .spawn();
             let child = child.unwrap_or_else(|e| cannot_run(&format!("{program}: {e}")));
+            lock(&STARTED).push(child.id());
             all.hosts.push(Host {
                 name,
                 ip: ip(at),
@@ -634,7 +672,6 @@
         let until = Instant::now() + Duration::from_secs(25);
         while !all.hosts.iter().all(Host::is_ready) {
             if Instant::now() > until {
-                drop(all);
                 cannot_run("the hosts did not get ready");
             }
             thread::sleep(100 * MS);
@@ -648,6 +685,7 @@
     fn drop(&mut self) {
         for host in &self.hosts {
             let mut child = lock(&host.child);
+            lock(&STARTED).retain(|pid| *pid != child.id());
             let _ = child.kill();
             let _ = child.wait();
         }
