Review: after a restore of the store, holders of the lease take turns too soon

Cause: a process that starts after a restore, on the host that the restored record names, takes the lease at once; the holder that took it over in the lost seconds goes on until it learns of the restore, and the delay before the first order counts from the wrong moment.

--- a/review/kit-2/lab.rs
+++ b/review/kit-2/lab.rs
@@ -182,6 +182,8 @@
     objects: BTreeMap<Key, Object>,
     history: Vec<(u64, Key, Option<Object>)>,
     away: bool,
+    /// Whether calls end without an answer, on channels that stay open, while the store is away.
+    silent: bool,
 }
 
 /// Copy of a store, from which it may come back.
@@ -192,6 +194,8 @@
     pub addr: SocketAddr,
     state: Mutex<StoreState>,
     changed: Condvar,
+    pub renewals: AtomicU64,
+    waits_for_renewal: AtomicBool,
 }
 
 impl Store {
@@ -201,6 +205,8 @@
             addr: listener.local_addr().unwrap_or_else(|e| cannot_run(&format!("{e}"))),
             state: Mutex::default(),
             changed: Condvar::new(),
+            renewals: AtomicU64::new(0),
+            waits_for_renewal: AtomicBool::new(false),
         });
         lock(&store.state).revision = 100;
         let serving = Arc::clone(&store);
@@ -216,15 +222,18 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Ok(Some(call)) = read_message(&mut stream) {
+            let era = lock(&self.state).era;
+            self.seen(&call);
             if lock(&self.state).away {
-                return;
+                return self.end(stream);
             }
             let (status, body) = self.answer(&call);
             // An answer takes some milliseconds.
             thread::sleep(4 * MS);
             let state = lock(&self.state);
-            if state.away {
-                return;
+            if state.away || state.era != era {
+                drop(state);
+                return self.end(stream);
             }
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n{body}",
@@ -238,6 +247,35 @@
         }
     }
 
+    /// Ends a channel on which an answer is lost: closed, or open without anything further.
+    fn end(&self, stream: TcpStream) {
+        if lock(&self.state).silent {
+            thread::sleep(Duration::from_secs(20));
+        }
+        drop(stream);
+    }
+
+    /// Counts the renewals of leases, as they arrive.
+    fn seen(&self, call: &Message) {
+        if call.word(0) == "PUT" && call.word(1).starts_with("/celerytally/objects/leases/") {
+            self.renewals.fetch_add(1, Ordering::SeqCst);
+            if self.waits_for_renewal.swap(false, Ordering::SeqCst) {
+                lock(&self.state).away = true;
+                self.changed.notify_all();
+            }
+        }
+    }
+
+    /// Takes the store away, silently, as the next renewal of a lease arrives.
+    pub fn go_away_at_renewal(&self) {
+        lock(&self.state).silent = true;
+        self.waits_for_renewal.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_away(&self) -> bool {
+        lock(&self.state).away
+    }
+
     fn answer(&self, call: &Message) -> (u16, String) {
         let (method, target) = (call.word(0), call.word(1));
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -653,16 +691,7 @@
             fs::write(&path, text).unwrap_or_else(|e| cannot_run(&format!("{e}")));
             let log = fs::File::create(all.dir.join(format!("{name}.log")));
             let log = log.unwrap_or_else(|e| cannot_run(&format!("{e}")));
-            let child = Command::new(&program)
-                .arg("entry")
-                .env_clear()
-                .env("CELERYTALLY_BOOT", &path)
-                .stdin(Stdio::null())
-                .stdout(log.try_clone().map_or(Stdio::null(), Stdio::from))
-                .stderr(log)
-                .spawn();
-            let child = child.unwrap_or_else(|e| cannot_run(&format!("{program}: {e}")));
-            lock(&STARTED).push(child.id());
+            let child = start_process(&program, &path, log);
             all.hosts.push(Host {
                 name,
                 ip: ip(at),
@@ -681,6 +710,22 @@
     }
 }
 
+impl Hosts {
+    /// Starts the process of a host again, which has ended.
+    pub fn restart(&self, at: usize) {
+        let host = &self.hosts[at];
+        let program = std::env::var("CELERYTALLY").unwrap_or_else(|_| "target/release/celerytally".to_owned());
+        let path = self.dir.join(format!("{}.json", host.name));
+        // `bootstrap` is true only when the whole system starts for the first time.
+        if let Ok(text) = fs::read_to_string(&path) {
+            let _ = fs::write(&path, text.replace(r#""bootstrap":true"#, r#""bootstrap":false"#));
+        }
+        let log = fs::OpenOptions::new().append(true).open(self.dir.join(format!("{}.log", host.name)));
+        let log = log.unwrap_or_else(|e| cannot_run(&format!("{e}")));
+        *lock(&host.child) = start_process(&program, &path, log);
+    }
+}
+
 impl Drop for Hosts {
     fn drop(&mut self) {
         for host in &self.hosts {
@@ -697,6 +742,20 @@
     }
 }
 
+fn start_process(program: &str, settings: &Path, log: fs::File) -> Child {
+    let child = Command::new(program)
+        .arg("entry")
+        .env_clear()
+        .env("CELERYTALLY_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().map_or(Stdio::null(), Stdio::from))
+        .stderr(log)
+        .spawn();
+    let child = child.unwrap_or_else(|e| cannot_run(&format!("{program}: {e}")));
+    lock(&STARTED).push(child.id());
+    child
+}
+
 fn settings(name: &str, zone: &str, ip: Ipv4Addr, seeds: &str, store: SocketAddr) -> String {
     format!(
         r#"{{"node_name":"{name}","role":"entry","machine_class":"front","serves":["front","control"],
