--- a/review/kit-2/lab.rs
+++ b/review/kit-2/lab.rs
@@ -54,10 +54,16 @@
 /// Processes that this program has started and that have not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process that this program has started. Returns whether it was sent.
+pub fn send_signal(pid: u32, signal: &str) -> bool {
+    let sent = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
+    sent.is_ok_and(|status| status.success())
+}
+
 /// Ends the program, and the processes that it started, because the case could not run.
 pub fn cannot_run(why: &str) -> ! {
     for pid in lock(&STARTED).iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        send_signal(*pid, "KILL");
     }
     eprintln!("the case could not run: {why}");
     std::process::exit(2);
@@ -625,8 +631,7 @@
 
     /// Sends a signal by its name.
     pub fn signal(&self, signal: &str) {
-        let sent = Command::new("kill").arg(format!("-{signal}")).arg(self.pid().to_string()).status();
-        if !sent.is_ok_and(|s| s.success()) {
+        if !send_signal(self.pid(), signal) {
             cannot_run("the signal was not sent");
         }
     }
